--- /dev/null
+++ b/thymeknot/__init__.py
@@ -0,0 +1,1 @@
+"""thymeknot: a traffic shifter for service updates."""
--- /dev/null
+++ b/thymeknot/benchlink.py
@@ -0,0 +1,128 @@
+"""Hosts instances of the decision module on standard input and output, speaking the simulator's wire."""
+
+import sys
+
+from . import wire
+from .balance import Balancer
+from .interface import PodList, MISSED
+
+
+class Host:
+    """The instances of one process. They share nothing but the numbered lists that the wire itself shares."""
+
+    def __init__(self):
+        self.instances = {}
+        self.lists = {}
+
+    def batch(self, now, lines):
+        """The reply lines to one batch. Each instance is given its events of the batch in one call."""
+        inboxes, replies, rows = {}, [], None
+        for text in lines:
+            try:
+                rows = self._line(now, text, inboxes, replies, rows)
+            except wire.Malformed as error:
+                raise wire.Malformed(f"{error}: {text!r}") from None
+        if rows:
+            raise wire.Malformed("the batch ends inside a CENSUS")
+        for name, events in inboxes.items():
+            self._decide(now, name, events, replies)
+        return replies
+
+    def _line(self, now, text, inboxes, replies, rows):
+        name, *values = text.split(" ")
+        if rows or name == "ENTRY":
+            if name != "ENTRY" or not rows:
+                raise wire.Malformed("an ENTRY out of place" if name == "ENTRY" else "a CENSUS cut short")
+            table, left = rows
+            self.lists[table].append(wire.pod(values))
+            return (table, left - 1) if left > 1 else None
+        if name == "CENSUS":
+            try:
+                table, count = (int(value) for value in values)
+            except ValueError:
+                raise wire.Malformed("CENSUS takes a number and a count") from None
+            self.lists[table] = []
+            return (table, count) if count else None
+        if not values:
+            raise wire.Malformed("no such message, or no instance named")
+        instance, *values = values
+        if name == "NEW_INSTANCE":
+            self._start(now, instance, values, inboxes, replies)
+        elif instance not in self.instances:
+            raise wire.Malformed("an event for an unknown instance")
+        elif name == "KILLED":
+            inboxes.pop(instance, None)
+            del self.instances[instance]
+        elif name == "ANNOUNCE":
+            inboxes.setdefault(instance, []).append(self._announced(values))
+        elif name in wire.EVENTS:
+            inboxes.setdefault(instance, []).append(wire.event(name, values))
+        else:
+            raise wire.Malformed("no such message")
+        return None
+
+    def _start(self, now, instance, values, inboxes, replies):
+        try:
+            seed = int(values[0])
+        except (IndexError, ValueError):
+            raise wire.Malformed("NEW_INSTANCE without a seed") from None
+        inboxes.pop(instance, None)
+        terms = wire.terms(values[1:])
+        try:
+            self.instances[instance] = Balancer(terms, seed, now)
+        except Exception as error:  # whatever the decisions raise has to reach the operators
+            replies.append(wire.fault(instance, f"{type(error).__name__}: {error}"))
+
+    def _announced(self, values):
+        try:
+            how, _, table = values
+            kind = wire.LIST_KINDS[how]
+            pods = () if kind == MISSED else tuple(self.lists[int(table)])
+        except (ValueError, KeyError):
+            raise wire.Malformed("ANNOUNCE: bad value") from None
+        return PodList(kind, pods)
+
+    def _decide(self, now, instance, events, replies):
+        try:
+            actions = self.instances[instance].handle(now, events)
+            replies.extend(wire.line(instance, action) for action in actions)
+        except Exception as error:  # whatever the decisions raise has to reach the operators
+            replies.append(wire.fault(instance, f"{type(error).__name__}: {error}"))
+
+
+def serve(source, sink):
+    """Answers batches until the input ends."""
+    host, now, lines = Host(), None, []
+    for text in source:
+        text = text.rstrip("\n")
+        if text.startswith("BATCH "):
+            if now is not None:
+                raise wire.Malformed(f"a BATCH inside a batch: {text!r}")
+            try:
+                now = wire.time(text[6:])
+            except ValueError:
+                raise wire.Malformed(f"BATCH without a clock: {text!r}") from None
+        elif now is None:
+            if text:
+                raise wire.Malformed(f"a line outside a batch: {text!r}")
+        elif text == "YOUR_TURN":
+            sink.write("\n".join(host.batch(now, lines) + ["OK\n"]))
+            sink.flush()
+            now, lines = None, []
+        elif text:
+            lines.append(text)
+    if now is not None:
+        raise wire.Malformed("the input ends inside a batch")
+
+
+def main():
+    try:
+        serve(sys.stdin, sys.stdout)
+    except wire.Malformed as error:
+        print(f"benchlink: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
