--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -11,19 +11,20 @@
 from .interface import (
     Abandon, BACK, BINDING, BY_CLOCK, CHANGES, ClientLeft, Complaint, DONE, DRAINING, Defer, Deliver, ERROR,
     EXPIRED, Ended, FINGERPRINTED, FULL, GONE, GOING_BACK, GROUP_ALL, GROUP_CELL, HOLD, MISSED, Message, NO_VOTE,
-    News, ON, ON_TRIAL, PodList, Probed, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer,
+    News, Note, ON, ON_TRIAL, PodList, Probed, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer,
     StreamBegan, Subscribe, Taken, Tally, TimerDue, UNCONNECTED, UNSENT, Vote, WITHDRAWN)
 
 SECOND = 10_000
 # The ramp and the test, as the design page starts them.
 RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
-P1_OVER_P0, FALSE_BACK, FALSE_ON = 3.0, 0.05, 0.2
+P1_OVER_P0, FALSE_BACK, FALSE_ON = {"failed": 3.0, "slow": 5.0}, 0.05, 0.2
 ON_BOUND, BACK_BOUND = log(FALSE_ON / (1 - FALSE_BACK)), log((1 - FALSE_ON) / FALSE_BACK)
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND
-P0_FLOOR = {"failed": 0.01, "slow": 0.05}
+P0_FLOOR = {"failed": 0.01, "slow": 0.1}
 # Slowness is judged more strictly than failure: machines differ by themselves, failures do not.
 SLOW_BACK_BOUND = log((1 - FALSE_ON) / 0.005)
 SLOW_QUANTILE = 0.9
+ONE_POD = 0.45                  # of a back bound: what slowness and silence of a single pod can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 UPKEEP = SECOND // 20
 HOT_SHARE, HOT_LEAST = 0.03, 8
@@ -251,7 +252,7 @@
     # The test.
 
     def _restart_test(self):
-        self.sums, self.seen = {"failed": 0.0, "slow": 0.0}, 0
+        self.sums, self.by_pod, self.seen = {"failed": 0.0, "slow": 0.0}, {}, 0
         self.below_since, self.bad_keys, self.saying_back = self.now, set(), False
 
     def _rates(self):
@@ -268,15 +269,13 @@
             return
         lane, machine = tx.lane, pod.listed.machine
         share = self._share(pod)
-        mark = self.marks.get((lane.name, machine))
+        mark = self.marks.get((lane.name, machine), (None, 0))[0]
         failed, slow = outcome != DONE, outcome == EXPIRED
         if outcome == DONE:
             slow = mark is not None and latency * share > mark
         if pod.listed.build < self.news.build or self.news.phase == WITHDRAWN:
             if share == 1.0 and outcome in (DONE, EXPIRED):
-                mark = mark or 2.0 * latency
-                shift = SLOW_QUANTILE if slow else SLOW_QUANTILE - 1
-                self.marks[lane.name, machine] = mark * (1 + 0.1 * shift)
+                self._mark(lane.name, machine, latency, slow)
             self.earlier["all"].add(self.now)
             self.earlier["failed"].add(self.now, failed)
             self.earlier["slow"].add(self.now, slow)
@@ -291,16 +290,28 @@
             if failed:
                 self.bad_keys.add(tx.key)
             self.seen += 1
-            self._add("failed", failed)
+            self._add("failed", failed, None if outcome in (DONE, ERROR) else pod.listed.address)
             # A build may be slow and never fail: answers above the earlier build's mark are tested alike.
             if compared and mark is not None:
-                self._add("slow", slow)
+                self._add("slow", slow, pod.listed.address)
 
-    def _add(self, what, bad):
+    def _mark(self, lane, machine, latency, slow):
+        """Follows the latency that only one answer in ten exceeds, quickly at first."""
+        mark, seen = self.marks.get((lane, machine), (2.0 * latency, 0))
+        shift = SLOW_QUANTILE if slow else SLOW_QUANTILE - 1
+        self.marks[lane, machine] = mark * (1 + max(0.05, 1 / (2 + 0.2 * seen)) * shift), seen + 1
+
+    def _add(self, what, bad, pod=None):
         p0 = self.p0[what]
-        p1 = min(P1_OVER_P0 * p0, (1 + p0) / 2)
+        p1 = min(P1_OVER_P0[what] * p0, (1 + p0) / 2)
         # The sum rests at the bound for 'on': a build that turns bad late must not have to eat up its past.
         step = log(p1 / p0) if bad else log((1 - p1) / (1 - p0))
+        if pod:
+            # A single machine may be ill by itself: alone it proves nothing of the build.
+            bound = ONE_POD * (SLOW_BACK_BOUND if what == "slow" else BACK_BOUND)
+            had = self.by_pod.get((what, pod), 0.0)
+            self.by_pod[what, pod] = min(bound, max(-bound, had + step))
+            step = self.by_pod[what, pod] - had
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
         if self.sums[what] > 0:
             self.below_since = None
@@ -339,6 +350,9 @@
                 return
         elif stands and self.vote == wanted and self.now < self.vote_at + self.terms.vote_life // 2:
             return
+        if self.asked != wanted:
+            told = ", ".join(f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}" for what in sorted(self.sums))
+            self.actions.append(Note(f"vote {wanted[2]} on build {wanted[0]} stage {wanted[1]}: {told}, {self.seen} seen"))
         self.asked = wanted
         self.ask_at = self.now + self.terms.vote_wait + SECOND // 10
         self.actions.append(Vote(*wanted))
