--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -19,7 +19,7 @@
 RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
 P1_OVER_P0, FALSE_BACK, FALSE_ON = {"failed": 3.0, "slow": 5.0}, 0.05, 0.2
 ON_BOUND, BACK_BOUND = log(FALSE_ON / (1 - FALSE_BACK)), log((1 - FALSE_ON) / FALSE_BACK)
-ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND
+ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 P0_FLOOR = {"failed": 0.01, "slow": 0.1}
 # Slowness is judged more strictly than failure: machines differ by themselves, failures do not.
 SLOW_BACK_BOUND = log((1 - FALSE_ON) / 0.005)
@@ -30,7 +30,7 @@
 HOT_SHARE, HOT_LEAST = 0.03, 8
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
 COLD_PART = 0.5                 # of what would push a cold pod over, the part that all instances together use
-STRESS_WANTED, LIMIT_LEAST = 0.6, 4.0
+GOAL_PART, LIMIT_LEAST = 0.45, 10  # of the latency goal: the mean time that the limit on open work aims at
 LANE_PART = (0.8, 1.25)         # of the limit on open transactions: for the cheapest lane, for the dearest
 SECOND_COPIES, RETRIES = 0.05, 0.15
 
@@ -119,13 +119,13 @@
         self.pods, self.open, self.turn = {}, {}, 0
         self.news, self.pins, self.ramp, self.ramped = None, {}, 0.0, now
         self.taken, self.tried, self.keys = {}, {}, {}
-        self.keys_at = now
+        self.keys_at = self.born = now
         self.p0 = dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
         self.marks, self.means = {}, {}
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at = None, 0, None, now
-        self.limit, self.stress, self.retries, self.copies = 60.0, 0.3, 5.0, 2.0
+        self.retries, self.copies, self.answers = 5.0, 2.0, Ring(2 * SECOND, 8)
         self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
         self.due, self.watch_at, self.started = {}, now, False
 
@@ -313,9 +313,9 @@
             self.by_pod[what, pod] = min(bound, max(-bound, had + step))
             step = self.by_pod[what, pod] - had
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
-        if self.sums[what] > 0:
+        if self.sums["failed"] > 0:
             self.below_since = None
-        elif self.below_since is None and max(self.sums.values()) <= 0:
+        elif self.below_since is None and self.sums["failed"] <= 0:
             self.below_since = self.now
 
     def _verdict(self):
@@ -337,7 +337,8 @@
         if max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES:
             return ON
         # A quiet instance never sees enough: with nothing against the build for so long, it says on.
-        return ON if self.below_since is not None and self.now >= self.below_since + QUIET_FOR else NO_VOTE
+        quiet = self.below_since is not None and self.now >= self.below_since + QUIET_FOR
+        return ON if quiet and part <= 0.5 else NO_VOTE
 
     def _cast(self):
         """Casts, renews and withdraws the vote; an unanswered one is asked again, in step with the limit."""
@@ -389,12 +390,16 @@
             self._give_up(tx)
 
     def _limit_for(self, lane):
-        """Overload is turned away early, the lanes that earn least for their work first."""
+        """Open work may be what answers come for within part of the goal (Little's law), so that a queue ends
+        before the goal does; beyond it the lanes that earn least for their work are turned away first."""
+        # A new instance has seen no answers yet, which is no sign of overload.
+        since = min(2 * SECOND, self.now - self.born)
+        limit = max(LIMIT_LEAST, self.answers.total(self.now) / since) if since > SECOND else 1000.0
         worth = {name: self.terms.lanes[name].earnings / mean for name, mean in self.means.items()}
         if lane.name not in worth or len(worth) < 2:
-            return self.limit
+            return limit
         low, high = min(worth.values()), max(worth.values())
-        return self.limit * (LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * (worth[lane.name] - low)
+        return limit * (LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * (worth[lane.name] - low)
                              / ((high - low) or 1.0))
 
     def _groups(self, tx):
@@ -499,7 +504,7 @@
     def _second(self, tx):
         """A second copy for one that is much later than its lane, as long as few need it."""
         mean = self.means.get(tx.lane.name, 0)
-        if tx.streams or tx.out() != 1 or self.copies < 1 or self.stress > STRESS_WANTED:
+        if tx.streams or tx.out() != 1 or self.copies < 1 or 2 * len(self.open) > self._limit_for(tx.lane):
             return
         if self.now + mean < min(tx.goal, tx.ends) and self._may_repeat(tx) and self._send(tx):
             self.copies -= 1
@@ -549,15 +554,8 @@
             known.shunned, known.shun = self.now + known.shun, min(SHUN_MOST, 2 * known.shun)
         elif event.outcome == DONE:
             known.shun = SHUN
-        if event.outcome in (DONE, EXPIRED):
-            # Clipped, so that one transaction of enormous cost does not look like an overload.
-            late = min(1.5, event.latency / tx.lane.latency_goal)
-            self.stress += 0.05 * (late - self.stress)
-            if self.stress > STRESS_WANTED:
-                self.limit = max(LIMIT_LEAST, self.limit * 0.98)
-            elif len(self.open) > 0.5 * self.limit:
-                self.limit += 0.2
         if event.outcome == DONE:
+            self.answers.add(self.now, GOAL_PART * tx.lane.latency_goal)
             mean = self.means.get(tx.lane.name, event.latency)
             self.means[tx.lane.name] = max(1.0, mean + 0.03 * (event.latency - mean))
             pace = min(4.0, event.latency * self._share(known) / self.means[tx.lane.name])
