All outcomes are tested against what was usual before the offer: shared slowness

It also catches a build bad only at full share. It can do harm when something else slows all pods for over 5 s during a trial.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -24,6 +24,8 @@
 # Slowness is judged more strictly than failure: machines differ by themselves, failures do not.
 SLOW_BACK_BOUND = log((1 - FALSE_ON) / 0.005)
 SLOW_QUANTILE = 0.9
+ILL_FOR = 5 * SECOND             # how long all builds must be slower than before the offer to blame the new one
+BUSIER = 1.3                    # times the traffic before the offer: beyond it slowness has another cause
 ONE_POD = 0.45                  # of a back bound: what slowness and silence of a single pod can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 UPKEEP = SECOND // 20
@@ -54,9 +56,9 @@
     (ON_TRIAL, "phase"): "moved",
     (GOING_BACK, "build"): "fell",
     (GOING_BACK, "phase"): "fell",
-    (RELEASED, "build"): "moved",
+    (RELEASED, "build"): "met",
     (RELEASED, "phase"): "moved",
-    (WITHDRAWN, "build"): "fell",
+    (WITHDRAWN, "build"): "met",
     (WITHDRAWN, "phase"): "fell",
 }
 
@@ -122,7 +124,8 @@
         self.keys_at = self.born = now
         self.p0 = dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
-        self.marks, self.means = {}, {}
+        self.marks, self.means, self.arrivals = {}, {}, Ring(8 * SECOND, 16)
+        self.usual, self.all_slow, self.ill_since = None, 0.0, None
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at = None, 0, None, now
         self.retries, self.copies, self.answers = 5.0, 2.0, Ring(2 * SECOND, 8)
@@ -195,6 +198,15 @@
 
     def _offered(self):
         self.ramp, self.tried = 0.0, {}
+        # What was usual before the build came, to see whether it slows the earlier one along with itself. A
+        # build that was not seen on trial here is the usual.
+        self._rates()
+        self.usual = dict(self.marks), self.p0["slow"], self.arrivals.total(self.now) / 4
+        self.all_slow, self.ill_since = 0.0, None
+        self._moved()
+
+    def _met(self):
+        self.ramp, self.usual = 1.0, None
         self._moved()
 
     def _moved(self):
@@ -204,6 +216,7 @@
     def _fell(self):
         self.ramp, self.tried = 0.0, {}
         self.pins = {key: build for key, build in self.pins.items() if build != self.news.build}
+        self.usual, self.ill_since = None, None
         self._restart_test()
 
     def _climb(self):
@@ -273,7 +286,9 @@
         failed, slow = outcome != DONE, outcome == EXPIRED
         if outcome == DONE:
             slow = mark is not None and latency * share > mark
-        if pod.listed.build < self.news.build or self.news.phase == WITHDRAWN:
+        if share == 1.0 and self.usual and self.news.phase in (ON_TRIAL, RELEASED):
+            self._watch_all(lane, machine, outcome, latency)
+        if pod.listed.build < self.news.build or not self.usual:
             if share == 1.0 and outcome in (DONE, EXPIRED):
                 self._mark(lane.name, machine, latency, slow)
             self.earlier["all"].add(self.now)
@@ -295,6 +310,21 @@
             if compared and mark is not None:
                 self._add("slow", slow, pod.listed.address)
 
+    def _watch_all(self, lane, machine, outcome, latency):
+        """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
+        outcomes are tested against what was usual before the offer, unless the traffic has grown since."""
+        marks, p0, arrivals = self.usual
+        if (lane.name, machine) not in marks or self.arrivals.total(self.now, False, 4) > BUSIER * arrivals + 3:
+            return
+        p1 = min(P1_OVER_P0["slow"] * p0, (1 + p0) / 2)
+        slow = outcome == EXPIRED or latency > marks[lane.name, machine][0]
+        step = log(p1 / p0) if slow else log((1 - p1) / (1 - p0))
+        self.all_slow = max(-SLOW_BACK_BOUND / 2, min(1.5 * SLOW_BACK_BOUND, self.all_slow + step))
+        if self.all_slow < SLOW_BACK_BOUND / 2:
+            self.ill_since = None
+        elif self.all_slow > SLOW_BACK_BOUND and self.ill_since is None:
+            self.ill_since = self.now
+
     def _mark(self, lane, machine, latency, slow):
         """Follows the latency that only one answer in ten exceeds, quickly at first."""
         mark, seen = self.marks.get((lane, machine), (2.0 * latency, 0))
@@ -323,6 +353,9 @@
         if news.phase not in (ON_TRIAL, RELEASED):
             return NO_VOTE
         part = max(self.sums["failed"] / BACK_BOUND, self.sums["slow"] / SLOW_BACK_BOUND)
+        if self.ill_since is not None:
+            # What slows all may pass by itself; until it has, the build does not move on.
+            part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
         self.saying_back = part > 1 or (self.saying_back and part > 0.5)
         if self.saying_back:
             return BACK
@@ -378,6 +411,7 @@
         lane = self.terms.lanes[event.lane]
         tx = self.open[event.id] = Transaction(event, lane, self.now)
         self._ring(self.taken, lane).add(self.now)
+        self.arrivals.add(self.now)
         if event.key:
             self.keys[event.key] = self.keys.get(event.key, 0) + 1
         self.retries, self.copies = min(20.0, self.retries + RETRIES), min(5.0, self.copies + SECOND_COPIES)
