--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -24,8 +24,9 @@
 # Slowness is judged more strictly than failure: machines differ by themselves, failures do not.
 SLOW_BACK_BOUND = log((1 - FALSE_ON) / 0.005)
 SLOW_QUANTILE = 0.9
-ILL_FOR = 5 * SECOND             # how long all builds must be slower than before the offer to blame the new one
+ILL_FOR = 8 * SECOND             # how long all builds must be slower than before the offer to blame the new one
 BUSIER = 1.3                    # times the traffic before the offer: beyond it slowness has another cause
+USUAL_SLOW = 0.15               # at most so many are slow by usual marks; more means marks not yet settled
 ONE_POD = 0.45                  # of a back bound: what slowness and silence of a single pod can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 UPKEEP = SECOND // 20
@@ -201,7 +202,7 @@
         # What was usual before the build came, to see whether it slows the earlier one along with itself. A
         # build that was not seen on trial here is the usual.
         self._rates()
-        self.usual = dict(self.marks), self.p0["slow"], self.arrivals.total(self.now) / 4
+        self.usual = dict(self.marks), min(USUAL_SLOW, self.p0["slow"]), self.arrivals.total(self.now) / 4
         self.all_slow, self.ill_since = 0.0, None
         self._moved()
 
@@ -316,7 +317,7 @@
         marks, p0, arrivals = self.usual
         if (lane.name, machine) not in marks or self.arrivals.total(self.now, False, 4) > BUSIER * arrivals + 3:
             return
-        p1 = min(P1_OVER_P0["slow"] * p0, (1 + p0) / 2)
+        p1 = min(P1_OVER_P0["failed"] * p0, (1 + p0) / 2)
         slow = outcome == EXPIRED or latency > marks[lane.name, machine][0]
         step = log(p1 / p0) if slow else log((1 - p1) / (1 - p0))
         self.all_slow = max(-SLOW_BACK_BOUND / 2, min(1.5 * SLOW_BACK_BOUND, self.all_slow + step))
