--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -26,6 +26,7 @@
 SLOW_QUANTILE = 0.9
 ILL_FOR = 8 * SECOND             # how long all builds must be slower than before the offer to blame the new one
 BUSIER = 1.3                    # times the traffic before the offer: beyond it slowness has another cause
+SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 USUAL_SLOW = 0.15               # at most so many are slow by usual marks; more means marks not yet settled
 ONE_POD = 0.45                  # of a back bound: what slowness and silence of a single pod can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
@@ -33,7 +34,7 @@
 HOT_SHARE, HOT_LEAST = 0.03, 8
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
 COLD_PART = 0.5                 # of what would push a cold pod over, the part that all instances together use
-GOAL_PART, LIMIT_LEAST = 0.45, 10  # of the latency goal: the mean time that the limit on open work aims at
+GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
 LANE_PART = (0.8, 1.25)         # of the limit on open transactions: for the cheapest lane, for the dearest
 SECOND_COPIES, RETRIES = 0.05, 0.15
 
@@ -126,7 +127,7 @@
         self.p0 = dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
         self.marks, self.means, self.arrivals = {}, {}, Ring(8 * SECOND, 16)
-        self.usual, self.all_slow, self.ill_since = None, 0.0, None
+        self.judging, self.usual, self.all_slow, self.ill_since = False, None, 0.0, None
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at = None, 0, None, now
         self.retries, self.copies, self.answers = 5.0, 2.0, Ring(2 * SECOND, 8)
@@ -199,15 +200,23 @@
 
     def _offered(self):
         self.ramp, self.tried = 0.0, {}
-        # What was usual before the build came, to see whether it slows the earlier one along with itself. A
-        # build that was not seen on trial here is the usual.
-        self._rates()
-        self.usual = dict(self.marks), min(USUAL_SLOW, self.p0["slow"]), self.arrivals.total(self.now) / 4
+        # A build that was not seen on trial here is the usual.
+        self.judging, self.usual = True, None
         self.all_slow, self.ill_since = 0.0, None
+        self._settle()
         self._moved()
 
+    def _settle(self):
+        """Keeps what was usual before the build came, to see whether it slows the earlier one with itself. An
+        instance that started during the trial takes what it met as usual: the later stages then show."""
+        age = self.now - self.born
+        if self.judging and self.usual is None and age >= SETTLED:
+            self._rates()
+            rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age)
+            self.usual = dict(self.marks), min(USUAL_SLOW, self.p0["slow"]), rate
+
     def _met(self):
-        self.ramp, self.usual = 1.0, None
+        self.ramp, self.judging, self.usual = 1.0, False, None
         self._moved()
 
     def _moved(self):
@@ -217,7 +226,7 @@
     def _fell(self):
         self.ramp, self.tried = 0.0, {}
         self.pins = {key: build for key, build in self.pins.items() if build != self.news.build}
-        self.usual, self.ill_since = None, None
+        self.judging, self.usual, self.ill_since = False, None, None
         self._restart_test()
 
     def _climb(self):
@@ -289,7 +298,7 @@
             slow = mark is not None and latency * share > mark
         if share == 1.0 and self.usual and self.news.phase in (ON_TRIAL, RELEASED):
             self._watch_all(lane, machine, outcome, latency)
-        if pod.listed.build < self.news.build or not self.usual:
+        if pod.listed.build < self.news.build or not self.judging:
             if share == 1.0 and outcome in (DONE, EXPIRED):
                 self._mark(lane.name, machine, latency, slow)
             self.earlier["all"].add(self.now)
@@ -315,7 +324,7 @@
         """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
         outcomes are tested against what was usual before the offer, unless the traffic has grown since."""
         marks, p0, arrivals = self.usual
-        if (lane.name, machine) not in marks or self.arrivals.total(self.now, False, 4) > BUSIER * arrivals + 3:
+        if (lane.name, machine) not in marks or self.arrivals.total(self.now, False, 4) > 2 * BUSIER * arrivals + 3:
             return
         p1 = min(P1_OVER_P0["failed"] * p0, (1 + p0) / 2)
         slow = outcome == EXPIRED or latency > marks[lane.name, machine][0]
@@ -621,6 +630,7 @@
                 self._step(tx, "slow")
             return
         self.actions.append(SetTimer(self.now + UPKEEP, 0))
+        self._settle()
         self._climb()
         self._cast()
         if self.terms.subscribes and self.now >= self.watch_at:
