--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -18,16 +18,16 @@
 # The ramp and the test, as the design page starts them.
 RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
 P1_OVER_P0, FALSE_BACK, FALSE_ON = {"failed": 3.0, "slow": 5.0}, 0.05, 0.2
-ON_BOUND, BACK_BOUND = log(FALSE_ON / (1 - FALSE_BACK)), log((1 - FALSE_ON) / FALSE_BACK)
+ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 P0_FLOOR = {"failed": 0.01, "slow": 0.1}
-# Slowness is judged more strictly than failure: machines differ by themselves, failures do not.
-SLOW_BACK_BOUND = log((1 - FALSE_ON) / 0.005)
+SLOW_STRICTER = 10              # times: machines differ in speed by themselves, in failures they do not
 SLOW_QUANTILE = 0.9
 ILL_FOR = 8 * SECOND             # how long all builds must be slower than before the offer to blame the new one
 BUSIER = 1.3                    # times the traffic before the offer: beyond it slowness has another cause
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 USUAL_SLOW = 0.15               # at most so many are slow by usual marks; more means marks not yet settled
+WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
 ONE_POD = 0.45                  # of a back bound: what slowness and silence of a single pod can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 UPKEEP = SECOND // 20
@@ -127,6 +127,9 @@
         self.p0 = dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
         self.marks, self.means, self.arrivals = {}, {}, Ring(8 * SECOND, 16)
+        # Where few votes send a build back, any instance's error does: they share the allowed one.
+        alone = FALSE_BACK * terms.votes_to_revert / terms.balancers
+        self.back_at = {"failed": log((1 - FALSE_ON) / alone), "slow": log((1 - FALSE_ON) * SLOW_STRICTER / alone)}
         self.judging, self.usual, self.all_slow, self.ill_since = False, None, 0.0, None
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at = None, 0, None, now
@@ -284,7 +287,7 @@
         if seen >= BASELINE:
             for what, floor in P0_FLOOR.items():
                 self.p0[what] = max(floor, min(0.6, self.earlier[what].total(self.now) / seen))
-        return seen >= BASELINE
+        return self.earlier["all"].total(self.now, False, 4) >= BASELINE
 
     def _judge(self, tx, pod, outcome, latency):
         """Books an outcome with the build that it tells of."""
@@ -317,7 +320,7 @@
             self.seen += 1
             self._add("failed", failed, None if outcome in (DONE, ERROR) else pod.listed.address)
             # A build may be slow and never fail: answers above the earlier build's mark are tested alike.
-            if compared and mark is not None:
+            if compared and mark is not None and share >= WARM_ENOUGH:
                 self._add("slow", slow, pod.listed.address)
 
     def _watch_all(self, lane, machine, outcome, latency):
@@ -329,10 +332,11 @@
         p1 = min(P1_OVER_P0["failed"] * p0, (1 + p0) / 2)
         slow = outcome == EXPIRED or latency > marks[lane.name, machine][0]
         step = log(p1 / p0) if slow else log((1 - p1) / (1 - p0))
-        self.all_slow = max(-SLOW_BACK_BOUND / 2, min(1.5 * SLOW_BACK_BOUND, self.all_slow + step))
-        if self.all_slow < SLOW_BACK_BOUND / 2:
+        bound = self.back_at["slow"]
+        self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
+        if self.all_slow < bound / 2:
             self.ill_since = None
-        elif self.all_slow > SLOW_BACK_BOUND and self.ill_since is None:
+        elif self.all_slow > bound and self.ill_since is None:
             self.ill_since = self.now
 
     def _mark(self, lane, machine, latency, slow):
@@ -348,7 +352,7 @@
         step = log(p1 / p0) if bad else log((1 - p1) / (1 - p0))
         if pod:
             # A single machine may be ill by itself: alone it proves nothing of the build.
-            bound = ONE_POD * (SLOW_BACK_BOUND if what == "slow" else BACK_BOUND)
+            bound = ONE_POD * self.back_at[what]
             had = self.by_pod.get((what, pod), 0.0)
             self.by_pod[what, pod] = min(bound, max(-bound, had + step))
             step = self.by_pod[what, pod] - had
@@ -362,7 +366,7 @@
         news = self.news
         if news.phase not in (ON_TRIAL, RELEASED):
             return NO_VOTE
-        part = max(self.sums["failed"] / BACK_BOUND, self.sums["slow"] / SLOW_BACK_BOUND)
+        part = max(self.sums[what] / self.back_at[what] for what in self.sums)
         if self.ill_since is not None:
             # What slows all may pass by itself; until it has, the build does not move on.
             part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -39,16 +39,12 @@
     lanes: dict
     balancers: int
     subscribes: bool
-    zone: str
-    tick: int
     max_deliveries: int
     max_retry_after: int
     second_copies: bool
     may_recall: bool
     retry_after: bool
     reports: tuple
-    drain_grace: int
-    answer_slack: int
     ask_within: int
     cold_from: float
     cold: int
@@ -56,11 +52,11 @@
     overload_for: int
     exposure_window: int
     allowance: float
-    caps: tuple
     guarded_stages: int
     by_lane: bool
     keys_stay: bool
     decided_by: str
+    votes_to_revert: int
     vote_life: int
     vote_wait: int
     votes_per_s: float
