--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -9,7 +9,7 @@
 from math import log
 
 from .interface import (
-    Abandon, BACK, BINDING, BY_CLOCK, CHANGES, ClientLeft, Complaint, DONE, DRAINING, Defer, Deliver, ERROR,
+    Abandon, BACK, BY_CLOCK, CHANGES, ClientLeft, Complaint, DONE, Defer, Deliver, ERROR,
     EXPIRED, Ended, FINGERPRINTED, FULL, GONE, GOING_BACK, GROUP_ALL, GROUP_CELL, HOLD, MISSED, Message, NO_VOTE,
     News, Note, ON, ON_TRIAL, PodList, Probed, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer,
     StreamBegan, Subscribe, Taken, Tally, TimerDue, UNCONNECTED, UNSENT, Vote, WITHDRAWN)
@@ -26,7 +26,7 @@
 ILL_FOR = 8 * SECOND             # how long all builds must be slower than before the offer to blame the new one
 BUSIER = 1.3                    # times the traffic before the offer: beyond it slowness has another cause
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
-USUAL_SLOW = 0.15               # at most so many are slow by usual marks; more means marks not yet settled
+MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
 ONE_POD = 0.45                  # of a back bound: what slowness and silence of a single pod can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
@@ -214,9 +214,8 @@
         instance that started during the trial takes what it met as usual: the later stages then show."""
         age = self.now - self.born
         if self.judging and self.usual is None and age >= SETTLED:
-            self._rates()
             rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age)
-            self.usual = dict(self.marks), min(USUAL_SLOW, self.p0["slow"]), rate
+            self.usual = dict(self.marks), rate
 
     def _met(self):
         self.ramp, self.judging, self.usual = 1.0, False, None
@@ -326,11 +325,11 @@
     def _watch_all(self, lane, machine, outcome, latency):
         """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
         outcomes are tested against what was usual before the offer, unless the traffic has grown since."""
-        marks, p0, arrivals = self.usual
+        (marks, arrivals), p0 = self.usual, P0_FLOOR["slow"]
         if (lane.name, machine) not in marks or self.arrivals.total(self.now, False, 4) > 2 * BUSIER * arrivals + 3:
             return
         p1 = min(P1_OVER_P0["failed"] * p0, (1 + p0) / 2)
-        slow = outcome == EXPIRED or latency > marks[lane.name, machine][0]
+        slow = outcome == EXPIRED or latency > MARGIN * marks[lane.name, machine][0]
         step = log(p1 / p0) if slow else log((1 - p1) / (1 - p0))
         bound = self.back_at["slow"]
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
