--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -21,6 +21,7 @@
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 P0_FLOOR = {"failed": 0.01, "slow": 0.1}
+HOLD_PART = 0.5                 # of the back bound: more than that against a build holds it
 SLOW_STRICTER = 10              # times: machines differ in speed by themselves, in failures they do not
 SLOW_QUANTILE = 0.9
 ILL_FOR = 8 * SECOND             # how long all builds must be slower than before the offer to blame the new one
@@ -278,7 +279,7 @@
 
     def _restart_test(self):
         self.sums, self.by_pod, self.seen = {"failed": 0.0, "slow": 0.0}, {}, 0
-        self.below_since, self.bad_keys, self.saying_back = self.now, set(), False
+        self.clear_since, self.bad_keys, self.saying_back = self.now, set(), False
 
     def _rates(self):
         """The earlier build's rates; kept as last seen where none of its outcomes are left to see."""
@@ -356,35 +357,37 @@
             self.by_pod[what, pod] = min(bound, max(-bound, had + step))
             step = self.by_pod[what, pod] - had
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
-        if self.sums["failed"] > 0:
-            self.below_since = None
-        elif self.below_since is None and self.sums["failed"] <= 0:
-            self.below_since = self.now
+        if self._doubt() > HOLD_PART:
+            self.clear_since = self.now
+
+    def _doubt(self):
+        return max(self.sums[what] / self.back_at[what] for what in self.sums)
 
     def _verdict(self):
         news = self.news
         if news.phase not in (ON_TRIAL, RELEASED):
             return NO_VOTE
-        part = max(self.sums[what] / self.back_at[what] for what in self.sums)
+        part = self._doubt()
         if self.ill_since is not None:
             # What slows all may pass by itself; until it has, the build does not move on.
             part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
-        self.saying_back = part > 1 or (self.saying_back and part > 0.5)
+        self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
         if self.saying_back:
             return BACK
         if news.phase == RELEASED:
             return NO_VOTE
         if self.terms.decided_by == BY_CLOCK:
-            return HOLD if part > 0.5 else NO_VOTE
+            return HOLD if part > HOLD_PART else NO_VOTE
         newest = max((pod.listed.started for pod in self.pods.values() if pod.listed.build == news.build),
                      default=self.now)
         if self.now < newest + AFTER_START:
             return NO_VOTE
         if max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES:
             return ON
-        # A quiet instance never sees enough: with nothing against the build for so long, it says on.
-        quiet = self.below_since is not None and self.now >= self.below_since + QUIET_FOR
-        return ON if quiet and part <= 0.5 else NO_VOTE
+        # A quiet instance never sees enough, and one chance failure would bar it for minutes: with too little
+        # against the build to hold it, it says on after a while, sooner if there is nothing at all.
+        wait = QUIET_FOR if self.sums["failed"] <= 0 else 2 * QUIET_FOR
+        return ON if part <= HOLD_PART and self.now >= self.clear_since + wait else NO_VOTE
 
     def _cast(self):
         """Casts, renews and withdraws the vote; an unanswered one is asked again, in step with the limit."""
