--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,167 @@
+"""One test for each failure found on the bench, and for the design's own parts."""
+
+import unittest
+
+from thymeknot import interface as i
+from thymeknot.balance import Ring, SECOND, Transaction, position
+
+from .helpers import NOW, balancer, ended, news, pod, sent, taken
+
+
+def judged(made, outcome, address, times=1, latency=1000, key=None):
+    """Books outcomes of one pod, as deliveries that ended just so."""
+    for number in range(times):
+        tx = Transaction(taken(f"{address}-{number}", key=key), made.terms.lanes["read"], NOW)
+        made._judge(tx, made.pods[address], outcome, latency)
+
+
+class TheDesign(unittest.TestCase):
+    def test_position_is_fnv_1a(self):
+        self.assertEqual(position(""), 2166136261 / 4294967295)
+        self.assertEqual(position("a"), 0xE40C292C / 4294967295)
+
+    def test_the_ramp_climbs_to_its_target_and_never_falls(self):
+        made = balancer(told=news(cap=0.25))
+        made.ramped = NOW - SECOND
+        made._climb()
+        self.assertAlmostEqual(made.ramp, 0.1)
+        made.now += 9 * SECOND
+        made._climb()
+        self.assertAlmostEqual(made.ramp, 0.2)
+        made.pods.pop("new-1")
+        made._climb()
+        self.assertAlmostEqual(made.ramp, 0.2)
+
+    def test_keys_below_the_ramp_go_to_the_trial(self):
+        made = balancer(told=news(cap=1.0))
+        made.ramp = 0.5
+        for key in ("k1", "k2", "k3", "k4", "k5", "k6"):
+            went = sent(made.handle(NOW, [taken(key, key=key)]))[0]
+            self.assertEqual(went == "new-1", position(key) < 0.5, key)
+
+    def test_pods_of_a_build_take_turns(self):
+        made = balancer(pod("a"), pod("b"), pod("c"))
+        self.assertEqual({sent(made.handle(NOW, [taken(str(n))]))[0] for n in range(3)}, {"a", "b", "c"})
+
+    def test_failures_vote_back_and_successes_vote_on(self):
+        made = balancer(told=news())
+        judged(made, i.DONE, "new-1", 90)
+        self.assertEqual(made._verdict(), i.ON)
+        judged(made, i.ERROR, "new-1", 6)
+        self.assertEqual(made._verdict(), i.BACK)
+
+    def test_under_the_clock_half_the_bound_holds(self):
+        made = balancer(told=news(), decided_by=i.BY_CLOCK)
+        made.sums["failed"] = 0.6 * made.back_at["failed"]
+        self.assertEqual(made._verdict(), i.HOLD)
+        made.sums["failed"] = 0.4 * made.back_at["failed"]
+        self.assertEqual(made._verdict(), i.NO_VOTE)
+
+    def test_a_vote_is_renewed_before_it_lapses_and_withdrawn_when_its_ground_is_gone(self):
+        made = balancer(told=news())
+        made.vote, made.vote_at, made.ask_at = (2, 1, i.ON), NOW - made.terms.vote_life // 2, NOW
+        made._cast()
+        self.assertIn(i.Vote(2, 1, i.ON), made.actions)
+        made.actions, made.ask_at, made.clear_since = [], NOW, NOW
+        made._cast()
+        self.assertIn(i.Vote(2, 1, i.NO_VOTE), made.actions)
+
+    def test_an_unanswered_vote_is_asked_again(self):
+        made = balancer(told=news())
+        made._cast()
+        made.actions, made.now = [], NOW + made.terms.vote_wait + SECOND
+        made._cast()
+        self.assertIn(i.Vote(2, 1, i.ON), made.actions)
+
+
+class FailuresFound(unittest.TestCase):
+    def test_one_slow_machine_does_not_send_a_build_back(self):
+        made = balancer(told=news())
+        made.marks["read", "std"] = (500, 100)
+        judged(made, i.DONE, "old-1", 20, latency=100)
+        judged(made, i.DONE, "new-1", 60, latency=5000)
+        self.assertNotEqual(made._verdict(), i.BACK)
+
+    def test_slow_pods_together_do(self):
+        made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(3)), told=news())
+        made.marks["read", "std"] = (500, 100)
+        judged(made, i.DONE, "old-1", 20, latency=100)
+        for address in ("new-0", "new-1", "new-2"):
+            judged(made, i.DONE, address, 20, latency=5000)
+        self.assertEqual(made._verdict(), i.BACK)
+
+    def test_cold_slowness_and_time_outs_prove_nothing(self):
+        made = balancer(pod("old-1"), pod("new-1", 2, started=NOW - 1), told=news())
+        made.marks["read", "std"] = (500, 100)
+        judged(made, i.DONE, "old-1", 20, latency=100)
+        judged(made, i.DONE, "new-1", 20, latency=5000)
+        judged(made, i.EXPIRED, "new-1", 20)
+        self.assertLessEqual(max(made.sums.values()), 0)
+
+    def test_one_failing_key_is_one_failure(self):
+        made = balancer(told=news())
+        judged(made, i.ERROR, "new-1", 50, key="k")
+        self.assertNotEqual(made._verdict(), i.BACK)
+
+    def test_a_failing_key_and_a_hot_one_leave_the_trial(self):
+        made = balancer(told=news(cap=1.0))
+        made.ramp = 1.0
+        made.bad_keys.add("bad")
+        made.keys["hot"] = 50
+        self.assertIn(sent(made.handle(NOW, [taken("t1", key="bad")]))[0], ("old-1", "old-2"))
+        self.assertIn(sent(made.handle(NOW, [taken("t2", key="hot")]))[0], ("old-1", "old-2"))
+
+    def test_slowness_of_all_builds_holds_then_sends_back(self):
+        made = balancer(told=news())
+        made.usual = {("read", "std"): (500, 100)}, 50.0
+        judged(made, i.DONE, "old-1", 60, latency=5000)
+        self.assertEqual(made._verdict(), i.NO_VOTE)
+        made.now += 8 * SECOND
+        self.assertEqual(made._verdict(), i.BACK)
+
+    def test_more_traffic_excuses_slowness_of_all(self):
+        made = balancer(told=news())
+        made.usual = {("read", "std"): (500, 100)}, 5.0
+        made.arrivals.add(NOW, 100)
+        judged(made, i.DONE, "old-1", 60, latency=5000)
+        self.assertIsNone(made.ill_since)
+
+    def test_one_chance_failure_does_not_bar_a_quiet_vote(self):
+        made = balancer(told=news())
+        judged(made, i.ERROR, "new-1")
+        made.now += 5 * SECOND
+        self.assertEqual(made._verdict(), i.ON)
+
+    def test_a_complaint_counts_as_a_failure(self):
+        made = balancer(told=news())
+        made.handle(NOW, [i.Complaint(0, "new-1", "read")] * 5)
+        self.assertEqual(made._verdict(), i.BACK)
+
+    def test_a_new_instance_does_not_take_silence_for_overload(self):
+        made = balancer()
+        made.born = NOW - SECOND // 2
+        self.assertGreater(made._limit_for(made.terms.lanes["read"]), 100)
+
+    def test_beyond_the_limit_the_cheapest_lane_is_deferred_first(self):
+        made = balancer()
+        made.means.update(read=100, pay=100)
+        self.assertLess(made._limit_for(made.terms.lanes["read"]), made._limit_for(made.terms.lanes["pay"]))
+
+    def test_a_pod_fast_at_failing_is_passed_over(self):
+        made = balancer(pod("a"), pod("b"))
+        made.pods["a"].fails = 0.9
+        self.assertEqual({sent(made.handle(NOW, [taken(str(n))]))[0] for n in range(2)}, {"b"})
+
+    def test_an_end_without_its_transaction_is_passed_over(self):
+        self.assertEqual(balancer().handle(NOW, [ended("unheard-of")]), [])
+
+    def test_a_ring_forgets_in_time(self):
+        ring = Ring(SECOND, 10)
+        ring.add(NOW, 3)
+        self.assertEqual(ring.total(NOW + SECOND), 3)
+        self.assertEqual(ring.total(NOW + SECOND, full_only=True), 0)
+        self.assertEqual(ring.total(NOW + 2 * SECOND), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,150 @@
+"""The five rules, with cases on both sides of each limit."""
+
+import unittest
+
+from thymeknot import interface as i
+from thymeknot.balance import SECOND
+
+from .helpers import NOW, balancer, ended, kinds, news, pod, sent, taken
+
+
+class EveryTransactionIsAnswered(unittest.TestCase):
+    def test_without_a_pod_it_is_deferred_at_once(self):
+        made = balancer(pod("gone", condition=i.DRAINING))
+        self.assertEqual(kinds(made.handle(NOW, [taken()])), [i.Defer])
+
+    def test_an_expired_grace_is_answered_without_a_delivery(self):
+        self.assertEqual(kinds(balancer().handle(NOW, [taken(left=0)])), [i.Defer])
+
+    def test_nothing_is_sent_after_the_answer(self):
+        made = balancer()
+        made.handle(NOW, [taken(lane="pay")])
+        made.handle(NOW, [ended(outcome=i.DONE, closed=True)])
+        self.assertEqual(made.handle(NOW + 1, [ended(outcome=i.DONE, closed=True), i.ClientLeft("t1")]), [])
+
+    def test_an_error_after_the_goal_is_answered_at_once(self):
+        made = balancer()
+        address = sent(made.handle(NOW, [taken()]))[0]
+        actions = made.handle(NOW + SECOND, [ended(outcome=i.ERROR, address=address)])
+        self.assertEqual(kinds(actions), [i.Defer])
+
+    def test_the_delivery_ends_with_the_client(self):
+        self.assertEqual(balancer().handle(NOW, [taken(left=123)])[0].time_out, 123)
+
+
+class NoEffectTwice(unittest.TestCase):
+    def after(self, lane, outcome, later=1, **changes):
+        made = balancer(pod("a"), pod("b"), pod("c", zone="z"), **changes)
+        first = sent(made.handle(NOW, [taken(lane=lane)]))[0]
+        return first, made.handle(NOW + later, [ended(outcome=outcome, address=first)])
+
+    def test_a_binding_one_that_may_have_run_is_abandoned(self):
+        for outcome in (i.ERROR, i.EXPIRED, i.RESET, i.RECALLED):
+            self.assertEqual(kinds(self.after("pay", outcome)[1]), [i.Abandon], outcome)
+
+    def test_a_binding_one_proved_unrun_goes_again(self):
+        for outcome in (i.FULL, i.UNCONNECTED, i.UNSENT):
+            self.assertEqual(kinds(self.after("pay", outcome)[1]), [i.Deliver], outcome)
+
+    def test_a_fingerprinted_one_goes_again_within_its_window_only(self):
+        lanes = {"mark": balancer().terms.lanes["mark"]._replace(latency_goal=3 * SECOND)}
+        self.assertEqual(kinds(self.after("mark", i.ERROR, 2 * SECOND - 1, lanes=lanes)[1]), [i.Deliver])
+        self.assertEqual(kinds(self.after("mark", i.ERROR, 2 * SECOND, lanes=lanes)[1]), [i.Abandon])
+
+    def test_a_zoned_fingerprint_stays_in_its_zone_and_is_not_deferred(self):
+        made = balancer(pod("a"), pod("c", zone="z"))
+        first = sent(made.handle(NOW, [taken(lane="zoned")]))[0]
+        again = made.handle(NOW + 1, [ended(outcome=i.ERROR, address=first)])
+        self.assertTrue(sent(again) == [first] or kinds(again) == [i.Abandon])
+
+    def test_an_unrun_delivery_does_not_hide_a_later_one_that_may_have_run(self):
+        made = balancer(pod("a"), pod("b"))
+        first = sent(made.handle(NOW, [taken(lane="pay")]))[0]
+        second = sent(made.handle(NOW + 1, [ended(outcome=i.FULL, address=first)]))[0]
+        self.assertEqual(kinds(made.handle(NOW + 2, [ended(outcome=i.ERROR, address=second, number=1)])),
+                         [i.Abandon])
+
+    def test_no_second_copy_where_they_are_off(self):
+        made = balancer(second_copies=False)
+        self.assertNotIn(i.SetTimer, kinds(made.handle(NOW, [taken()])))
+
+
+class DrainsAreKept(unittest.TestCase):
+    def test_nothing_goes_to_a_draining_pod_or_one_that_is_gone(self):
+        for condition in (i.DRAINING, i.GONE):
+            made = balancer(pod("a"), pod("b"))
+            made.handle(NOW, [i.PodList(i.CHANGES, (pod("a", condition=condition),))])
+            self.assertEqual({sent(made.handle(NOW, [taken(str(n))]))[0] for n in range(9)}, {"b"})
+
+    def test_a_pod_left_out_of_a_whole_list_is_gone(self):
+        made = balancer(pod("a"), pod("b"))
+        made.handle(NOW, [i.PodList(i.WHOLE, (pod("b"),))])
+        self.assertEqual({sent(made.handle(NOW, [taken(str(n))]))[0] for n in range(9)}, {"b"})
+
+    def test_a_failed_list_changes_nothing_and_is_asked_for_again(self):
+        made = balancer(pod("a"), subscribes=True)
+        made.watch_at = NOW + 9 * SECOND
+        made.handle(NOW, [i.PodList(i.MISSED, ())])
+        self.assertEqual(sent(made.handle(NOW, [taken()])), ["a"])
+        self.assertLessEqual(made.watch_at, NOW + 2 * SECOND)
+
+
+class AColdPodIsNotPushedOver(unittest.TestCase):
+    def room(self, age, already, rate=8.0):
+        made = balancer(pod("cold", started=NOW - age), fall_multiple=2.0)
+        made.warm_rate, known = rate, made.pods["cold"]
+        known.sent.add(NOW, already)
+        return made._cold_room(known, made._share(known))
+
+    def test_it_gets_this_instances_part_and_no_more(self):
+        self.assertTrue(self.room(0, 1))
+        self.assertFalse(self.room(0, 2))
+
+    def test_the_part_grows_with_its_age(self):
+        self.assertTrue(self.room(2 * SECOND, 4))
+        self.assertFalse(self.room(2 * SECOND, 5))
+
+    def test_without_knowing_what_pods_take_one_delivery_is_all(self):
+        self.assertTrue(self.room(0, 0, rate=0.0))
+        self.assertFalse(self.room(0, 1, rate=0.0))
+
+
+class ExposureStaysWithinTheCap(unittest.TestCase):
+    def left(self, taken_before, tried, cap=0.5, **changes):
+        made = balancer(told=news(cap=cap), **changes)
+        lane = made.terms.lanes["read"]
+        made._ring(made.taken, lane).add(NOW - SECOND // 10, taken_before)
+        made._ring(made.tried, lane).add(NOW, tried)
+        return made, made._may_try(lane)
+
+    def test_allowance_and_share_and_not_one_more(self):
+        self.assertTrue(self.left(4, 3)[1])
+        self.assertFalse(self.left(4, 4)[1])
+
+    def test_lanes_count_by_themselves_where_told(self):
+        made, own = self.left(0, 2, by_lane=True)
+        self.assertFalse(own)
+        self.assertTrue(made._may_try(made.terms.lanes["pay"]))
+
+    def test_guarded_stages_are_for_retriable_ones(self):
+        made = balancer(told=news(stage=0))
+        self.assertTrue(made._may_try(made.terms.lanes["read"]))
+        self.assertFalse(made._may_try(made.terms.lanes["pay"]))
+        made.handle(NOW, [news(stage=1)])
+        self.assertTrue(made._may_try(made.terms.lanes["pay"]))
+
+    def test_at_cap_nothing_goes_and_a_later_build_waits_for_its_news(self):
+        made = balancer(pod("new", 2), told=news(phase=i.GOING_BACK, cap=0.0))
+        self.assertEqual(kinds(made.handle(NOW, [taken()])), [i.Defer])
+        self.assertEqual(kinds(balancer(pod("new", 2)).handle(NOW, [taken()])), [i.Defer])
+
+    def test_a_key_that_the_new_build_answered_goes_to_no_earlier_one(self):
+        made = balancer(told=news(cap=0.0))
+        made.pins["k"] = 2
+        self.assertEqual(kinds(made.handle(NOW, [taken(key="k")])), [i.Defer])
+        made.handle(NOW, [news(phase=i.GOING_BACK, cap=0.0)])
+        self.assertIn(sent(made.handle(NOW, [taken("t2", key="k")]))[0], ("old-1", "old-2"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,108 @@
+"""The wire, both ways."""
+
+import io
+import unittest
+
+from thymeknot import interface as i
+from thymeknot import wire
+from thymeknot.benchlink import Host, serve
+
+PAIRS = """balancers=3 categories.count=1 categories.0.give_up=2000000000 categories.0.key_scope=all
+categories.0.late_worth=0.0 categories.0.name=fetch categories.0.promise=800000000
+categories.0.semantics=idempotent categories.0.window=5000000000 categories.0.worth=1.0 discovery=automatic
+extra.allowance=3.0 extra.calls_per_s=150.0 extra.counts=all extra.decided_by=by_count extra.guarded_stages=2
+extra.keys_stay=true extra.vote_life=4000000000 extra.vote_wait=1200000000 extra.votes_to_revert=1
+extra.window=3000000000 permissions.max_attempts=4 permissions.max_retry_after=500000000
+permissions.may_cancel=true permissions.retry_after=true permissions.second_copies=false
+rules.ask_within=10000000000 rules.cold=4800000000 rules.cold_from=0.31 rules.fall_multiple=2.0
+rules.overload_for=1500000000 stats.names= never.heard.of=1""".split()
+START = "NEW_INSTANCE sidecar-3 77 " + " ".join(PAIRS)
+
+
+class Reading(unittest.TestCase):
+    def test_events(self):
+        cases = {
+            "INGRESS 25 fetch sao 91f0 240000000 - 0 1":
+                i.Taken("25", "fetch", "sao", "91f0", 2400, None, False, True),
+            "RESULT 25 delivered 1 18500000 10.1.1.1:50 0 0.5,2":
+                i.Ended("25", i.DONE, True, 185, "10.1.1.1:50", 0, (0.5, 2.0)),
+            "ROLLOUT_STATE 42 2 0 1 delivered 0.125 310000000":
+                i.News(42, 2, i.ON_TRIAL, True, i.DONE, 0.125, 3100),
+            "ROLLOUT_STATE 42 - - 1 shed - -": i.News(42, None, None, True, i.FULL, None, None),
+            "FIRST 25 300000 10.1.1.1:50 1": i.StreamBegan("25", "10.1.1.1:50", 1, 3),
+            "FLAGGED 2400000000 10.1.1.1:50 fetch": i.Complaint(24000, "10.1.1.1:50", "fetch"),
+            "MAIL 2 aGk=": i.Message(2, b"hi"),
+        }
+        for line, event in cases.items():
+            name, *values = line.split()
+            self.assertEqual(wire.event(name, values), event)
+
+    def test_a_pod(self):
+        row = "long-bien 1.5 0 fading 6100000000 10.2.2.2:44 std 42".split()
+        self.assertEqual(wire.pod(row), i.Pod("10.2.2.2:44", "long-bien", 1.5, 0, i.DRAINING, 61000, "std", 42))
+
+    def test_terms(self):
+        terms = wire.terms(PAIRS)
+        self.assertEqual((terms.overload_for, terms.lanes["fetch"].latency_goal), (15000, 8000))
+
+    def test_a_missing_or_senseless_setting_is_named(self):
+        with self.assertRaisesRegex(wire.Malformed, "extra.window"):
+            wire.terms([pair for pair in PAIRS if not pair.startswith("extra.window")])
+        with self.assertRaisesRegex(wire.Malformed, "balancers"):
+            wire.terms(["balancers=none" if pair.startswith("balancers") else pair for pair in PAIRS])
+
+    def test_bad_values_are_refused(self):
+        for line in ("RESULT 25 fine 1 1 a 0 -", "GONE", "TICK_DUE x"):
+            with self.assertRaises(wire.Malformed):
+                wire.event(*[line.split()[0], line.split()[1:]])
+
+
+class Writing(unittest.TestCase):
+    def test_actions(self):
+        cases = {
+            "TRY s-1 25 10.1.1.1:50 80000000": i.Deliver("25", "10.1.1.1:50", 800),
+            "ABANDON s-1 25 1": i.Recall("25", 1),
+            "REJECT s-1 25 100000": i.Defer("25", 1),
+            "RESPOND_ERROR s-1 25": i.Abandon("25"),
+            "NOTIFY_ME s-1 8912200000 77": i.SetTimer(89122, 77),
+            "POST s-1 all aGkgNw==": i.Tell(None, b"hi 7"),
+            "TAIL s-1 1": i.Subscribe(True),
+            "VERDICT s-1 42 2 1": i.Vote(42, 2, i.ON),
+            "TRACE s-1 two (odd) lines": i.Note("two {odd}\nlines"),
+        }
+        for line, action in cases.items():
+            self.assertEqual(wire.line("s-1", action), line)
+
+
+class Hosting(unittest.TestCase):
+    def test_a_batch_is_answered_in_order(self):
+        batch = ["BATCH 5000000000", START, "CENSUS 0 1", "ENTRY a 1 0 on - 10.1.1.1:50 std 41",
+                 "ANNOUNCE sidecar-3 cached 1 0", "ROLLOUT_STATE sidecar-3 41 4 2 0 delivered 1 0",
+                 "INGRESS sidecar-3 25 fetch - 91f0 240000000 - 0 0", "YOUR_TURN", ""]
+        sink = io.StringIO()
+        serve(batch, sink)
+        lines = sink.getvalue().splitlines()
+        self.assertEqual(lines[0], "TRY sidecar-3 25 10.1.1.1:50 240000000")
+        self.assertEqual(lines[-1], "OK")
+
+    def test_what_the_wire_does_not_allow_is_named(self):
+        for line in ("GONE sidecar-9 25", "HELLO sidecar-3", "ENTRY a 1 0 on - p std 41"):
+            with self.assertRaisesRegex(wire.Malformed, line.split()[0]):
+                Host().batch(5, [line])
+
+    def test_a_killed_instance_is_forgotten(self):
+        host = Host()
+        host.batch(5, [START])
+        host.batch(6, ["KILLED sidecar-3"])
+        self.assertEqual(host.instances, {})
+
+    def test_a_failing_decision_is_reported_as_a_fault(self):
+        host = Host()
+        host.batch(5, [START])
+        host.instances["sidecar-3"] = None
+        reply = host.batch(6, ["GONE sidecar-3 25"])
+        self.assertRegex(reply[0], "^FAULT sidecar-3 AttributeError")
+
+
+if __name__ == "__main__":
+    unittest.main()
