--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -31,6 +31,7 @@
 ILL_FOR = 8 * SECOND            # it may pass by itself: only after so long the new build is blamed
 BUSIER = 1.3                    # times the traffic before the offer: beyond it slowness has another cause
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
+MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
 MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
@@ -334,9 +335,10 @@
         """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
         outcomes are tested against what was usual before the offer, unless the traffic has grown since."""
         marks, arrivals = self.usual or ({}, 0)
-        if cell not in marks or self.arrivals.total(self.now, False, 4) > 2 * BUSIER * arrivals + 3:
+        mark, seen = marks.get(cell, (0, 0))
+        if seen < MATURE or self.arrivals.total(self.now, False, 4) > 2 * BUSIER * arrivals + 3:
             return
-        slow = outcome == EXPIRED or latency > MARGIN * marks[cell][0]
+        slow = outcome == EXPIRED or latency > MARGIN * mark
         bound, step = self.back_at["slow"], self._weight("failed", slow, P0_FLOOR["slow"])
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
