--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -29,7 +29,7 @@
 SLOW_QUANTILE = 0.9
 # Slowness of all builds, against what was usual before the offer.
 ILL_FOR = 8 * SECOND            # it may pass by itself: only after so long the new build is blamed
-BUSIER = 1.3                    # times the traffic before the offer: beyond it slowness has another cause
+BUSIER = 1.3                    # times the traffic before the offer: from here on it excuses longer times
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
 MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
@@ -304,7 +304,8 @@
             self.seen += 1
             self._add("failed", failed, None if outcome in (DONE, ERROR) else known.listed.address)
             # A build may be slow and never fail: answers above the earlier build's mark are tested alike.
-            if compared and settled and share >= WARM_ENOUGH:
+            # Not in a burst: near its capacity a pod's time hangs on the load more than on the build.
+            if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
                 self._add("slow", slow, known.listed.address)
 
     def _compare(self):
@@ -333,12 +334,13 @@
 
     def _judge_all(self, cell, outcome, latency):
         """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
-        outcomes are tested against what was usual before the offer, unless the traffic has grown since."""
-        marks, arrivals = self.usual or ({}, 0)
-        mark, seen = marks.get(cell, (0, 0))
-        if seen < MATURE or self.arrivals.total(self.now, False, 4) > 2 * BUSIER * arrivals + 3:
+        outcomes are tested against what was usual before the offer. More traffic excuses longer times; it does
+        not stop the test, for clients that try again after failures are more traffic too."""
+        mark, seen = self.usual[0].get(cell, (0, 0)) if self.usual else (0, 0)
+        if seen < MATURE:
             return
-        slow = outcome == EXPIRED or latency > MARGIN * mark
+        busier = self._busier()
+        slow = outcome == EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
         bound, step = self.back_at["slow"], self._weight("failed", slow, P0_FLOOR["slow"])
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
@@ -346,6 +348,10 @@
         elif self.all_slow > bound and self.ill_since is None:
             self.ill_since = self.now
 
+    def _busier(self):
+        """The traffic of the last two seconds against that before the offer, chance allowed for."""
+        return (self.arrivals.total(self.now, False, 4) - 3) / (2 * self.usual[1] + 1) if self.usual else 1.0
+
     def _settle(self):
         """Keeps what was usual before the build came. An instance that started during the trial takes what it
         met as usual: the later stages then show."""
