--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -134,6 +134,30 @@
         judged(made, i.DONE, "old-1", 60, latency=5000)
         self.assertIsNone(made.ill_since)
 
+    def test_resets_with_nothing_to_compare_are_not_the_builds(self):
+        made = balancer(pod("new-1", 2), told=news())
+        judged(made, i.RESET, "new-1", 50)
+        self.assertNotEqual(made._verdict(), i.BACK)
+        judged(made, i.ERROR, "new-1", 50)
+        self.assertEqual(made._verdict(), i.BACK)
+
+    def test_a_quiet_instance_sets_no_usual(self):
+        made = balancer(told=news())
+        made.arrivals.add(NOW, 60)
+        made._settle()
+        self.assertIsNone(made.usual)
+        made.arrivals.add(NOW, 10)
+        made._settle()
+        self.assertIsNotNone(made.usual)
+
+    def test_a_collapse_sends_a_released_build_back_even_after_a_restart(self):
+        made = balancer(pod("new-1", 2), told=news(phase=i.RELEASED))
+        for later in range(0, 5 * SECOND, SECOND // 20):
+            made.now = NOW + later
+            made.arrivals.add(made.now, 1)
+            made._tick(i.TimerDue(0))
+        self.assertEqual(made._verdict(), i.BACK)
+
     def test_one_chance_failure_does_not_bar_a_quiet_vote(self):
         made = balancer(told=news())
         judged(made, i.ERROR, "new-1")
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -30,7 +30,9 @@
 # Slowness of all builds, against what was usual before the offer.
 ILL_FOR = 8 * SECOND            # it may pass by itself: only after so long the new build is blamed
 BUSIER = 1.3                    # times the traffic before the offer: from here on it excuses longer times
+LOUD = 8                        # transactions a second: the least by which an instance judges all builds
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
+COLLAPSE, COLLAPSE_LEAST = 0.25, 40  # of the transactions of 8 s served in time, and how many there must be
 MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
 MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
@@ -139,6 +141,7 @@
         self.open, self.due, self.tokens = {}, {}, 0
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
         self.retries, self.copies, self.answers = 5.0, 2.0, Ring(2 * SECOND, 8)
+        self.good, self.collapsed = Ring(8 * SECOND, 16), 0
         self.served, self.warm_rate, self.arrivals = Ring(4 * SECOND, 8), 0.0, Ring(8 * SECOND, 16)
         # The newest build, its exposure and its test.
         self.news, self.build, self.ramp, self.ramped, self.pins = None, USUAL, 0.0, now, {}
@@ -295,9 +298,12 @@
                 self.earlier[what].add(self.now, amount)
         elif build == self.news.build:
             compared = self._compare() and self.news.phase == ON_TRIAL
-            # A cold pod's time-outs, and those that nothing can be compared with, prove nothing of the build.
-            # One key that fails again and again is one failure: its next tries go to the earlier build.
-            if (outcome == EXPIRED and (share < 1.0 or not compared)) or (failed and tx.key in self.bad_keys):
+            # A cold pod's time-outs prove nothing of the build; nor does a failure of the way to the pod while no
+            # earlier pod is there to show that the way itself is sound. One key that fails again and again is
+            # one failure: its next tries go to the earlier build.
+            if (outcome == EXPIRED and share < 1.0) or (failed and tx.key in self.bad_keys):
+                return
+            if outcome not in (DONE, ERROR) and not compared:
                 return
             if failed:
                 self.bad_keys.add(tx.key)
@@ -356,8 +362,10 @@
         """Keeps what was usual before the build came. An instance that started during the trial takes what it
         met as usual: the later stages then show."""
         age = self.now - self.born
-        if self.build == TRIAL and self.usual is None and age >= SETTLED:
-            self.usual = dict(self.marks), self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age)
+        rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
+        # One with little traffic abstains: it cannot see a burst that slows all by its own few transactions.
+        if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
+            self.usual = dict(self.marks), rate
 
     def _doubt(self):
         return max(self.sums[what] / self.back_at[what] for what in self.sums)
@@ -369,6 +377,8 @@
         if self.ill_since is not None:
             # What slows all may pass by itself; until it has, the build does not move on.
             part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
+        # Even an instance that knows no usual, as after a restart, sees that hardly anything is served.
+        part = 2.0 if self.collapsed >= ILL_FOR // 2 else part
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
         if self.saying_back:
             return BACK
@@ -412,6 +422,8 @@
         self.ask_at = self.now + max(pause, UPKEEP) + (0 if news.outcome == DONE else SECOND // 5)
         if news.outcome == DONE and self.asked:
             self.vote, self.vote_at = (None if self.asked[2] == NO_VOTE else self.asked), self.now
+        elif news.outcome == UNSENT:
+            self.ask_at = self.now + self.terms.vote_life // 2
 
     # A transaction's life.
 
@@ -573,6 +585,7 @@
         elif event.outcome == DONE:
             known.shun, lane, share = SHUN, tx.lane, self._share(known)
             self.answers.add(self.now, GOAL_PART * lane.latency_goal)
+            self.good.add(self.now, self.now <= tx.goal)
             mean = self.means.get(lane.name, event.latency)
             self.means[lane.name] = max(1.0, mean + 0.03 * (event.latency - mean))
             known.pace += 0.08 * (min(4.0, event.latency * share / self.means[lane.name]) - known.pace)
@@ -599,6 +612,9 @@
                 self._step(tx, "slow")
             return
         self.actions.append(SetTimer(self.now + UPKEEP, 0))
+        total = self.arrivals.total(self.now)
+        collapsed = total >= COLLAPSE_LEAST and self.good.total(self.now) < COLLAPSE * total
+        self.collapsed = self.collapsed + UPKEEP if collapsed else 0
         self._settle()
         self._climb()
         self._cast()
