--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -30,6 +30,7 @@
 # Slowness of all builds, against what was usual before the offer.
 ILL_FOR = 8 * SECOND            # it may pass by itself: only after so long the new build is blamed
 BUSIER = 1.3                    # times the traffic before the offer: from here on it excuses longer times
+BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
 LOUD = 8                        # transactions a second: the least by which an instance judges all builds
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 COLLAPSE, COLLAPSE_LEAST = 0.25, 40  # of the transactions of 8 s served in time, and how many there must be
@@ -375,8 +376,10 @@
         if news.phase not in (ON_TRIAL, RELEASED):
             return NO_VOTE
         if self.ill_since is not None:
-            # What slows all may pass by itself; until it has, the build does not move on.
-            part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
+            # What slows all may pass by itself, and a build with little traffic yet can hardly be the cause;
+            # until it has passed, the build does not move on.
+            blamed = self.now >= self.ill_since + ILL_FOR and self.ramp >= BLAMED_FROM
+            part = max(part, 1.1 if blamed else 1.0)
         # Even an instance that knows no usual, as after a restart, sees that hardly anything is served.
         part = 2.0 if self.collapsed >= ILL_FOR // 2 else part
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
