--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -86,6 +86,13 @@
         made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(3)), told=news())
         made.marks["read", "std"] = (500, 100)
         judged(made, i.DONE, "old-1", 20, latency=100)
+        for address in ("new-0", "new-1", "new-2"):
+            judged(made, i.DONE, address, 20, latency=5000)
+        self.assertNotEqual(made._verdict(), i.BACK, "within one second it may be one queue")
+        made.now += SECOND
+        for address in ("new-0", "new-1", "new-2"):
+            judged(made, i.DONE, address, 20, latency=5000)
+        made.now += SECOND
         for address in ("new-0", "new-1", "new-2"):
             judged(made, i.DONE, address, 20, latency=5000)
         self.assertEqual(made._verdict(), i.BACK)
@@ -166,6 +173,13 @@
         made.now += 5 * SECOND
         self.assertEqual(made._verdict(), i.ON)
 
+    def test_no_vote_for_on_while_the_list_hides_the_stages_pods(self):
+        made = balancer(*(pod(f"old-{n}") for n in range(8)), pod("new-1", 2), pod("new-2", 2), told=news(stage=2))
+        made.now += 9 * SECOND
+        self.assertEqual(made._verdict(), i.NO_VOTE)
+        made.handle(made.now, [i.PodList(i.CHANGES, (pod("new-3", 2),))])
+        self.assertEqual(made._verdict(), i.ON)
+
     def test_a_complaint_counts_as_a_failure(self):
         made = balancer(told=news())
         made.handle(NOW, [i.Complaint(0, "new-1", "read")] * 5)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -10,9 +10,9 @@
 
 from .interface import (
     Abandon, BACK, BY_CLOCK, CHANGES, ClientLeft, Complaint, DONE, Defer, Deliver, ERROR, EXPIRED, Ended,
-    FINGERPRINTED, FULL, GONE, GROUP_ALL, GROUP_CELL, HOLD, MISSED, Message, NO_VOTE, News, Note, ON, ON_TRIAL,
-    PodList, Probed, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer, StreamBegan, Subscribe,
-    Taken, Tally, TimerDue, UNCONNECTED, UNSENT, Vote)
+    FINGERPRINTED, FULL, GONE, GROUP_ALL, GROUP_CELL, HOLD, MISSED, NO_VOTE, News, Note, ON, ON_TRIAL,
+    PodList, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer, StreamBegan, Subscribe,
+    Taken, TimerDue, UNCONNECTED, UNSENT, Vote)
 
 SECOND = 10_000
 UPKEEP = SECOND // 20
@@ -22,8 +22,10 @@
 FALSE_BACK, FALSE_ON, SLOW_STRICTER = 0.05, 0.2, 10
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
+LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
 HOLD_PART = 0.5                 # of the back bound: more than that against a build holds it
 ONE_POD = 0.45                  # of the back bound: what slowness and silence of a single pod can add
+ONE_SECOND = 0.5                # of the back bound: what slowness within one second can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
 SLOW_QUANTILE = 0.9
@@ -146,6 +148,7 @@
         self.served, self.warm_rate, self.arrivals = Ring(4 * SECOND, 8), 0.0, Ring(8 * SECOND, 16)
         # The newest build, its exposure and its test.
         self.news, self.build, self.ramp, self.ramped, self.pins = None, USUAL, 0.0, now, {}
+        self.places = 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
         # Where few votes send a build back, any instance's error does: they share the allowed one.
@@ -153,12 +156,13 @@
         self.back_at = {"failed": log((1 - FALSE_ON) / alone), "slow": log((1 - FALSE_ON) * SLOW_STRICTER / alone)}
         self.usual, self.all_slow, self.ill_since = None, 0.0, None
         self._restart_test()
-        self.vote, self.vote_at, self.asked, self.ask_at = None, 0, None, now
+        self.vote, self.vote_at, self.asked, self.ask_at, self.moot = None, 0, None, now, (None, 0)
 
     def handle(self, now, events):
         self.now, self.actions = now, []
         for event in events:
-            self.EVENTS[type(event)](self, event)
+            if type(event) in self.EVENTS:
+                self.EVENTS[type(event)](self, event)
         if not self.started:
             self.started = True
             self.actions.append(SetTimer(now + UPKEEP, 0))
@@ -218,6 +222,7 @@
             getattr(self, "_" + effect)()
 
     def _begin(self):
+        self.places = sum(known.listed.build < self.news.build for known in self.pods.values())
         self.ramp, self.tried, self.usual = 0.0, {}, None
         self.all_slow, self.ill_since = 0.0, None
         self._settle()
@@ -278,7 +283,7 @@
 
     def _restart_test(self):
         self.sums, self.by_pod, self.seen = {"failed": 0.0, "slow": 0.0}, {}, 0
-        self.clear_since, self.bad_keys, self.saying_back = self.now, set(), False
+        self.swarm, self.clear_since, self.bad_keys, self.saying_back = (0, 0.0), self.now, set(), False
 
     def _judge(self, tx, known, outcome, latency):
         """Books an outcome with the build that it tells of."""
@@ -334,6 +339,12 @@
             bound, had = ONE_POD * self.back_at[what], self.by_pod.get((what, pod), 0.0)
             self.by_pod[what, pod] = min(bound, max(-bound, had + step))
             step = self.by_pod[what, pod] - had
+        if what == "slow" and step > 0:
+            # Slow answers come in swarms, from one queue: a second of them is one piece of evidence.
+            if self.swarm[0] != self.now // SECOND:
+                self.swarm = self.now // SECOND, ONE_SECOND * self.back_at[what]
+            step = min(step, self.swarm[1])
+            self.swarm = self.swarm[0], self.swarm[1] - step
         # The sum rests near the bound for 'on': a build that turns bad late must not have to eat up its past.
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
         if self._doubt() > HOLD_PART:
@@ -380,8 +391,9 @@
             # until it has passed, the build does not move on.
             blamed = self.now >= self.ill_since + ILL_FOR and self.ramp >= BLAMED_FROM
             part = max(part, 1.1 if blamed else 1.0)
-        # Even an instance that knows no usual, as after a restart, sees that hardly anything is served.
-        part = 2.0 if self.collapsed >= ILL_FOR // 2 else part
+        # An instance that knows no usual, as after a restart, still sees that hardly anything is served.
+        if self.collapsed >= ILL_FOR // 2 and self.ramp >= BLAMED_FROM:
+            part = 2.0
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
         if self.saying_back:
             return BACK
@@ -389,9 +401,12 @@
             return NO_VOTE
         if self.terms.decided_by == BY_CLOCK:
             return HOLD if part > HOLD_PART else NO_VOTE
-        newest = max((known.listed.started for known in self.pods.values() if known.listed.build == news.build),
-                     default=self.now)
-        if self.now < newest + AFTER_START:
+        started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
+        # A list that lags the stage hides the pods to judge, and, where they replace the earlier ones, the only
+        # pods that there will be: moving on would leave this instance with none.
+        if len(started) < max(1, int(LISTED * self.terms.waves[news.stage] * self.places)):
+            return NO_VOTE
+        if self.now < max(started) + AFTER_START:
             return NO_VOTE
         if max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES and part <= HOLD_PART:
             return ON
@@ -410,7 +425,8 @@
         if wanted[2] == NO_VOTE:
             if not stands or vote[0] != wanted[0] or (vote[2] == ON and vote[1] != wanted[1]):
                 return
-        elif stands and vote == wanted and age < self.terms.vote_life // 2:
+        elif (stands and vote == wanted and age < self.terms.vote_life // 2
+              or wanted == self.moot[0] and self.now < self.moot[1]):
             return
         if self.asked != wanted:
             sums = ", ".join(f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}" for what in sorted(self.sums))
@@ -425,8 +441,7 @@
         self.ask_at = self.now + max(pause, UPKEEP) + (0 if news.outcome == DONE else SECOND // 5)
         if news.outcome == DONE and self.asked:
             self.vote, self.vote_at = (None if self.asked[2] == NO_VOTE else self.asked), self.now
-        elif news.outcome == UNSENT:
-            self.ask_at = self.now + self.terms.vote_life // 2
+        self.moot = (self.asked, self.now + SECOND) if news.outcome == UNSENT else (None, 0)
 
     # A transaction's life.
 
@@ -630,8 +645,6 @@
         if self.now >= self.keys_at + 2 * SECOND:
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
-    def _ignore(self, event):
-        """Nothing is sent that this would answer, and the tallies come too late to judge by."""
-
+    # What is not here needs no answer: nothing is probed or told, and tallies come too late to judge by.
     EVENTS = {PodList: _listed, News: _told, Taken: _take, Ended: _end, ClientLeft: _left, TimerDue: _tick,
-              StreamBegan: _stream, Complaint: _complain, Tally: _ignore, Probed: _ignore, Message: _ignore}
+              StreamBegan: _stream, Complaint: _complain}
--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -53,6 +53,7 @@
     exposure_window: int
     allowance: float
     guarded_stages: int
+    waves: tuple
     by_lane: bool
     keys_stay: bool
     decided_by: str
--- a/thymeknot/wire.py
+++ b/thymeknot/wire.py
@@ -143,6 +143,10 @@
     return value
 
 
+def _shares(text):
+    return tuple(_share(share) for share in text.split(","))
+
+
 def _whole(text):
     value = int(text)
     if value < 1:
@@ -188,6 +192,7 @@
         exposure_window=read("extra.window", _length),
         allowance=read("extra.allowance", _amount),
         guarded_stages=read("extra.guarded_stages", _count),
+        waves=read("extra.waves", _shares),
         by_lane=read("extra.counts", COUNTS.__getitem__),
         keys_stay=read("extra.keys_stay", bools),
         decided_by=read("extra.decided_by", DECIDERS.__getitem__),
