--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -137,7 +137,7 @@
 
 class Balancer:
     def __init__(self, terms, seed, now):
-        self.terms, self.now, self.chance, self.actions, self.born = terms, now, seed, [], now
+        self.terms, self.now, self.chance, self.actions, self.born = terms, now, seed, [], None
         # Pods and the list.
         self.pods, self.turn, self.watch_at, self.started = {}, 0, now, False
         # Transactions, and what they teach.
@@ -335,16 +335,16 @@
     def _add(self, what, bad, pod=None):
         step = self._weight(what, bad, self.p0[what])
         if pod:
-            # A single machine may be ill by itself: alone it proves nothing of the build.
+            # A single machine may be ill by itself: alone it proves nothing of the build. And slow answers come
+            # in swarms, from one queue: a second of them is one piece of evidence.
             bound, had = ONE_POD * self.back_at[what], self.by_pod.get((what, pod), 0.0)
-            self.by_pod[what, pod] = min(bound, max(-bound, had + step))
-            step = self.by_pod[what, pod] - had
-        if what == "slow" and step > 0:
-            # Slow answers come in swarms, from one queue: a second of them is one piece of evidence.
             if self.swarm[0] != self.now // SECOND:
-                self.swarm = self.now // SECOND, ONE_SECOND * self.back_at[what]
-            step = min(step, self.swarm[1])
-            self.swarm = self.swarm[0], self.swarm[1] - step
+                self.swarm = self.now // SECOND, ONE_SECOND * self.back_at["slow"]
+            room = min(bound - had, self.swarm[1] if what == "slow" else bound)
+            step = max(min(step, room), -bound - had)
+            self.by_pod[what, pod] = had + step
+            if what == "slow" and bad:
+                self.swarm = self.swarm[0], self.swarm[1] - step
         # The sum rests near the bound for 'on': a build that turns bad late must not have to eat up its past.
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
         if self._doubt() > HOLD_PART:
@@ -368,12 +368,14 @@
 
     def _busier(self):
         """The traffic of the last two seconds against that before the offer, chance allowed for."""
-        return (self.arrivals.total(self.now, False, 4) - 3) / (2 * self.usual[1] + 1) if self.usual else 1.0
+        span = 4 * self.arrivals.width + self.now % self.arrivals.width
+        usual = self.usual[1] * span / SECOND if self.usual else None
+        return (self.arrivals.total(self.now, False, 4) - 3) / (usual + 1) if usual else 1.0
 
     def _settle(self):
         """Keeps what was usual before the build came. An instance that started during the trial takes what it
         met as usual: the later stages then show."""
-        age = self.now - self.born
+        age = self.now - (self.now if self.born is None else self.born)
         rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
         # One with little traffic abstains: it cannot see a burst that slows all by its own few transactions.
         if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
@@ -453,6 +455,8 @@
     def _take(self, event):
         lane = self.terms.lanes[event.lane]
         tx = self.open[event.id] = Transaction(event, lane, self.now)
+        # An instance counts as born with its first transaction: before that it has seen no traffic to go by.
+        self.born = self.now if self.born is None else self.born
         self._ring(self.taken, lane).add(self.now)
         self.arrivals.add(self.now)
         if event.key:
