--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -33,7 +33,6 @@
 ILL_FOR = 8 * SECOND            # it may pass by itself: only after so long the new build is blamed
 BUSIER = 1.3                    # times the traffic before the offer: from here on it excuses longer times
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
-LOUD = 8                        # transactions a second: the least by which an instance judges all builds
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 COLLAPSE, COLLAPSE_LEAST = 0.4, 40  # of the transactions of 8 s served in time, and how many there must be
 MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
@@ -49,30 +48,24 @@
 NEW, OUT, OVER = "new", "out", "over"
 # A transaction's life: (state, input) -> next state, effect. What is missing changes nothing.
 LIFE = {
-    (NEW, "taken"): (OUT, "place"),
-    (OUT, "answered"): (OVER, "close"),
-    (OUT, "unrun"): (OUT, "again"),
-    (OUT, "perhaps run"): (OUT, "again"),
-    (OUT, "slow"): (OUT, "second"),
-    (OUT, "left"): (OVER, "close"),
-    (OUT, "given up"): (OVER, "turn_away"),
-    (OVER, "unrun"): (OVER, "forget"),
-    (OVER, "perhaps run"): (OVER, "forget"),
-    (OVER, "answered"): (OVER, "forget"),
+    (NEW, "taken"): (OUT, "place"), (OUT, "given up"): (OVER, "turn_away"),
+    (OUT, "answered"): (OVER, "close"), (OVER, "answered"): (OVER, "forget"),
+    (OUT, "unrun"): (OUT, "again"), (OVER, "unrun"): (OVER, "forget"),
+    (OUT, "perhaps run"): (OUT, "again"), (OVER, "perhaps run"): (OVER, "forget"),
+    (OUT, "slow"): (OUT, "second"), (OUT, "left"): (OVER, "close"),
 }
 # What an outcome proves for rule 2.
 PROOF = {DONE: "answered", ERROR: "perhaps run", FULL: "unrun", EXPIRED: "perhaps run", UNCONNECTED: "unrun",
          RESET: "perhaps run", RECALLED: "perhaps run", UNSENT: "unrun"}
 
 USUAL, TRIAL, FREED, FALLEN = "usual", "trial", "freed", "fallen"
-# The newest build's life as seen here: (state, input) -> next state, effect. A build not met on trial is usual.
+# The newest build's life here: (state, input) -> next state, effect. A build not met on trial is usual.
 BUILD = {
-    (USUAL, "offered"): (TRIAL, "begin"), (USUAL, "met"): (USUAL, "rest"),
-    (TRIAL, "offered"): (TRIAL, "begin"), (TRIAL, "met"): (USUAL, "rest"),
-    (FREED, "offered"): (TRIAL, "begin"), (FREED, "met"): (USUAL, "rest"),
+    (USUAL, "offered"): (TRIAL, "begin"), (USUAL, "met"): (USUAL, "rest"), (USUAL, "fell"): (FALLEN, "fall"),
+    (TRIAL, "offered"): (TRIAL, "begin"), (TRIAL, "met"): (USUAL, "rest"), (TRIAL, "fell"): (FALLEN, "fall"),
+    (FREED, "offered"): (TRIAL, "begin"), (FREED, "met"): (USUAL, "rest"), (FREED, "fell"): (FALLEN, "fall"),
     (FALLEN, "offered"): (TRIAL, "begin"), (FALLEN, "met"): (USUAL, "rest"),
     (TRIAL, "moved"): (TRIAL, "go_on"), (TRIAL, "released"): (FREED, "go_on"),
-    (TRIAL, "fell"): (FALLEN, "fall"), (FREED, "fell"): (FALLEN, "fall"), (USUAL, "fell"): (FALLEN, "fall"),
 }
 
 
@@ -144,16 +137,16 @@
         self.open, self.due, self.tokens = {}, {}, 0
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
         self.retries, self.copies, self.answers = 5.0, 2.0, Ring(2 * SECOND, 8)
-        self.good, self.collapsed = Ring(8 * SECOND, 16), 0
-        self.served, self.warm_rate, self.arrivals = Ring(4 * SECOND, 8), 0.0, Ring(8 * SECOND, 16)
+        self.arrivals, self.good, self.collapsed = Ring(8 * SECOND, 16), Ring(8 * SECOND, 16), 0
+        self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
         # The newest build, its exposure and its test.
-        self.news, self.build, self.ramp, self.ramped, self.pins = None, USUAL, 0.0, now, {}
-        self.places = 0
+        self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
         # Where few votes send a build back, any instance's error does: they share the allowed one.
         alone = FALSE_BACK * terms.votes_to_revert / terms.balancers
-        self.back_at = {"failed": log((1 - FALSE_ON) / alone), "slow": log((1 - FALSE_ON) * SLOW_STRICTER / alone)}
+        bound = (1 - FALSE_ON) / alone
+        self.back_at = {"failed": log(bound), "slow": log(bound * SLOW_STRICTER)}
         self.usual, self.all_slow, self.ill_since = None, 0.0, None
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at, self.moot = None, 0, None, now, (None, 0)
@@ -221,24 +214,21 @@
         if effect:
             getattr(self, "_" + effect)()
 
-    def _begin(self):
+    def _begin(self, ramp=0.0):
         self.places = sum(known.listed.build < self.news.build for known in self.pods.values())
-        self.ramp, self.tried, self.usual = 0.0, {}, None
-        self.all_slow, self.ill_since = 0.0, None
+        self.ramp, self.tried, self.usual, self.all_slow, self.ill_since = ramp, {}, None, 0.0, None
         self._settle()
         self._go_on()
 
     def _rest(self):
-        self.ramp, self.usual, self.ill_since = 1.0, None, None
-        self._go_on()
-
-    def _go_on(self):
-        self.ramped = self.now
-        self._restart_test()
+        self._begin(ramp=1.0)
 
     def _fall(self):
-        self.ramp, self.tried, self.usual, self.ill_since = 0.0, {}, None, None
         self.pins = {key: build for key, build in self.pins.items() if build != self.news.build}
+        self._begin()
+
+    def _go_on(self):
+        self.ramped = self.now
         self._restart_test()
 
     def _climb(self):
@@ -258,9 +248,7 @@
 
     def _ring(self, rings, lane):
         counted_as = lane.name if self.terms.by_lane else ""
-        if counted_as not in rings:
-            rings[counted_as] = Ring(self.terms.exposure_window, 120)
-        return rings[counted_as]
+        return rings.setdefault(counted_as, Ring(self.terms.exposure_window, 120))
 
     def _may_try(self, lane):
         """Rule 5, also for windows still to come: the later parts of this one must carry themselves."""
@@ -269,10 +257,10 @@
             return True
         if news.phase == ON_TRIAL and news.stage < self.terms.guarded_stages and lane.effect != RETRIABLE:
             return False
-        taken, tried = self._ring(self.taken, lane), self._ring(self.tried, lane)
-        return news.cap > 0 and all(
-            tried.total(self.now, False, back) + 1
-            <= self.terms.allowance + news.cap * taken.total(self.now, True, back) for back in (120, 90, 60, 30))
+        taken, tried, free = self._ring(self.taken, lane), self._ring(self.tried, lane), self.terms.allowance
+        return news.cap > 0 and all(tried.total(self.now, False, back) + 1
+                                    <= free + news.cap * taken.total(self.now, True, back)
+                                    for back in (120, 90, 60, 30))
 
     def _hot(self, key):
         """A hot key would flood the trial's pods and eat the counter of all others: it stays away."""
@@ -282,7 +270,7 @@
     # The test.
 
     def _restart_test(self):
-        self.sums, self.by_pod, self.seen = {"failed": 0.0, "slow": 0.0}, {}, 0
+        self.sums, self.by_pod, self.seen, self.doubt = {"failed": 0.0, "slow": 0.0}, {}, 0, 0.0
         self.swarm, self.clear_since, self.bad_keys, self.saying_back = (0, 0.0), self.now, set(), False
 
     def _judge(self, tx, known, outcome, latency):
@@ -304,12 +292,10 @@
                 self.earlier[what].add(self.now, amount)
         elif build == self.news.build:
             compared = self._compare() and self.news.phase == ON_TRIAL
-            # A cold pod's time-outs prove nothing of the build; nor does a failure of the way to the pod while no
-            # earlier pod is there to show that the way itself is sound. One key that fails again and again is
-            # one failure: its next tries go to the earlier build.
-            if (outcome == EXPIRED and share < 1.0) or (failed and tx.key in self.bad_keys):
-                return
-            if outcome not in (DONE, ERROR) and not compared:
+            # A cold pod's time-outs prove nothing of the build, nor does a failure of the way to it with no
+            # earlier pod to show that the way is sound. One key that fails again and again is one failure.
+            if ((outcome == EXPIRED and share < 1.0) or (failed and tx.key in self.bad_keys)
+                    or (outcome not in (DONE, ERROR) and not compared)):
                 return
             if failed:
                 self.bad_keys.add(tx.key)
@@ -335,8 +321,8 @@
     def _add(self, what, bad, pod=None):
         step = self._weight(what, bad, self.p0[what])
         if pod:
-            # A single machine may be ill by itself: alone it proves nothing of the build. And slow answers come
-            # in swarms, from one queue: a second of them is one piece of evidence.
+            # A single machine may be ill by itself: alone it proves nothing of the build. And slow answers
+            # come in swarms, from one queue: a second of them is one piece of evidence.
             bound, had = ONE_POD * self.back_at[what], self.by_pod.get((what, pod), 0.0)
             if self.swarm[0] != self.now // SECOND:
                 self.swarm = self.now // SECOND, ONE_SECOND * self.back_at["slow"]
@@ -347,13 +333,14 @@
                 self.swarm = self.swarm[0], self.swarm[1] - step
         # The sum rests near the bound for 'on': a build that turns bad late must not have to eat up its past.
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
-        if self._doubt() > HOLD_PART:
+        self.doubt = max(self.sums[what] / self.back_at[what] for what in self.sums)
+        if self.doubt > HOLD_PART:
             self.clear_since = self.now
 
     def _judge_all(self, cell, outcome, latency):
         """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
-        outcomes are tested against what was usual before the offer. More traffic excuses longer times; it does
-        not stop the test, for clients that try again after failures are more traffic too."""
+        outcomes are tested against what was usual before the offer. More traffic excuses longer times but
+        does not stop the test: clients that try again after failures are more traffic too."""
         mark, seen = self.usual[0].get(cell, (0, 0)) if self.usual else (0, 0)
         if seen < MATURE:
             return
@@ -369,23 +356,18 @@
     def _busier(self):
         """The traffic of the last two seconds against that before the offer, chance allowed for."""
         span = 4 * self.arrivals.width + self.now % self.arrivals.width
-        usual = self.usual[1] * span / SECOND if self.usual else None
+        usual = self.usual[1] * span / SECOND if self.usual else 0
         return (self.arrivals.total(self.now, False, 4) - 3) / (usual + 1) if usual else 1.0
 
     def _settle(self):
         """Keeps what was usual before the build came. An instance that started during the trial takes what it
         met as usual: the later stages then show."""
         age = self.now - (self.now if self.born is None else self.born)
-        rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
-        # One with little traffic abstains: it cannot see a burst that slows all by its own few transactions.
-        if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
-            self.usual = dict(self.marks), rate
-
-    def _doubt(self):
-        return max(self.sums[what] / self.back_at[what] for what in self.sums)
+        if self.build == TRIAL and self.usual is None and age >= SETTLED:
+            self.usual = dict(self.marks), self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age)
 
     def _verdict(self):
-        news, part = self.news, self._doubt()
+        news, part = self.news, self.doubt
         if news.phase not in (ON_TRIAL, RELEASED):
             return NO_VOTE
         if self.ill_since is not None:
@@ -404,11 +386,10 @@
         if self.terms.decided_by == BY_CLOCK:
             return HOLD if part > HOLD_PART else NO_VOTE
         started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
-        # A list that lags the stage hides the pods to judge, and, where they replace the earlier ones, the only
-        # pods that there will be: moving on would leave this instance with none.
-        if len(started) < max(1, int(LISTED * self.terms.waves[news.stage] * self.places)):
-            return NO_VOTE
-        if self.now < max(started) + AFTER_START:
+        # A list that lags the stage hides the pods to judge and, where they replace the earlier ones, the
+        # only pods that there will be: moving on would leave this instance with none.
+        due = max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
+        if len(started) < due or self.now < max(started) + AFTER_START:
             return NO_VOTE
         if max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES and part <= HOLD_PART:
             return ON
@@ -431,9 +412,9 @@
               or wanted == self.moot[0] and self.now < self.moot[1]):
             return
         if self.asked != wanted:
-            sums = ", ".join(f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}" for what in sorted(self.sums))
-            self.actions.append(Note(f"vote {wanted[2]} on build {wanted[0]} stage {wanted[1]}: {sums}, "
-                                     f"all slow {self.all_slow:+.1f}, {self.seen} seen"))
+            sums = "".join(f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}, " for what in self.sums)
+            self.actions.append(Note("vote {2} on build {0} stage {1}: ".format(*wanted) + sums
+                                     + f"all slow {self.all_slow:+.1f}, {self.seen} seen"))
         self.asked, self.ask_at = wanted, self.now + self.terms.vote_wait + SECOND // 10
         self.actions.append(Vote(*wanted))
 
@@ -507,8 +488,9 @@
             share = self._share(known)
             if not self._same_group(tx, pod) or (share < 1.0 and not self._cold_room(known, share)):
                 continue
-            score = (known.out + 1) * known.pace * (1 + 8 * known.fails) * (1 + known.load) / (pod.size * share)
-            found.append((score + 1e6 * (self.now < known.shunned or pod.address in used), known))
+            score = (known.out + 1) * known.pace * (1 + 8 * known.fails) * (1 + known.load)
+            avoid = 1e6 * (self.now < known.shunned or pod.address in used)
+            found.append((score / (pod.size * share) + avoid, known))
         if not found:
             return None
         self.turn += 1
@@ -534,9 +516,8 @@
             left = min(left, tx.goal - self.now)
         self.actions.append(Deliver(tx.id, known.listed.address, max(1, left)))
         if len(tx.sent) == 1 and self.terms.second_copies and tx.lane.effect == RETRIABLE:
-            goal = tx.lane.latency_goal
+            goal, self.tokens = tx.lane.latency_goal, self.tokens + 1
             wait = max(COPY_AFTER[0] * self.means.get(tx.lane.name, goal), COPY_AFTER[1] * goal)
-            self.tokens += 1
             self.due[self.tokens] = tx.id
             self.actions.append(SetTimer(self.now + int(wait), self.tokens))
 
@@ -552,7 +533,7 @@
         return self.now + self.means.get(tx.lane.name, 0) < min(tx.goal, tx.ends)
 
     def _again(self, tx):
-        """A delivery ended without an answer: another one while it can still earn, else the answer at once."""
+        """A delivery ended without an answer: another while it can still earn, else the answer at once."""
         if tx.out():
             return
         cost = 0 if tx.suspect() is None else 1
@@ -562,7 +543,7 @@
             self._step(tx, "given up")
 
     def _second(self, tx):
-        """A second copy for one that is much later than its lane, as long as few need it and there is room."""
+        """A second copy for one much later than its lane, as long as few need it and there is room."""
         if tx.streams or tx.out() != 1 or self.copies < 1 or 2 * len(self.open) > self._limit_for(tx.lane):
             return
         if self._in_time(tx) and self._may(tx, False) and self._send(tx):
@@ -613,13 +594,13 @@
             known.pace += 0.08 * (min(4.0, event.latency * share / self.means[lane.name]) - known.pace)
             self.served.add(self.now, share == 1.0)
 
-    def _left(self, event):
-        if event.id in self.open:
-            self._step(self.open[event.id], "left")
-
-    def _stream(self, event):
-        if event.id in self.open:
-            self.open[event.id].streams = True
+    def _follow(self, event):
+        """The client has left, or its answer has begun to stream."""
+        tx = self.open.get(event.id)
+        if tx and type(event) is ClientLeft:
+            self._step(tx, "left")
+        elif tx:
+            tx.streams = True
 
     def _complain(self, event):
         """A client found an answer wrong: what was booked as a success is a failure."""
@@ -630,25 +611,21 @@
     def _tick(self, event):
         if event.token:
             tx = self.open.get(self.due.pop(event.token, None))
-            if tx:
-                self._step(tx, "slow")
-            return
+            return self._step(tx, "slow") if tx else None
         self.actions.append(SetTimer(self.now + UPKEEP, 0))
-        total = self.arrivals.total(self.now)
-        collapsed = total >= COLLAPSE_LEAST and self.good.total(self.now) < COLLAPSE * total
-        self.collapsed = self.collapsed + UPKEEP if collapsed else 0
+        taken, good = self.arrivals.total(self.now), self.good.total(self.now)
+        self.collapsed = self.collapsed + UPKEEP if taken >= COLLAPSE_LEAST and good < COLLAPSE * taken else 0
         self._settle()
         self._climb()
         self._cast()
         if self.terms.subscribes and self.now >= self.watch_at:
             self.watch_at = self.now + self.terms.ask_within // 2
             self.actions.append(Subscribe(True))
-        warm = sum(known.listed.size for known in self.pods.values() if self._share(known) == 1.0)
-        if warm:
-            self.warm_rate = max(self.warm_rate * 0.995, self.served.total(self.now) / 4 / warm)
+        warm = sum(known.listed.size for known in self.pods.values() if self._share(known) == 1.0) or 1e9
+        self.warm_rate = max(self.warm_rate * 0.995, self.served.total(self.now) / 4 / warm)
         if self.now >= self.keys_at + 2 * SECOND:
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
     # What is not here needs no answer: nothing is probed or told, and tallies come too late to judge by.
-    EVENTS = {PodList: _listed, News: _told, Taken: _take, Ended: _end, ClientLeft: _left, TimerDue: _tick,
-              StreamBegan: _stream, Complaint: _complain}
+    EVENTS = {PodList: _listed, News: _told, Taken: _take, Ended: _end, ClientLeft: _follow, TimerDue: _tick,
+              StreamBegan: _follow, Complaint: _complain}
--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -208,5 +208,7 @@
     text: str
 
 
-Event = Union[PodList, Taken, StreamBegan, Ended, ClientLeft, TimerDue, Probed, Message, News, Tally, Complaint]
-Action = Union[Deliver, Recall, Defer, Abandon, SetTimer, Probe, CloseIdle, Tell, Subscribe, FetchList, Vote, Note]
+Event = Union[PodList, Taken, StreamBegan, Ended, ClientLeft, TimerDue, Probed, Message, News, Tally,
+              Complaint]
+Action = Union[Deliver, Recall, Defer, Abandon, SetTimer, Probe, CloseIdle, Tell, Subscribe, FetchList, Vote,
+               Note]
--- a/thymeknot/wire.py
+++ b/thymeknot/wire.py
@@ -164,9 +164,9 @@
 def _lane(read, at):
     def own(name, decode):
         return read(f"categories.{at}.{name}", decode)
-    return i.Lane(own("name", _text), own("semantics", EFFECTS.__getitem__), own("key_scope", GROUPS.__getitem__),
-                  own("window", _span), own("promise", _length), own("give_up", _length), own("worth", _amount),
-                  own("late_worth", _amount))
+    return i.Lane(own("name", _text), own("semantics", EFFECTS.__getitem__),
+                  own("key_scope", GROUPS.__getitem__), own("window", _span), own("promise", _length),
+                  own("give_up", _length), own("worth", _amount), own("late_worth", _amount))
 
 
 def terms(pairs):
@@ -212,7 +212,7 @@
     i.SetTimer: lambda a: f"NOTIFY_ME {{}} {a.at * UNIT} {a.token}",
     i.Probe: lambda a: f"TEST {{}} {a.pod}",
     i.CloseIdle: lambda a: f"SHUT_IDLE {{}} {a.pod}",
-    i.Tell: lambda a: f"POST {{}} {'all' if a.peer is None else a.peer} {base64.b64encode(a.content).decode() or '-'}",
+    i.Tell: lambda a: f"POST {{}} {'all' if a.peer is None else a.peer} {_base64(a.content)}",
     i.Subscribe: lambda a: f"TAIL {{}} {int(a.on)}",
     i.FetchList: lambda a: "FETCH {}",
     i.Vote: lambda a: f"VERDICT {{}} {a.build} {a.stage} {a.verdict}",
@@ -220,6 +220,10 @@
 }
 
 
+def _base64(content):
+    return base64.b64encode(content).decode() or "-"
+
+
 def _plain(text):
     return " ".join(text.replace("{", "(").replace("}", ")").split())
 
