--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -614,7 +614,8 @@
             return self._step(tx, "slow") if tx else None
         self.actions.append(SetTimer(self.now + UPKEEP, 0))
         taken, good = self.arrivals.total(self.now), self.good.total(self.now)
-        self.collapsed = self.collapsed + UPKEEP if taken >= COLLAPSE_LEAST and good < COLLAPSE * taken else 0
+        ill = taken >= COLLAPSE_LEAST and good < COLLAPSE * taken and self._busier() <= BUSIER
+        self.collapsed = self.collapsed + UPKEEP if ill else 0
         self._settle()
         self._climb()
         self._cast()
