--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -121,11 +121,18 @@
         made.usual = {("read", "std"): (500, 100)}, 50.0
         judged(made, i.DONE, "old-1", 60, latency=5000)
         self.assertEqual(made._verdict(), i.NO_VOTE)
-        made.now += 8 * SECOND
-        self.assertEqual(made._verdict(), i.NO_VOTE)
         made.ramp = 0.3
+        made.now += 8 * SECOND
         self.assertEqual(made._verdict(), i.BACK)
 
+    def test_a_build_with_little_traffic_is_held_for_it_only(self):
+        made = balancer(told=news())
+        made.usual = {("read", "std"): (500, 100)}, 50.0
+        judged(made, i.DONE, "old-1", 60, latency=5000)
+        made.now += 8 * SECOND
+        judged(made, i.DONE, "old-1", 1, latency=5000)
+        self.assertEqual(made._verdict(), i.NO_VOTE)
+
     def test_more_traffic_excuses_slowness_of_all(self):
         made = balancer(told=news())
         made.usual = {("read", "std"): (500, 100)}, 10.0
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -350,7 +350,7 @@
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
             self.ill_since = None
-        elif self.all_slow > bound and self.ill_since is None:
+        elif self.all_slow > bound and (self.ill_since is None or self.ramp < BLAMED_FROM):
             self.ill_since = self.now
 
     def _busier(self):
@@ -373,8 +373,7 @@
         if self.ill_since is not None:
             # What slows all may pass by itself, and a build with little traffic yet can hardly be the cause;
             # until it has passed, the build does not move on.
-            blamed = self.now >= self.ill_since + ILL_FOR and self.ramp >= BLAMED_FROM
-            part = max(part, 1.1 if blamed else 1.0)
+            part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
         # An instance that knows no usual, as after a restart, still sees that hardly anything is served.
         if self.collapsed >= ILL_FOR // 2 and self.ramp >= BLAMED_FROM:
             part = 2.0
