--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -122,14 +122,14 @@
         judged(made, i.DONE, "old-1", 60, latency=5000)
         self.assertEqual(made._verdict(), i.NO_VOTE)
         made.ramp = 0.3
-        made.now += 8 * SECOND
+        made.now += 5 * SECOND
         self.assertEqual(made._verdict(), i.BACK)
 
     def test_a_build_with_little_traffic_is_held_for_it_only(self):
         made = balancer(told=news())
         made.usual = {("read", "std"): (500, 100)}, 50.0
         judged(made, i.DONE, "old-1", 60, latency=5000)
-        made.now += 8 * SECOND
+        made.now += 5 * SECOND
         judged(made, i.DONE, "old-1", 1, latency=5000)
         self.assertEqual(made._verdict(), i.NO_VOTE)
 
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -30,11 +30,11 @@
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
 SLOW_QUANTILE = 0.9
 # Slowness of all builds, against what was usual before the offer.
-ILL_FOR = 8 * SECOND            # it may pass by itself: only after so long the new build is blamed
+ILL_FOR = 5 * SECOND            # it may pass by itself: only after so long the new build is blamed
 BUSIER = 1.3                    # times the traffic before the offer: from here on it excuses longer times
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
-COLLAPSE, COLLAPSE_LEAST = 0.4, 40  # of the transactions of 8 s served in time, and how many there must be
+COLLAPSE, COLLAPSE_LEAST, COLLAPSE_FOR = 0.4, 40, 4 * SECOND  # share served in time in 8 s, of how many
 MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
 MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
@@ -375,7 +375,7 @@
             # until it has passed, the build does not move on.
             part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
         # An instance that knows no usual, as after a restart, still sees that hardly anything is served.
-        if self.collapsed >= ILL_FOR // 2 and self.ramp >= BLAMED_FROM:
+        if self.collapsed >= COLLAPSE_FOR and self.ramp >= BLAMED_FROM:
             part = 2.0
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
         if self.saying_back:
