--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -30,7 +30,8 @@
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
 SLOW_QUANTILE = 0.9
 # Slowness of all builds, against what was usual before the offer.
-ILL_FOR = 5 * SECOND            # it may pass by itself: only after so long the new build is blamed
+# It may pass by itself: so long before the build is blamed; longer where going back needs new machines.
+ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
 BUSIER = 1.3                    # times the traffic before the offer: from here on it excuses longer times
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
@@ -373,7 +374,7 @@
         if self.ill_since is not None:
             # What slows all may pass by itself, and a build with little traffic yet can hardly be the cause;
             # until it has passed, the build does not move on.
-            part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR else 1.1)
+            part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR[self.terms.replaces] else 1.1)
         # An instance that knows no usual, as after a restart, still sees that hardly anything is served.
         if self.collapsed >= COLLAPSE_FOR and self.ramp >= BLAMED_FROM:
             part = 2.0
--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -56,6 +56,7 @@
     waves: tuple
     by_lane: bool
     keys_stay: bool
+    replaces: bool
     decided_by: str
     votes_to_revert: int
     vote_life: int
--- a/thymeknot/wire.py
+++ b/thymeknot/wire.py
@@ -14,6 +14,7 @@
 GROUPS = {"all": i.GROUP_ALL, "zone": i.GROUP_ZONE, "cell": i.GROUP_CELL}
 DECIDERS = {"first_voice": i.FIRST_VOICE, "by_count": i.BY_COUNT, "automatic": i.BY_CLOCK}
 DISCOVERIES = {"automatic": False, "subscribe": True}
+SWAPS = {"parallel": False, "replace": True}
 COUNTS = {"all": False, "each_class": True}
 PHASES = {"0": i.ON_TRIAL, "1": i.GOING_BACK, "2": i.RELEASED, "3": i.WITHDRAWN}
 FLAGS = {"0": False, "1": True}
@@ -195,6 +196,7 @@
         waves=read("extra.waves", _shares),
         by_lane=read("extra.counts", COUNTS.__getitem__),
         keys_stay=read("extra.keys_stay", bools),
+        replaces=read("extra.swap", SWAPS.__getitem__),
         decided_by=read("extra.decided_by", DECIDERS.__getitem__),
         votes_to_revert=read("extra.votes_to_revert", _whole),
         vote_life=read("extra.vote_life", _length),
