--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -583,7 +583,8 @@
         if event.outcome in (RECALLED, UNSENT):
             return
         known.fails += 0.1 * ((event.outcome != DONE) - known.fails)
-        if event.outcome == UNCONNECTED:
+        # A pod that turns all away may be draining or gone long before a late list says so.
+        if event.outcome in (UNCONNECTED, FULL):
             known.shunned, known.shun = self.now + known.shun, min(SHUN_MOST, 2 * known.shun)
         elif event.outcome == DONE:
             known.shun, lane, share = SHUN, tx.lane, self._share(known)
