--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -32,7 +32,7 @@
 # Slowness of all builds, against what was usual before the offer.
 # It may pass by itself: so long before the build is blamed; longer where going back needs new machines.
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
-BUSIER = 1.3                    # times the traffic before the offer: from here on it excuses longer times
+BUSIER = 1.5                    # times the traffic before the offer: from here on it excuses longer times
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 COLLAPSE, COLLAPSE_LEAST, COLLAPSE_FOR = 0.4, 40, 4 * SECOND  # share served in time in 8 s, of how many
