--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -162,6 +162,15 @@
         judged(made, i.ERROR, "new-1", 50)
         self.assertEqual(made._verdict(), i.BACK)
 
+    def test_an_instance_with_little_traffic_does_not_judge_all(self):
+        made = balancer(told=news())
+        made.arrivals.add(NOW, 110)
+        made._settle()
+        self.assertIsNone(made.usual)
+        made.arrivals.add(NOW, 20)
+        made._settle()
+        self.assertIsNotNone(made.usual)
+
     def test_a_collapse_sends_a_released_build_back_even_after_a_restart(self):
         made = balancer(pod("new-1", 2), told=news(phase=i.RELEASED))
         for later in range(0, 8 * SECOND, SECOND // 20):
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -34,6 +34,7 @@
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
 BUSIER = 1.5                    # times the traffic before the offer: from here on it excuses longer times
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
+LOUD = 15                       # transactions a second: one with less abstains, it sees too few to judge all
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 COLLAPSE, COLLAPSE_LEAST, COLLAPSE_FOR = 0.4, 40, 4 * SECOND  # share served in time in 8 s, of how many
 MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
@@ -364,8 +365,9 @@
         """Keeps what was usual before the build came. An instance that started during the trial takes what it
         met as usual: the later stages then show."""
         age = self.now - (self.now if self.born is None else self.born)
-        if self.build == TRIAL and self.usual is None and age >= SETTLED:
-            self.usual = dict(self.marks), self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age)
+        rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
+        if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
+            self.usual = dict(self.marks), rate
 
     def _verdict(self):
         news, part = self.news, self.doubt
