--- a/thymeknot/benchlink.py
+++ b/thymeknot/benchlink.py
@@ -6,6 +6,8 @@
 from .balance import Balancer
 from .interface import PodList, MISSED
 
+MESSAGES = {"NEW_INSTANCE", "KILLED", "ANNOUNCE", *wire.EVENTS}
+
 
 class Host:
     """The instances of one process. They share nothing but the numbered lists that the wire itself shares."""
@@ -43,8 +45,10 @@
                 raise wire.Malformed("CENSUS takes a number and a count") from None
             self.lists[table] = []
             return (table, count) if count else None
+        if name not in MESSAGES:
+            raise wire.Malformed("no such message")
         if not values:
-            raise wire.Malformed("no such message, or no instance named")
+            raise wire.Malformed("no instance named")
         instance, *values = values
         if name == "NEW_INSTANCE":
             self._start(now, instance, values, inboxes, replies)
@@ -55,10 +59,8 @@
             del self.instances[instance]
         elif name == "ANNOUNCE":
             inboxes.setdefault(instance, []).append(self._announced(values))
-        elif name in wire.EVENTS:
-            inboxes.setdefault(instance, []).append(wire.event(name, values))
         else:
-            raise wire.Malformed("no such message")
+            inboxes.setdefault(instance, []).append(wire.event(name, values))
         return None
 
     def _start(self, now, instance, values, inboxes, replies):
