--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -365,9 +365,10 @@
         """Keeps what was usual before the build came. An instance that started during the trial takes what it
         met as usual: the later stages then show."""
         age = self.now - (self.now if self.born is None else self.born)
-        rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
+        taken = self.arrivals.total(self.now)
+        rate = taken * SECOND / min(8 * SECOND, age + 1)
         if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
-            self.usual = dict(self.marks), rate
+            self.usual = dict(self.marks), rate, self.good.total(self.now) / taken
 
     def _verdict(self):
         news, part = self.news, self.doubt
@@ -493,12 +494,10 @@
             score = (known.out + 1) * known.pace * (1 + 8 * known.fails) * (1 + known.load)
             avoid = 1e6 * (self.now < known.shunned or pod.address in used)
             found.append((score / (pod.size * share) + avoid, known))
-        if not found:
-            return None
         self.turn += 1
-        best = min(score for score, _ in found)
+        best = min((score for score, _ in found), default=0)
         near = [known for score, known in found if score <= best * 1.15]
-        return near[self.turn % len(near)]
+        return near[self.turn % len(near)] if near else None
 
     def _same_group(self, tx, pod):
         """Rule 2: what may have run goes again only to pods that would drop the repeat."""
@@ -616,6 +615,7 @@
             return self._step(tx, "slow") if tx else None
         self.actions.append(SetTimer(self.now + UPKEEP, 0))
         taken, good = self.arrivals.total(self.now), self.good.total(self.now)
+        taken *= min(1.0, self.usual[2] / 0.9) if self.usual else 1.0  # overload before the offer is no sign
         ill = taken >= COLLAPSE_LEAST and good < COLLAPSE * taken and self._busier() <= BUSIER
         self.collapsed = self.collapsed + UPKEEP if ill else 0
         self._settle()
