The earlier build's recent rates where higher: error storms are not the new build's

It also guards against any trouble that starts at both builds at once; it can delay a back vote by a chance cluster of failures at the earlier build.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -189,6 +189,16 @@
             made._tick(i.TimerDue(0))
         self.assertNotEqual(made._verdict(), i.BACK)
 
+    def test_a_storm_of_errors_at_both_builds_is_not_the_new_ones(self):
+        made = balancer(told=news())
+        for later in range(6):
+            made.now = NOW + later * SECOND
+            judged(made, i.DONE, "old-1", 30)
+        judged(made, i.ERROR, "old-1", 15)
+        judged(made, i.ERROR, "new-1", 4)
+        judged(made, i.DONE, "new-1", 4)
+        self.assertNotEqual(made._verdict(), i.BACK)
+
     def test_one_chance_failure_does_not_bar_a_quiet_vote(self):
         made = balancer(told=news())
         judged(made, i.ERROR, "new-1")
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -255,10 +255,9 @@
     def _may_try(self, lane):
         """Rule 5, also for windows still to come: the later parts of this one must carry themselves."""
         news = self.news
-        if news.phase == RELEASED:
-            return True
-        if news.phase == ON_TRIAL and news.stage < self.terms.guarded_stages and lane.effect != RETRIABLE:
-            return False
+        guarded = news.phase == ON_TRIAL and news.stage < self.terms.guarded_stages
+        if news.phase == RELEASED or (guarded and lane.effect != RETRIABLE):
+            return news.phase == RELEASED
         taken, tried, free = self._ring(self.taken, lane), self._ring(self.tried, lane), self.terms.allowance
         return news.cap > 0 and all(tried.total(self.now, False, back) + 1
                                     <= free + news.cap * taken.total(self.now, True, back)
@@ -309,11 +308,13 @@
                 self._add("slow", slow, known.listed.address)
 
     def _compare(self):
-        """Takes the earlier build's rates; tells whether enough of its outcomes are recent."""
-        seen = self.earlier["all"].total(self.now)
-        if seen >= BASELINE:
-            for what, floor in P0_FLOOR.items():
-                self.p0[what] = max(floor, min(0.6, self.earlier[what].total(self.now) / seen))
+        """Takes the earlier build's rates, the recent ones where higher: a storm of errors at both builds is
+        not the new one's. Tells whether enough of the earlier outcomes are recent."""
+        for back, least in ((16, BASELINE), (4, 2 * BASELINE)):
+            seen = self.earlier["all"].total(self.now, False, back)
+            for what, floor in P0_FLOOR.items() if seen >= least else ():
+                rate = max(floor, min(0.6, self.earlier[what].total(self.now, False, back) / seen))
+                self.p0[what] = rate if back == 16 else max(rate, self.p0[what])
         return self.earlier["all"].total(self.now, False, 4) >= BASELINE
 
     def _weight(self, what, bad, p0):
@@ -535,9 +536,9 @@
 
     def _again(self, tx):
         """A delivery ended without an answer: another while it can still earn, else the answer at once."""
+        cost = 0 if tx.suspect() is None else 1
         if tx.out():
             return
-        cost = 0 if tx.suspect() is None else 1
         if self._in_time(tx) and self.retries >= cost and self._may(tx, False) and self._send(tx):
             self.retries -= cost
         else:
