--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,8 @@
 extra.allowance=3.0 extra.calls_per_s=150.0 extra.counts=all extra.decided_by=by_count extra.guarded_stages=2
 extra.keys_stay=true extra.vote_life=4000000000 extra.vote_wait=1200000000 extra.votes_to_revert=1
 extra.swap=replace extra.waves=0.04,0.1 extra.window=3000000000 permissions.max_attempts=4
-permissions.max_retry_after=500000000 permissions.may_cancel=true permissions.retry_after=true permissions.second_copies=false
+permissions.max_retry_after=500000000
+permissions.may_cancel=true permissions.retry_after=true permissions.second_copies=false
 rules.ask_within=10000000000 rules.cold=4800000000 rules.cold_from=0.31 rules.fall_multiple=2.0
 rules.overload_for=1500000000 stats.names= never.heard.of=1""".split()
 START = "NEW_INSTANCE sidecar-3 77 " + " ".join(PAIRS)
