--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -373,20 +373,17 @@
 
     def _verdict(self):
         news, part = self.news, self.doubt
-        if news.phase not in (ON_TRIAL, RELEASED):
-            return NO_VOTE
         if self.ill_since is not None:
             # What slows all may pass by itself, and a build with little traffic yet can hardly be the cause;
             # until it has passed, the build does not move on.
-            part = max(part, 1.0 if self.now < self.ill_since + ILL_FOR[self.terms.replaces] else 1.1)
+            blamed = self.now >= self.ill_since + ILL_FOR[self.terms.replaces]
+            part = max(part, 1.1 if blamed and self.all_slow > self.back_at["slow"] else 1.0)
         # An instance that knows no usual, as after a restart, still sees that hardly anything is served.
         if self.collapsed >= COLLAPSE_FOR and self.ramp >= BLAMED_FROM:
             part = 2.0
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
-        if self.saying_back:
-            return BACK
-        if news.phase == RELEASED:
-            return NO_VOTE
+        if self.saying_back or news.phase != ON_TRIAL:
+            return BACK if self.saying_back and news.phase in (ON_TRIAL, RELEASED) else NO_VOTE
         if self.terms.decided_by == BY_CLOCK:
             return HOLD if part > HOLD_PART else NO_VOTE
         started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
