--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -12,7 +12,7 @@
     Abandon, BACK, BY_CLOCK, CHANGES, ClientLeft, Complaint, DONE, Defer, Deliver, ERROR, EXPIRED, Ended,
     FINGERPRINTED, FULL, GONE, GROUP_ALL, GROUP_CELL, HOLD, MISSED, NO_VOTE, News, Note, ON, ON_TRIAL,
     PodList, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer, StreamBegan, Subscribe,
-    Taken, TimerDue, UNCONNECTED, UNSENT, Vote)
+    Taken, TimerDue, UNCONNECTED, UNSENT, UTILISATION, Vote)
 
 SECOND = 10_000
 UPKEEP = SECOND // 20
@@ -577,8 +577,8 @@
 
     def _learn(self, tx, known, event):
         self._judge(tx, known, event.outcome, event.latency)
-        if event.load and "busy" in self.terms.reports:
-            known.load = event.load[self.terms.reports.index("busy")]
+        if event.load and UTILISATION in self.terms.reports:
+            known.load = event.load[self.terms.reports.index(UTILISATION)]
         if event.outcome in (RECALLED, UNSENT):
             return
         known.fails += 0.1 * ((event.outcome != DONE) - known.fails)
--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -20,6 +20,8 @@
 ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = range(4)
 # What a vote says.
 NO_VOTE, ON, HOLD, BACK = range(4)
+# The value of a load report that tells how busy the cores are.
+UTILISATION = "utilisation"
 # Who moves a build on.
 FIRST_VOICE, BY_COUNT, BY_CLOCK = "first voice", "by count", "by clock"
 
--- a/thymeknot/wire.py
+++ b/thymeknot/wire.py
@@ -16,6 +16,7 @@
 DISCOVERIES = {"automatic": False, "subscribe": True}
 SWAPS = {"parallel": False, "replace": True}
 COUNTS = {"all": False, "each_class": True}
+REPORTS = {"busy": i.UTILISATION}
 PHASES = {"0": i.ON_TRIAL, "1": i.GOING_BACK, "2": i.RELEASED, "3": i.WITHDRAWN}
 FLAGS = {"0": False, "1": True}
 BOOLS = {"false": False, "true": True, "0": False, "1": True}
@@ -148,6 +149,10 @@
     return tuple(_share(share) for share in text.split(","))
 
 
+def _report_names(text):
+    return tuple(REPORTS.get(name, name) for name in text.split(",") if name)
+
+
 def _whole(text):
     value = int(text)
     if value < 1:
@@ -184,7 +189,7 @@
         second_copies=read("permissions.second_copies", bools),
         may_recall=read("permissions.may_cancel", bools),
         retry_after=read("permissions.retry_after", bools),
-        reports=read("stats.names", lambda text: tuple(name for name in text.split(",") if name)),
+        reports=read("stats.names", _report_names),
         ask_within=read("rules.ask_within", _span),
         cold_from=read("rules.cold_from", _share),
         cold=read("rules.cold", _span),
