Pods in use are drawn, and chosen by lot where sidecars are many

Cause: with nothing out, a quiet sidecar ranked all pods by size, so hundreds met at the same largest few. Now each uses one pod for each recent transaction, six at least, and exchanges the dearest every 4 s; where there are three sidecars or more for four pods, the lot decides among them by weight. Nothing ranks the whole list any more. Else it should catch: new connections that are slow or refused, since fewer are opened. Harm: a quiet sidecar learns of one ill pod more slowly.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -41,6 +41,8 @@
 MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
+DRAWN, LOOK, EXCHANGE = 6, 24, 4 * SECOND  # pods in use at least; looked at for a delivery; one exchanged
+CROWD = 0.75                    # sidecars for each pod: from here on an instance's own open work says little
 COLD_PART = 0.5                 # of what would push a cold pod over, the part that all instances together use
 GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
 LANE_PART = (0.8, 1.25)         # of the limit on open transactions: for the cheapest lane, for the dearest
@@ -128,6 +130,7 @@
     def __init__(self, listed, span):
         self.listed, self.out, self.pace, self.fails = listed, 0, 1.0, 0.0
         self.load, self.shunned, self.shun, self.sent = 0.0, 0, SHUN, Ring(span, 15)
+        self.side = None            # True: of the newest build; False: of an earlier one
 
 
 class Balancer:
@@ -135,6 +138,7 @@
         self.terms, self.now, self.chance, self.actions, self.born = terms, now, seed, [], None
         # Pods and the list.
         self.pods, self.turn, self.watch_at, self.started = {}, 0, now, False
+        self.sides, self.drawn, self.exchange_at = {True: [], False: []}, {True: [], False: []}, now
         # Transactions, and what they teach.
         self.open, self.due, self.tokens = {}, {}, 0
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
@@ -185,6 +189,32 @@
                 known.listed = pod
             else:
                 self.pods[pod.address] = Known(pod, self.terms.overload_for)
+        self._sort()
+
+    def _sort(self):
+        """Parts the ready pods by build, once for each change: no delivery looks through the whole list."""
+        for side in self.sides.values():
+            for known in side:
+                known.side = None
+        build = self.news.build if self.news else 0
+        self.sides = {True: [], False: []}
+        for known in self.pods.values():
+            if known.listed.condition == READY and known.listed.build <= build:
+                known.side = known.listed.build == build
+                self.sides[known.side].append(known)
+        for new in self.sides:
+            self._draw(new)
+
+    def _draw(self, new, drop=None):
+        """Draws the pods that this instance uses: one for each recent transaction. More would make a quiet one
+        open a connection each time, and hundreds that rank all pods alike would meet at the same few."""
+        side = self.sides[new]
+        wanted = min(len(side), max(DRAWN, self.arrivals.total(self.now)))
+        drawn = [known for known in self.drawn[new] if known.side is new and known is not drop][-wanted:]
+        spare = [known for known in side if known not in drawn]
+        while len(drawn) < wanted:
+            drawn.append(spare.pop(int(self._random() * len(spare))))
+        self.drawn[new] = drawn
 
     def _share(self, known):
         """The part of its capacity that a pod has at least: it gains no slower than evenly."""
@@ -206,6 +236,8 @@
         if news.outcome != DONE:
             return
         old, self.news = self.news, news
+        if old is None or old.build != news.build:
+            self._sort()
         if old is None or old.build != news.build:
             change = "offered" if news.phase == ON_TRIAL else "met"
         elif old.phase != news.phase:
@@ -480,22 +512,42 @@
         return False
 
     def _choose(self, tx, new, pinned):
-        """Pods of a build take turns; one that is busier, slower, colder or failing is passed over."""
-        build, found, used = self.news.build, [], {delivery.pod.address for delivery in tx.sent}
-        for known in self.pods.values():
-            pod = known.listed
-            if pod.condition != READY or (pod.build != build if new else not pinned <= pod.build < build):
-                continue
-            share = self._share(known)
-            if not self._same_group(tx, pod) or (share < 1.0 and not self._cold_room(known, share)):
-                continue
-            score = (known.out + 1) * known.pace * (1 + 8 * known.fails) * (1 + known.load)
-            avoid = 1e6 * (self.now < known.shunned or pod.address in used)
-            found.append((score / (pod.size * share) + avoid, known))
-        self.turn += 1
-        best = min((score for score, _ in found), default=0)
-        near = [known for score, known in found if score <= best * 1.15]
-        return near[self.turn % len(near)] if near else None
+        """Pods in use take turns; one that is busier, slower, colder or failing is passed over."""
+        used = {delivery.pod.address for delivery in tx.sent}
+        for again in (False, True):
+            pool, found = self.drawn[new], []
+            self.turn += LOOK if len(pool) > LOOK else 1
+            start = self.turn % len(pool) if len(pool) > LOOK else 0
+            for known in (pool[start:] + pool[:start])[:LOOK]:
+                share = self._share(known)
+                if ((not new and known.listed.build < pinned) or not self._same_group(tx, known.listed)
+                        or (share < 1.0 and not self._cold_room(known, share))):
+                    continue
+                cost = self._cost(known) * (known.out + 1) / share
+                avoid = 1e6 * (self.now < known.shunned or known.listed.address in used)
+                found.append((cost + avoid, known))
+            best = min((cost for cost, _ in found), default=1e6)
+            if best < 1e6 or again or len(pool) == len(self.sides[new]):
+                break
+            # None of the pods in use will do: others are drawn, once.
+            self.drawn[new] = []
+            self._draw(new)
+        if not found:
+            return None
+        if self.terms.balancers < CROWD * len(self.sides[new]):
+            near = [known for cost, known in found if cost <= best * 1.15]
+            return near[self.turn % len(near)]
+        # One of hundreds sees next to nothing of what the others have out. If each took the cheapest pod, all
+        # would meet there; by lot, each pod gets its part.
+        lot = self._random() * sum(1 / cost for cost, _ in found)
+        for cost, known in found:
+            lot -= 1 / cost
+            if lot <= 0:
+                break
+        return known
+
+    def _cost(self, known):
+        return known.pace * (1 + 8 * known.fails) * (1 + known.load) / known.listed.size
 
     def _same_group(self, tx, pod):
         """Rule 2: what may have run goes again only to pods that would drop the repeat."""
@@ -619,6 +671,10 @@
         self._settle()
         self._climb()
         self._cast()
+        if self.now >= self.exchange_at:
+            self.exchange_at = self.now + EXCHANGE
+            for new, drawn in self.drawn.items():
+                self._draw(new, max(drawn, key=self._cost, default=None))
         if self.terms.subscribes and self.now >= self.watch_at:
             self.watch_at = self.now + self.terms.ask_within // 2
             self.actions.append(Subscribe(True))
