Upkeep follows the traffic, and sums over the list are kept between its changes

Upkeep now comes once for a transaction, between 50 and 250 ms; capacity sums are taken when the list changes and while pods warm up. Harm: a quiet sidecar votes up to 0.2 s later.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -15,7 +15,7 @@
     Taken, TimerDue, UNCONNECTED, UNSENT, UTILISATION, Vote)
 
 SECOND = 10_000
-UPKEEP = SECOND // 20
+UPKEEP, UPKEEP_MOST = SECOND // 20, SECOND // 4  # the latter for one with hardly any traffic
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
 P1_OVER_P0, P0_FLOOR = {"failed": 3.0, "slow": 5.0}, {"failed": 0.01, "slow": 0.1}
@@ -85,7 +85,7 @@
     """Counts over the last span of time, in buckets that are used again."""
 
     def __init__(self, span, buckets):
-        self.width, self.size = max(1, -(-span // buckets)), buckets + 1
+        self.span, self.width, self.size = span, max(1, -(-span // buckets)), buckets + 1
         self.counts, self.last = [0] * self.size, 0
 
     def _turn(self, now):
@@ -137,8 +137,9 @@
     def __init__(self, terms, seed, now):
         self.terms, self.now, self.chance, self.actions, self.born = terms, now, seed, [], None
         # Pods and the list.
-        self.pods, self.turn, self.watch_at, self.started = {}, 0, now, False
+        self.pods, self.turn, self.watch_at, self.upkeep = {}, 0, now, 0
         self.sides, self.drawn, self.exchange_at = {True: [], False: []}, {True: [], False: []}, now
+        self.room, self.warm, self.warm_at = {True: 0.0, False: 0.0}, 0.0, 0
         # Transactions, and what they teach.
         self.open, self.due, self.tokens = {}, {}, 0
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
@@ -162,11 +163,15 @@
         for event in events:
             if type(event) in self.EVENTS:
                 self.EVENTS[type(event)](self, event)
-        if not self.started:
-            self.started = True
-            self.actions.append(SetTimer(now + UPKEEP, 0))
+        if not self.upkeep:
+            self._keep_up()
         return self.actions
 
+    def _keep_up(self):
+        """Upkeep follows the traffic: once for a transaction, within bounds."""
+        self.upkeep = max(UPKEEP, min(UPKEEP_MOST, self.arrivals.span // (self.arrivals.total(self.now) + 1)))
+        self.actions.append(SetTimer(self.now + self.upkeep, 0))
+
     def _random(self):
         self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
         return (self.chance >> 33) / 2147483648
@@ -204,6 +209,16 @@
                 self.sides[known.side].append(known)
         for new in self.sides:
             self._draw(new)
+        self._measure()
+
+    def _measure(self):
+        """What the ready pods of each side can carry at least, and the sum of the warm ones' sizes."""
+        self.warm, self.room = 0.0, {True: 0.0, False: 0.0}
+        for known in self.sides[True] + self.sides[False]:
+            share = self._share(known)
+            self.room[known.side] += known.listed.size * share
+            self.warm += known.listed.size * (share == 1.0)
+            self.warm_at = max(self.warm_at, known.listed.started + self.terms.cold + UPKEEP_MOST)
 
     def _draw(self, new, drop=None):
         """Draws the pods that this instance uses: one for each recent transaction. More would make a quiet one
@@ -272,11 +287,7 @@
             return
         target = 1.0
         if news.phase == ON_TRIAL:
-            size = [0.0, 0.0]
-            for known in self.pods.values():
-                if known.listed.condition == READY and known.listed.build <= news.build:
-                    size[known.listed.build == news.build] += known.listed.size * self._share(known)
-            target = min(RAMP_SHARE * news.cap, size[1] / (sum(size) or 1.0))
+            target = min(RAMP_SHARE * news.cap, self.room[True] / (sum(self.room.values()) or 1.0))
         step = target * (self.now - self.ramped) / RAMP_TIME
         self.ramp, self.ramped = max(self.ramp, min(target, self.ramp + step)), self.now
 
@@ -663,11 +674,12 @@
         if event.token:
             tx = self.open.get(self.due.pop(event.token, None))
             return self._step(tx, "slow") if tx else None
-        self.actions.append(SetTimer(self.now + UPKEEP, 0))
+        passed = self.upkeep
+        self._keep_up()
         taken, good = self.arrivals.total(self.now), self.good.total(self.now)
         taken *= min(1.0, self.usual[2] / 0.9) if self.usual else 1.0  # overload before the offer is no sign
         ill = taken >= COLLAPSE_LEAST and good < COLLAPSE * taken and self._busier() <= BUSIER
-        self.collapsed = self.collapsed + UPKEEP if ill else 0
+        self.collapsed = self.collapsed + passed if ill else 0
         self._settle()
         self._climb()
         self._cast()
@@ -678,8 +690,9 @@
         if self.terms.subscribes and self.now >= self.watch_at:
             self.watch_at = self.now + self.terms.ask_within // 2
             self.actions.append(Subscribe(True))
-        warm = sum(known.listed.size for known in self.pods.values() if self._share(known) == 1.0) or 1e9
-        self.warm_rate = max(self.warm_rate * 0.995, self.served.total(self.now) / 4 / warm)
+        if self.now <= self.warm_at:
+            self._measure()
+        self.warm_rate = max(self.warm_rate * 0.995, self.served.total(self.now) / 4 / (self.warm or 1e9))
         if self.now >= self.keys_at + 2 * SECOND:
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
