Votes for on are spread about their due time; back votes are not, renewals keep to the platform's calls

Cause: after each vote an instance waited for its turn among all, up to 14 s at 540 sidecars, so a stage took that long. Now the due time itself is spread by half a turn of all to either side, and only refused or unanswered votes wait. Harm: some quiet votes for on come up to half a turn of all (3.6 s at 540 sidecars and 75 calls a second) early.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -152,9 +152,13 @@
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
         # Where few votes send a build back, any instance's error does: they share the allowed one.
         alone = FALSE_BACK * terms.votes_to_revert / terms.balancers
+        # Each keeps to its part of the calls that the platform takes from all, so many votes take long to give.
+        self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
+        self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         bound = (1 - FALSE_ON) / alone
         self.back_at = {"failed": log(bound), "slow": log(bound * SLOW_STRICTER)}
         self.usual, self.all_slow, self.ill_since = None, 0.0, None
+        self.offset = 0.0
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at, self.moot = None, 0, None, now, (None, 0)
 
@@ -277,7 +281,7 @@
         self._begin()
 
     def _go_on(self):
-        self.ramped = self.now
+        self.ramped, self.offset = self.now, (self._random() - 0.5) * self.turn_of_all
         self._restart_test()
 
     def _climb(self):
@@ -433,14 +437,15 @@
         # A list that lags the stage hides the pods to judge and, where they replace the earlier ones, the
         # only pods that there will be: moving on would leave this instance with none.
         due = max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
-        if len(started) < due or self.now < max(started) + AFTER_START:
+        # Hundreds of votes for on would come at once and be turned away: they are spread about the due time.
+        if len(started) < due or self.now < max(started) + AFTER_START + self.offset:
             return NO_VOTE
         if max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES and part <= HOLD_PART:
             return ON
         # A quiet instance never sees enough, and one chance failure would bar it for minutes: with too little
         # against the build to hold it, it says on after a while, sooner if there is nothing at all.
         wait = QUIET_FOR if self.sums["failed"] <= 0 else 2 * QUIET_FOR
-        return ON if part <= HOLD_PART and self.now >= self.clear_since + wait else NO_VOTE
+        return ON if part <= HOLD_PART and self.now >= self.clear_since + wait + self.offset else NO_VOTE
 
     def _cast(self):
         """Casts, renews and withdraws the vote; an unanswered one is asked again."""
@@ -452,7 +457,7 @@
         if wanted[2] == NO_VOTE:
             if not stands or vote[0] != wanted[0] or (vote[2] == ON and vote[1] != wanted[1]):
                 return
-        elif (stands and vote == wanted and age < self.terms.vote_life // 2
+        elif (stands and vote == wanted and age < self.renew
               or wanted == self.moot[0] and self.now < self.moot[1]):
             return
         if self.asked != wanted:
@@ -463,9 +468,9 @@
         self.actions.append(Vote(*wanted))
 
     def _vote_answered(self, news):
-        # Each keeps to its part of the calls that the platform takes from all, and not in step.
-        pause = int((1 + self._random()) * self.terms.balancers / self.terms.votes_per_s * SECOND)
-        self.ask_at = self.now + max(pause, UPKEEP) + (0 if news.outcome == DONE else SECOND // 5)
+        # What was turned away or got no answer is asked again, not in step with the others.
+        pause = 0 if news.outcome == DONE else SECOND // 5 + int(self._random() * self.turn_of_all)
+        self.ask_at = self.now + max(pause, UPKEEP)
         if news.outcome == DONE and self.asked:
             self.vote, self.vote_at = (None if self.asked[2] == NO_VOTE else self.asked), self.now
         self.moot = (self.asked, self.now + SECOND) if news.outcome == UNSENT else (None, 0)
