Each instance draws its part of a cold pod, so that hundreds of parts add up to the budget

A part may now be less than a delivery: chance, drawn anew for each pod and span, says whether the instance has it; it grows the fewer pods an instance uses. What warm pods take is a mean, no longer a peak, which would not add up. Harm: fewer deliveries to pods while all are cold.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -43,7 +43,8 @@
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
 DRAWN, LOOK, EXCHANGE = 6, 24, 4 * SECOND  # pods in use at least; looked at for a delivery; one exchanged
 CROWD = 0.75                    # sidecars for each pod: from here on an instance's own open work says little
-COLD_PART = 0.5                 # of what would push a cold pod over, the part that all instances together use
+COLD_PART, COLD_LEAST = 0.5, 4  # of what would push a cold pod over, what all instances use; and deliveries
+RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
 GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
 LANE_PART = (0.8, 1.25)         # of the limit on open transactions: for the cheapest lane, for the dearest
 SECOND_COPIES, RETRIES = 0.05, 0.15
@@ -130,6 +131,7 @@
     def __init__(self, listed, span):
         self.listed, self.out, self.pace, self.fails = listed, 0, 1.0, 0.0
         self.load, self.shunned, self.shun, self.sent = 0.0, 0, SHUN, Ring(span, 15)
+        self.lot = -1, 0.0          # span, and what chance adds to this instance's part in it
         self.side = None            # True: of the newest build; False: of an earlier one
 
 
@@ -243,9 +245,16 @@
         return self.terms.cold_from + (1 - self.terms.cold_from) * max(0, age) / self.terms.cold
 
     def _cold_room(self, known, share):
-        """Rule 4. Each instance keeps to its part of what warm pods are seen to take, so no sum goes over."""
-        rate = self.warm_rate * known.listed.size * self.terms.overload_for / SECOND
-        return known.sent.total(self.now) + 1 <= max(1, COLD_PART * self.terms.fall_multiple * share * rate)
+        """Rule 4. Each instance keeps to its part of what warm pods are seen to take, so no sum goes over; the
+        fewer of the pods it uses, the fewer others use this one. A part may be less than a delivery: it draws
+        anew, for each pod and span, whether it has it. One each would push a pod over, of hundreds."""
+        rate, span = self.warm_rate * known.listed.size, self.terms.overload_for
+        part = max(COLD_PART * self.terms.fall_multiple * share * rate * span / SECOND,
+                   COLD_LEAST / self.terms.balancers)
+        part *= len(self.sides.get(known.side, ())) / (len(self.drawn.get(known.side, ())) or 1)
+        if known.lot[0] != self.now // span:
+            known.lot = self.now // span, self._random()
+        return known.sent.total(self.now) + 1 <= part + known.lot[1]
 
     # The new build.
 
@@ -697,7 +706,10 @@
             self.actions.append(Subscribe(True))
         if self.now <= self.warm_at:
             self._measure()
-        self.warm_rate = max(self.warm_rate * 0.995, self.served.total(self.now) / 4 / (self.warm or 1e9))
+        # A mean: peaks of hundreds would not add up to what all take. Overload must not pull it down quickly.
+        rate, age = self.served.total(self.now) / 4 / (self.warm or 1e9), self.now - (self.born or self.now)
+        span = max(SECOND, min(RATE_UP if rate > self.warm_rate else RATE_DOWN, age))
+        self.warm_rate += (rate - self.warm_rate) * passed / span
         if self.now >= self.keys_at + 2 * SECOND:
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
