--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -131,6 +131,7 @@
     def __init__(self, listed, span):
         self.listed, self.out, self.pace, self.fails = listed, 0, 1.0, 0.0
         self.load, self.shunned, self.shun, self.sent = 0.0, 0, SHUN, Ring(span, 15)
+        self.heard = 0
         self.lot = -1, 0.0          # span, and what chance adds to this instance's part in it
         self.side = None            # True: of the newest build; False: of an earlier one
 
@@ -667,7 +668,10 @@
             self.good.add(self.now, self.now <= tx.goal)
             mean = self.means.get(lane.name, event.latency)
             self.means[lane.name] = max(1.0, mean + 0.03 * (event.latency - mean))
-            known.pace += 0.08 * (min(4.0, event.latency * share / self.means[lane.name]) - known.pace)
+            # What a quiet instance knows of a pod is old: the longer ago, the more the present answer counts.
+            gain = min(0.5, 0.08 + 0.1 * (self.now - known.heard) / SECOND)
+            known.pace += gain * (min(4.0, event.latency * share / self.means[lane.name]) - known.pace)
+            known.heard = self.now
             self.served.add(self.now, share == 1.0)
 
     def _follow(self, event):
