What each instance may spend at once on further deliveries and copies shrinks as sidecars grow

Cause: five further deliveries and two copies saved up by each of 540 quiet sidecars are more than the fleet's traffic of a second, and all are spent in the first overload. From five sidecars on the savings shrink in proportion, to one and a bit. Else it should catch: resets and lost answers everywhere at once. Harm: fewer repeats in a short outage.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -47,7 +47,7 @@
 RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
 GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
 LANE_PART = (0.8, 1.25)         # of the limit on open transactions: for the cheapest lane, for the dearest
-SECOND_COPIES, RETRIES = 0.05, 0.15
+SECOND_COPIES, RETRIES, FEW = 0.05, 0.15, 5  # of the transactions; up to so few sidecars save up in full
 COPY_AFTER = (3.0, 0.4)         # times the lane's mean, times its goal: the later of both
 
 NEW, OUT, OVER = "new", "out", "over"
@@ -146,7 +146,9 @@
         # Transactions, and what they teach.
         self.open, self.due, self.tokens = {}, {}, 0
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
-        self.retries, self.copies, self.answers = 5.0, 2.0, Ring(2 * SECOND, 8)
+        # What each may spend at once adds up: of hundreds, each starts with next to nothing.
+        self.most = [min(alone, 1 + alone * FEW / terms.balancers) for alone in (20.0, 5.0)]
+        self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
         self.arrivals, self.good, self.collapsed = Ring(8 * SECOND, 16), Ring(8 * SECOND, 16), 0
         self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
         # The newest build, its exposure and its test.
@@ -501,7 +503,8 @@
         self.arrivals.add(self.now)
         if event.key:
             self.keys[event.key] = self.keys.get(event.key, 0) + 1
-        self.retries, self.copies = min(20.0, self.retries + RETRIES), min(5.0, self.copies + SECOND_COPIES)
+        self.retries = min(self.most[0], self.retries + RETRIES)
+        self.copies = min(self.most[1], self.copies + SECOND_COPIES)
         self._step(tx, "taken")
 
     def _place(self, tx):
