Tallies of the platform are evidence beside an instance's own outcomes, once the trial's pods are warm

Cause: of 190 to 430 sidecars each sees one outcome of the trial in ten seconds, so nobody voted a bad build back. A tally's rows book failures by the design's test against the earlier build's rate of the same period, and mean times against its mean times; against those from before the offer they tell slowness of all, where a sidecar is too quiet to tell by itself. Harm: all vote alike, so an error of the tallies is the error of all.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -12,7 +12,7 @@
     Abandon, BACK, BY_CLOCK, CHANGES, ClientLeft, Complaint, DONE, Defer, Deliver, ERROR, EXPIRED, Ended,
     FINGERPRINTED, FULL, GONE, GROUP_ALL, GROUP_CELL, HOLD, MISSED, NO_VOTE, News, Note, ON, ON_TRIAL,
     PodList, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer, StreamBegan, Subscribe,
-    Taken, TimerDue, UNCONNECTED, UNSENT, UTILISATION, Vote)
+    Taken, Tally, TimerDue, UNCONNECTED, UNSENT, UTILISATION, Vote)
 
 SECOND = 10_000
 UPKEEP, UPKEEP_MOST = SECOND // 20, SECOND // 4  # the latter for one with hardly any traffic
@@ -37,6 +37,7 @@
 LOUD = 15                       # transactions a second: one with less abstains, it sees too few to judge all
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
 COLLAPSE, COLLAPSE_LEAST, COLLAPSE_FOR = 0.4, 40, 4 * SECOND  # share served in time in 8 s, of how many
+TIMES, TIMES_MOST = 1.5, 3.0    # mean time against another: from the first on it is evidence, beyond the second no more
 MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
 MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
@@ -162,7 +163,7 @@
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         bound = (1 - FALSE_ON) / alone
         self.back_at = {"failed": log(bound), "slow": log(bound * SLOW_STRICTER)}
-        self.usual, self.all_slow, self.ill_since = None, 0.0, None
+        self.usual, self.all_slow, self.ill_since, self.norm, self.rows = None, 0.0, None, {}, []
         self.offset = 0.0
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at, self.moot = None, 0, None, now, (None, 0)
@@ -240,9 +241,9 @@
             drawn.append(spare.pop(int(self._random() * len(spare))))
         self.drawn[new] = drawn
 
-    def _share(self, known):
+    def _share(self, known, at=None):
         """The part of its capacity that a pod has at least: it gains no slower than evenly."""
-        age = self.now - known.listed.started
+        age = (self.now if at is None else at) - known.listed.started
         if not known.listed.started or age >= self.terms.cold:
             return 1.0
         return self.terms.cold_from + (1 - self.terms.cold_from) * max(0, age) / self.terms.cold
@@ -393,12 +394,71 @@
             self.by_pod[what, pod] = had + step
             if what == "slow" and bad:
                 self.swarm = self.swarm[0], self.swarm[1] - step
+        self._book(what, step)
+
+    def _book(self, what, step, most=None):
+        step = step if most is None else min(step, most * self.back_at[what])
         # The sum rests near the bound for 'on': a build that turns bad late must not have to eat up its past.
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
         self.doubt = max(self.sums[what] / self.back_at[what] for what in self.sums)
         if self.doubt > HOLD_PART:
             self.clear_since = self.now
 
+    def _tallied(self, event):
+        """What the platform counted is evidence too: a quiet instance sees one outcome of the trial in ten
+        seconds. Rows of one period come together and are weighed when the next ones come, or at upkeep."""
+        if event.lane in self.terms.lanes and event.failed <= event.deliveries > 0:
+            self.rows.append(event)
+
+    def _weigh_tallies(self):
+        rows, self.rows = self.rows, []
+        if self.news is None or not rows:
+            return
+        build, all_of, at = self.news.build, {}, self.now - rows[0].age - SECOND
+        for row in rows:
+            had = all_of.setdefault(row.lane, [0, 0.0])
+            had[0] += row.deliveries
+            # What failed has taken the goal at least: in a collapse the mean of the rest would look well.
+            had[1] += ((row.deliveries - row.failed) * row.latency
+                       + row.failed * max(row.latency, self.terms.lanes[row.lane].latency_goal))
+        if self.build not in (TRIAL, FREED):
+            for lane, (count, total) in all_of.items():
+                before = self.norm.get(lane, (0, 0.0, 0))
+                self.norm[lane] = before[0] / 2 + count, before[1] / 2 + total, before[2] / 2 + 1
+            return
+        earlier = {row.lane: row for row in rows if row.build < build}
+        seen, failed = (sum(getattr(row, what) for row in earlier.values()) for what in ("deliveries", "failed"))
+        # Cold pods are slow, and more so the younger: what they can do at least makes up for it.
+        sizes = [(known.listed.size, self._share(known, at)) for known in self.sides[True]]
+        warmth = sum(size * share for size, share in sizes) / (sum(size for size, _ in sizes) or 1.0)
+        for row in rows:
+            if row.build != build or warmth < WARM_ENOUGH:
+                continue
+            if seen >= 2 * BASELINE:
+                p0 = max(P0_FLOOR["failed"], min(0.6, failed / seen))
+                good, bad = self._weight("failed", False, p0), self._weight("failed", True, p0)
+                self._book("failed", row.failed * bad + (row.deliveries - row.failed) * good, ONE_SECOND)
+                self.seen += row.deliveries
+            base, done = earlier.get(row.lane), row.deliveries - row.failed
+            if base and done and base.deliveries - base.failed >= BASELINE and base.latency:
+                count = 1 / (1 / done + 1 / (base.deliveries - base.failed))
+                times = min(TIMES_MOST, row.latency * warmth / base.latency)
+                self._book("slow", count * (times - TIMES) / 2, ONE_SECOND)
+        if self.usual is not None:
+            return
+        times, traffic = [], [0.0, 0.0]
+        for lane, (count, total) in all_of.items():
+            norm = self.norm.get(lane, (0, 0.0, 1))
+            if norm[0] >= MATURE:
+                times.append(total / count / (norm[1] / norm[0]))
+                traffic = traffic[0] + count, traffic[1] + norm[0] / norm[2]
+        if len(times) >= min(2, len(self.terms.lanes)):
+            # One lane slow everywhere is no sign of the build: the second worst tells.
+            busier = traffic[0] / traffic[1]
+            worst = sorted(times)[-min(2, len(times))] / (busier ** 2 if busier > BUSIER else 1)
+            bound = ONE_SECOND * self.back_at["slow"]
+            self._add_all(max(-bound, min(bound, traffic[0] * (min(TIMES_MOST, worst) - TIMES) / 2)))
+
     def _judge_all(self, cell, outcome, latency):
         """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
         outcomes are tested against what was usual before the offer. More traffic excuses longer times but
@@ -408,7 +468,10 @@
             return
         busier = self._busier()
         slow = outcome == EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
-        bound, step = self.back_at["slow"], self._weight("failed", slow, P0_FLOOR["slow"])
+        self._add_all(self._weight("failed", slow, P0_FLOOR["slow"]))
+
+    def _add_all(self, step):
+        bound = self.back_at["slow"]
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
             self.ill_since = None
@@ -472,7 +535,7 @@
         elif (stands and vote == wanted and age < self.renew
               or wanted == self.moot[0] and self.now < self.moot[1]):
             return
-        if self.asked != wanted:
+        if self.asked != wanted and wanted[2] in (HOLD, BACK):
             sums = "".join(f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}, " for what in self.sums)
             self.actions.append(Note("vote {2} on build {0} stage {1}: ".format(*wanted) + sums
                                      + f"all slow {self.all_slow:+.1f}, {self.seen} seen"))
@@ -703,6 +766,7 @@
         self.collapsed = self.collapsed + passed if ill else 0
         self._settle()
         self._climb()
+        self._weigh_tallies()
         self._cast()
         if self.now >= self.exchange_at:
             self.exchange_at = self.now + EXCHANGE
@@ -720,6 +784,6 @@
         if self.now >= self.keys_at + 2 * SECOND:
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
-    # What is not here needs no answer: nothing is probed or told, and tallies come too late to judge by.
+    # What is not here needs no answer: nothing is probed or told.
     EVENTS = {PodList: _listed, News: _told, Taken: _take, Ended: _end, ClientLeft: _follow, TimerDue: _tick,
-              StreamBegan: _follow, Complaint: _complain}
+              StreamBegan: _follow, Complaint: _complain, Tally: _tallied}
