--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -28,6 +28,7 @@
 ONE_SECOND = 0.5                # of the back bound: what slowness within one second can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
+TALLY_WARM = 0.9                # the same of all pods of the trial together, over the period of a tally
 SLOW_QUANTILE = 0.9
 # Slowness of all builds, against what was usual before the offer.
 # It may pass by itself: so long before the build is blamed; longer where going back needs new machines.
@@ -432,7 +433,7 @@
         sizes = [(known.listed.size, self._share(known, at)) for known in self.sides[True]]
         warmth = sum(size * share for size, share in sizes) / (sum(size for size, _ in sizes) or 1.0)
         for row in rows:
-            if row.build != build or warmth < WARM_ENOUGH:
+            if row.build != build or warmth < TALLY_WARM:
                 continue
             if seen >= 2 * BASELINE:
                 p0 = max(P0_FLOOR["failed"], min(0.6, failed / seen))
