--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -28,7 +28,6 @@
 ONE_SECOND = 0.5                # of the back bound: what slowness within one second can add
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
-TALLY_WARM = 0.9                # the same of all pods of the trial together, over the period of a tally
 SLOW_QUANTILE = 0.9
 # Slowness of all builds, against what was usual before the offer.
 # It may pass by itself: so long before the build is blamed; longer where going back needs new machines.
@@ -397,8 +396,7 @@
                 self.swarm = self.swarm[0], self.swarm[1] - step
         self._book(what, step)
 
-    def _book(self, what, step, most=None):
-        step = step if most is None else min(step, most * self.back_at[what])
+    def _book(self, what, step):
         # The sum rests near the bound for 'on': a build that turns bad late must not have to eat up its past.
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
         self.doubt = max(self.sums[what] / self.back_at[what] for what in self.sums)
@@ -432,19 +430,19 @@
         # Cold pods are slow, and more so the younger: what they can do at least makes up for it.
         sizes = [(known.listed.size, self._share(known, at)) for known in self.sides[True]]
         warmth = sum(size * share for size, share in sizes) / (sum(size for size, _ in sizes) or 1.0)
-        for row in rows:
-            if row.build != build or warmth < TALLY_WARM:
-                continue
-            if seen >= 2 * BASELINE:
-                p0 = max(P0_FLOOR["failed"], min(0.6, failed / seen))
-                good, bad = self._weight("failed", False, p0), self._weight("failed", True, p0)
-                self._book("failed", row.failed * bad + (row.deliveries - row.failed) * good, ONE_SECOND)
-                self.seen += row.deliveries
+        steps = {"failed": 0.0, "slow": 0.0}
+        for row in rows if warmth >= WARM_ENOUGH else ():
             base, done = earlier.get(row.lane), row.deliveries - row.failed
+            if row.build != build or seen < 2 * BASELINE:
+                continue
+            self.seen += row.deliveries
+            p0 = max(P0_FLOOR["failed"], min(0.6, failed / seen))
+            steps["failed"] += row.failed * self._weight("failed", True, p0) + done * self._weight("failed", False, p0)
             if base and done and base.deliveries - base.failed >= BASELINE and base.latency:
                 count = 1 / (1 / done + 1 / (base.deliveries - base.failed))
-                times = min(TIMES_MOST, row.latency * warmth / base.latency)
-                self._book("slow", count * (times - TIMES) / 2, ONE_SECOND)
+                steps["slow"] += count * (min(TIMES_MOST, row.latency * warmth / base.latency) - TIMES) / 2
+        for what, step in steps.items():
+            self._book(what, min(step, ONE_SECOND * self.back_at[what]))
         if self.usual is not None:
             return
         times, traffic = [], [0.0, 0.0]
