Quiet sidecars defer by chance once their answers take more than half the goal

Under 15 transactions a second the mean time of the answers, in parts of the goal, now says with what chance a transaction is taken; lanes that earn little go first. Else it should catch: any overload by retries. Harm: chance deferrals in the second after a few slow answers.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -47,6 +47,7 @@
 COLD_PART, COLD_LEAST = 0.5, 4  # of what would push a cold pod over, what all instances use; and deliveries
 RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
 GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
+LEAST_TAKEN = 0.1               # of the transactions, however long answers take: else nothing would show
 LANE_PART = (0.8, 1.25)         # of the limit on open transactions: for the cheapest lane, for the dearest
 SECOND_COPIES, RETRIES, FEW = 0.05, 0.15, 5  # of the transactions; up to so few sidecars save up in full
 COPY_AFTER = (3.0, 0.4)         # times the lane's mean, times its goal: the later of both
@@ -151,6 +152,7 @@
         self.most = [min(alone, 1 + alone * FEW / terms.balancers) for alone in (20.0, 5.0)]
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
         self.arrivals, self.good, self.collapsed = Ring(8 * SECOND, 16), Ring(8 * SECOND, 16), 0
+        self.pressure, self.pressed_at = 0.0, now
         self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
         # The newest build, its exposure and its test.
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
@@ -570,7 +572,12 @@
         self._step(tx, "taken")
 
     def _place(self, tx):
-        if len(self.open) > self._limit_for(tx.lane) or not self._send(tx):
+        # A quiet instance has too little open to count: it goes by how long its answers take, and by chance.
+        chance = (GOAL_PART * self._lane_part(tx.lane) / self.pressure) ** 2 if self.pressure > GOAL_PART else 1.0
+        quiet = self.arrivals.total(self.now) < LOUD * 8
+        if len(self.open) > self._limit_for(tx.lane) or (quiet and self._random() > max(LEAST_TAKEN, chance)):
+            self._step(tx, "given up")
+        elif not self._send(tx):
             self._step(tx, "given up")
 
     def _limit_for(self, lane):
@@ -579,12 +586,15 @@
         # A new instance has seen no answers yet, which is no sign of overload.
         since = min(2 * SECOND, self.now - self.born)
         limit = max(LIMIT_LEAST, self.answers.total(self.now) / since) if since > SECOND else 1000.0
+        return limit * self._lane_part(lane)
+
+    def _lane_part(self, lane):
         worth = {name: self.terms.lanes[name].earnings / mean for name, mean in self.means.items()}
         if lane.name not in worth:
-            return limit
+            return 1.0
         low, high = min(worth.values()), max(worth.values())
         rank = (worth[lane.name] - low) / (high - low) if high > low else 0.5
-        return limit * (LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * rank)
+        return LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * rank
 
     def _send(self, tx):
         news = self.news
@@ -724,6 +734,13 @@
             known.load = event.load[self.terms.reports.index(UTILISATION)]
         if event.outcome in (RECALLED, UNSENT):
             return
+        # The mean time in parts of the goal; one turned away says that the queue is full. A client's short
+        # patience cuts a time off and says nothing.
+        times = 2.0 if event.outcome == FULL else event.latency / tx.lane.latency_goal
+        if event.outcome in (DONE, FULL) or (event.outcome == EXPIRED and times >= 0.99):
+            gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
+            self.pressure += gain * (times - self.pressure)
+            self.pressed_at = self.now
         known.fails += 0.1 * ((event.outcome != DONE) - known.fails)
         if event.outcome == UNCONNECTED:
             known.shunned, known.shun = self.now + known.shun, min(SHUN_MOST, 2 * known.shun)
