One slow lane is not the build's; collapse is told by loud sidecars; tallies allow for cold pods and for the release

Causes: a lane that waits at every pod, and bursts with client retries, sent good builds back; so did time-outs of half-cold pods and those right after a release, when half of the machines leave. Harm: a build that fails one release in ten only after it is released stays.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -25,7 +25,10 @@
 LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
 HOLD_PART = 0.5                 # of the back bound: more than that against a build holds it
 ONE_POD = 0.45                  # of the back bound: what slowness and silence of a single pod can add
+ONE_LANE = 0.7                  # of the back bound: what slowness of all can add in a single lane
 ONE_SECOND = 0.5                # of the back bound: what slowness within one second can add
+COLD_FAILS = 0.3                # of what is sent to a pod that can do nothing yet: what tallies cannot tell apart
+FREED_FAILS = 0.1               # of deliveries: what may fail by the release itself
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
 SLOW_QUANTILE = 0.9
@@ -36,7 +39,7 @@
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
 LOUD = 15                       # transactions a second: one with less abstains, it sees too few to judge all
 SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
-COLLAPSE, COLLAPSE_LEAST, COLLAPSE_FOR = 0.4, 40, 4 * SECOND  # share served in time in 8 s, of how many
+COLLAPSE, COLLAPSE_FOR = 0.4, 4 * SECOND  # share served in time in 8 s, at instances that are not quiet
 TIMES, TIMES_MOST = 1.5, 3.0    # mean time against another: from the first on it is evidence, beyond the second no more
 MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
 MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
@@ -165,7 +168,8 @@
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         bound = (1 - FALSE_ON) / alone
         self.back_at = {"failed": log(bound), "slow": log(bound * SLOW_STRICTER)}
-        self.usual, self.all_slow, self.ill_since, self.norm, self.rows = None, 0.0, None, {}, []
+        self.usual, self.all_slow, self.lane_slow, self.ill_since = None, 0.0, {}, None
+        self.norm, self.rows = {}, []
         self.offset = 0.0
         self._restart_test()
         self.vote, self.vote_at, self.asked, self.ask_at, self.moot = None, 0, None, now, (None, 0)
@@ -285,6 +289,7 @@
     def _begin(self, ramp=0.0):
         self.places = sum(known.listed.build < self.news.build for known in self.pods.values())
         self.ramp, self.tried, self.usual, self.all_slow, self.ill_since = ramp, {}, None, 0.0, None
+        self.lane_slow = {}
         self._settle()
         self._go_on()
 
@@ -425,7 +430,7 @@
         if self.build not in (TRIAL, FREED):
             for lane, (count, total) in all_of.items():
                 before = self.norm.get(lane, (0, 0.0, 0))
-                self.norm[lane] = before[0] / 2 + count, before[1] / 2 + total, before[2] / 2 + 1
+                self.norm[lane] = 0.8 * before[0] + count, 0.8 * before[1] + total, 0.8 * before[2] + 1
             return
         earlier = {row.lane: row for row in rows if row.build < build}
         seen, failed = (sum(getattr(row, what) for row in earlier.values()) for what in ("deliveries", "failed"))
@@ -435,10 +440,12 @@
         steps = {"failed": 0.0, "slow": 0.0}
         for row in rows if warmth >= WARM_ENOUGH else ():
             base, done = earlier.get(row.lane), row.deliveries - row.failed
-            if row.build != build or seen < 2 * BASELINE:
+            if row.build != build or (seen < 2 * BASELINE and self.build == TRIAL):
                 continue
             self.seen += row.deliveries
-            p0 = max(P0_FLOOR["failed"], min(0.6, failed / seen))
+            p0 = max(P0_FLOOR["failed"], min(0.6, failed / seen) if seen >= 2 * BASELINE else 0)
+            # Right after the release half of the machines leave, and the rest is pushed for a while.
+            p0 += COLD_FAILS * (1 - warmth) + (FREED_FAILS if self.build == FREED else 0)
             steps["failed"] += row.failed * self._weight("failed", True, p0) + done * self._weight("failed", False, p0)
             if base and done and base.deliveries - base.failed >= BASELINE and base.latency:
                 count = 1 / (1 / done + 1 / (base.deliveries - base.failed))
@@ -450,7 +457,7 @@
         times, traffic = [], [0.0, 0.0]
         for lane, (count, total) in all_of.items():
             norm = self.norm.get(lane, (0, 0.0, 1))
-            if norm[0] >= MATURE:
+            if norm[0] >= 2 * BASELINE and count >= BASELINE:
                 times.append(total / count / (norm[1] / norm[0]))
                 traffic = traffic[0] + count, traffic[1] + norm[0] / norm[2]
         if len(times) >= min(2, len(self.terms.lanes)):
@@ -469,10 +476,14 @@
             return
         busier = self._busier()
         slow = outcome == EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
-        self._add_all(self._weight("failed", slow, P0_FLOOR["slow"]))
-
-    def _add_all(self, step):
-        bound = self.back_at["slow"]
+        self._add_all(self._weight("failed", slow, P0_FLOOR["slow"]), cell[0])
+
+    def _add_all(self, step, lane=None):
+        bound, had = self.back_at["slow"], self.lane_slow.get(lane, 0.0)
+        if lane and len(self.terms.lanes) > 1:
+            # A build slows every lane: one lane slow by itself is no sign of it, however slow.
+            step = min(step, ONE_LANE * bound - had)
+        self.lane_slow[lane] = max(-bound / 2, had + step)
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
             self.ill_since = None
@@ -778,7 +789,7 @@
         self._keep_up()
         taken, good = self.arrivals.total(self.now), self.good.total(self.now)
         taken *= min(1.0, self.usual[2] / 0.9) if self.usual else 1.0  # overload before the offer is no sign
-        ill = taken >= COLLAPSE_LEAST and good < COLLAPSE * taken and self._busier() <= BUSIER
+        ill = taken >= 8 * LOUD and good < COLLAPSE * taken and self._busier() <= BUSIER
         self.collapsed = self.collapsed + passed if ill else 0
         self._settle()
         self._climb()
