The back bound follows how many must err together; traffic of the tallies excuses slowness of all

Cause: where 43 of 540 must vote back, sharing the allowed error as if one sufficed made each wait for five failures. The allowed error now keeps the chance that as many as are needed err together at the design's a (Poisson tail). Harm: errors that come to all sidecars alike are not independent; the earlier build's rate is what guards there.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -161,8 +161,11 @@
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
-        # Where few votes send a build back, any instance's error does: they share the allowed one.
-        alone = FALSE_BACK * terms.votes_to_revert / terms.balancers
+        # Where few votes send a build back, any instance's error does: they share the allowed one. Where many
+        # must err together, each may err more often (a bound of the Poisson tail), up to the design's rate.
+        needed = terms.votes_to_revert
+        alone = min(FALSE_BACK, needed / terms.balancers * (FALSE_BACK if needed == 1 else
+                                                            0.7 * FALSE_BACK ** (1 / needed)))
         # Each keeps to its part of the calls that the platform takes from all, so many votes take long to give.
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
@@ -463,7 +466,7 @@
         if len(times) >= min(2, len(self.terms.lanes)):
             # One lane slow everywhere is no sign of the build: the second worst tells.
             busier = traffic[0] / traffic[1]
-            worst = sorted(times)[-min(2, len(times))] / (busier ** 2 if busier > BUSIER else 1)
+            worst = sorted(times)[-min(2, len(times))] / max(1.0, busier) ** 2
             bound = ONE_SECOND * self.back_at["slow"]
             self._add_all(max(-bound, min(bound, traffic[0] * (min(TIMES_MOST, worst) - TIMES) / 2)))
 
