What speaks against a build is kept over its stages

Cause: the test starts anew with each stage, so a quiet sidecar that has seen two failures forgets them. Sums above zero now stay until the build is gone; sums below zero and the timer start anew as the design says. Harm: a trouble of the surroundings is held against the build longer.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -291,6 +291,7 @@
 
     def _begin(self, ramp=0.0):
         self.places = sum(known.listed.build < self.news.build for known in self.pods.values())
+        self._restart_test()
         self.ramp, self.tried, self.usual, self.all_slow, self.ill_since = ramp, {}, None, 0.0, None
         self.lane_slow = {}
         self._settle()
@@ -305,7 +306,12 @@
 
     def _go_on(self):
         self.ramped, self.offset = self.now, (self._random() - 0.5) * self.turn_of_all
+        against, by_pod = {what: max(0.0, total) for what, total in self.sums.items()}, self.by_pod
         self._restart_test()
+        if self.build in (TRIAL, FREED):
+            # The quiet would start anew with each stage and never have enough: what speaks against a build is
+            # kept over its stages. What speaks for it is not.
+            self.sums, self.by_pod = against, by_pod
 
     def _climb(self):
         """The ramp of the design: it climbs to what the trial's ready pods can carry, and does not fall."""
