p1 five times p0: two failures at a quiet sidecar are enough

Cause: with p1 three times p0, a sidecar that sees an outcome of the trial every few seconds needs three failures. Harm: two chance failures in a row send back.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -18,7 +18,7 @@
 UPKEEP, UPKEEP_MOST = SECOND // 20, SECOND // 4  # the latter for one with hardly any traffic
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
-P1_OVER_P0, P0_FLOOR = {"failed": 3.0, "slow": 5.0}, {"failed": 0.01, "slow": 0.1}
+P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0}, {"failed": 0.01, "slow": 0.1}
 FALSE_BACK, FALSE_ON, SLOW_STRICTER = 0.05, 0.2, 10
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
