--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -18,14 +18,14 @@
 UPKEEP, UPKEEP_MOST = SECOND // 20, SECOND // 4  # the latter for one with hardly any traffic
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
-P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0}, {"failed": 0.01, "slow": 0.1}
+P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0, "all": 3.0}, {"failed": 0.01, "slow": 0.1}
 FALSE_BACK, FALSE_ON, SLOW_STRICTER = 0.05, 0.2, 10
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
 HOLD_PART = 0.5                 # of the back bound: more than that against a build holds it
 ONE_POD = 0.45                  # of the back bound: what slowness and silence of a single pod can add
-ONE_LANE = 0.7                  # of the back bound: what slowness of all can add in a single lane
+SECOND_LANE = 0.2               # of the back bound: what a second lane's slowness must reach by itself
 ONE_SECOND = 0.5                # of the back bound: what slowness within one second can add
 COLD_FAILS = 0.3                # of what is sent to a pod that can do nothing yet: what tallies cannot tell apart
 FREED_FAILS = 0.1               # of deliveries: what may fail by the release itself
@@ -485,18 +485,18 @@
             return
         busier = self._busier()
         slow = outcome == EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
-        self._add_all(self._weight("failed", slow, P0_FLOOR["slow"]), cell[0])
+        self._add_all(self._weight("all", slow, P0_FLOOR["slow"]), cell[0])
 
     def _add_all(self, step, lane=None):
-        bound, had = self.back_at["slow"], self.lane_slow.get(lane, 0.0)
-        if lane and len(self.terms.lanes) > 1:
-            # A build slows every lane: one lane slow by itself is no sign of it, however slow.
-            step = min(step, ONE_LANE * bound - had)
-        self.lane_slow[lane] = max(-bound / 2, had + step)
+        bound = self.back_at["slow"]
+        self.lane_slow[lane] = max(0.0, min(bound, self.lane_slow.get(lane, 0.0) + step))
+        # A build slows every lane: one lane slow by itself is no sign of it, however slow. Tallies see to that.
+        others = sorted(self.lane_slow.values())[-min(2, len(self.terms.lanes)):]
+        several = lane is None or (others[0] >= SECOND_LANE * bound and len(others) == min(2, len(self.terms.lanes)))
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
             self.ill_since = None
-        elif self.all_slow > bound and (self.ill_since is None or self.ramp < BLAMED_FROM):
+        elif self.all_slow > bound and several and (self.ill_since is None or self.ramp < BLAMED_FROM):
             self.ill_since = self.now
 
     def _busier(self):
