--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -2,7 +2,7 @@
 
 Make one Balancer(terms, seed, now) per sidecar and call handle(now, events) with the events of one moment,
 in order; it returns the actions to carry out, in order. The types of terms, events and actions stand in
-interface.py. Nothing else reaches the module: no clock, no input or output, nothing shared.
+interface.py, its records in records.py. Nothing else reaches the module: no clock, no input or output, nothing shared.
 docs/design.md says what comes from the design's source and when each exception to it acts.
 """
 
@@ -13,6 +13,7 @@
     FINGERPRINTED, FULL, GONE, GROUP_ALL, GROUP_CELL, HOLD, MISSED, NO_VOTE, News, Note, ON, ON_TRIAL,
     PodList, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer, StreamBegan, Subscribe,
     Taken, Tally, TimerDue, UNCONNECTED, UNSENT, UTILISATION, Vote)
+from .records import Delivery, Known, Ring, Transaction
 
 SECOND = 10_000
 UPKEEP, UPKEEP_MOST = SECOND // 20, SECOND // 4  # the latter for one with hardly any traffic
@@ -23,26 +24,18 @@
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
-HOLD_PART = 0.5                 # of the back bound: more than that against a build holds it
-ONE_POD = 0.45                  # of the back bound: what slowness and silence of a single pod can add
-SECOND_LANE = 0.2               # of the back bound: what a second lane's slowness must reach by itself
-ONE_SECOND = 0.5                # of the back bound: what slowness within one second can add
-COLD_FAILS = 0.3                # of what is sent to a pod that can do nothing yet: what tallies cannot tell apart
-FREED_FAILS = 0.1               # of deliveries: what may fail by the release itself
+# Parts of the back bound: what holds a build, and what a single pod, a single second, a second lane may add.
+HOLD_PART, ONE_POD, ONE_SECOND, SECOND_LANE = 0.5, 0.45, 0.5, 0.2
+COLD_FAILS, FREED_FAILS = 0.3, 0.1  # what tallies may show failing: at a pod without warmth, by a release
+TIMES, TIMES_MOST = 1.5, 3.0    # a mean time against the earlier build's: evidence from the first to the second
 BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
 WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
-SLOW_QUANTILE = 0.9
-# Slowness of all builds, against what was usual before the offer.
-# It may pass by itself: so long before the build is blamed; longer where going back needs new machines.
+# Slowness of all builds may pass by itself: so long before the build is blamed; longer with machines replaced.
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
-BUSIER = 1.5                    # times the traffic before the offer: from here on it excuses longer times
+BUSIER, MARGIN = 1.5, 1.4       # times the usual traffic that excuse slowness, times the usual mark that are slow
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
-LOUD = 15                       # transactions a second: one with less abstains, it sees too few to judge all
-SETTLED = 3 * SECOND            # age of an instance from which its marks say what is usual
-COLLAPSE, COLLAPSE_FOR = 0.4, 4 * SECOND  # share served in time in 8 s, at instances that are not quiet
-TIMES, TIMES_MOST = 1.5, 3.0    # mean time against another: from the first on it is evidence, beyond the second no more
-MATURE = 20                     # outcomes behind a mark: from fewer, a quiet instance took chance for usual
-MARGIN = 1.4                    # times the usual mark: a good build may be somewhat slower, and comes cold
+LOUD, SETTLED, MATURE = 15, 3 * SECOND, 20  # transactions a second, age, outcomes: from here on it knows the usual
+SLOW_QUANTILE = 0.9
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
 DRAWN, LOOK, EXCHANGE = 6, 24, 4 * SECOND  # pods in use at least; looked at for a delivery; one exchanged
@@ -87,60 +80,6 @@
     return value / 4294967295
 
 
-class Ring:
-    """Counts over the last span of time, in buckets that are used again."""
-
-    def __init__(self, span, buckets):
-        self.span, self.width, self.size = span, max(1, -(-span // buckets)), buckets + 1
-        self.counts, self.last = [0] * self.size, 0
-
-    def _turn(self, now):
-        bucket = now // self.width
-        for step in range(max(self.last + 1, bucket - self.size + 1), bucket + 1):
-            self.counts[step % self.size] = 0
-        self.last = max(self.last, bucket)
-
-    def add(self, now, amount=1):
-        self._turn(now)
-        self.counts[self.last % self.size] += amount
-
-    def total(self, now, full_only=False, back=None):
-        """The last `back` buckets' sum (all if None), with the partly covered oldest one or without it."""
-        self._turn(now)
-        back = self.size if back is None else back + 1
-        return sum(self.counts[(self.last - step) % self.size] for step in range(back - full_only))
-
-
-class Transaction:
-    def __init__(self, taken, lane, now):
-        self.id, self.lane, self.key, self.state = taken.id, lane, taken.key or taken.id, NEW
-        self.ends, self.goal, self.streams = now + taken.left, now + lane.latency_goal, False
-        self.sent = []              # the deliveries in their order
-
-    def out(self):
-        return sum(delivery.out for delivery in self.sent)
-
-    def suspect(self):
-        """The first delivery that is not proved unrun: rule 2 counts from it."""
-        return next((delivery for delivery in self.sent if delivery.perhaps), None)
-
-
-class Delivery:
-    def __init__(self, known, now):
-        self.known, self.pod, self.at, self.out, self.perhaps = known, known.listed, now, True, True
-
-
-class Known:
-    """A pod as this instance knows it."""
-
-    def __init__(self, listed, span):
-        self.listed, self.out, self.pace, self.fails = listed, 0, 1.0, 0.0
-        self.load, self.shunned, self.shun, self.sent = 0.0, 0, SHUN, Ring(span, 15)
-        self.heard = 0
-        self.lot = -1, 0.0          # span, and what chance adds to this instance's part in it
-        self.side = None            # True: of the newest build; False: of an earlier one
-
-
 class Balancer:
     def __init__(self, terms, seed, now):
         self.terms, self.now, self.chance, self.actions, self.born = terms, now, seed, [], None
@@ -154,8 +93,7 @@
         # What each may spend at once adds up: of hundreds, each starts with next to nothing.
         self.most = [min(alone, 1 + alone * FEW / terms.balancers) for alone in (20.0, 5.0)]
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
-        self.arrivals, self.good, self.collapsed = Ring(8 * SECOND, 16), Ring(8 * SECOND, 16), 0
-        self.pressure, self.pressed_at = 0.0, now
+        self.arrivals, self.pressure, self.pressed_at = Ring(8 * SECOND, 16), 0.0, now
         self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
         # The newest build, its exposure and its test.
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
@@ -171,10 +109,9 @@
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         bound = (1 - FALSE_ON) / alone
         self.back_at = {"failed": log(bound), "slow": log(bound * SLOW_STRICTER)}
-        self.usual, self.all_slow, self.lane_slow, self.ill_since = None, 0.0, {}, None
-        self.norm, self.rows = {}, []
-        self.offset = 0.0
-        self._restart_test()
+        self.usual, self.all_slow, self.ill_since, self.rows = None, 0.0, None, []
+        self.lane_slow, self.sums, self.by_pod = {}, {}, {}
+        self._go_on()
         self.vote, self.vote_at, self.asked, self.ask_at, self.moot = None, 0, None, now, (None, 0)
 
     def handle(self, now, events):
@@ -182,6 +119,8 @@
         for event in events:
             if type(event) in self.EVENTS:
                 self.EVENTS[type(event)](self, event)
+        if self.rows:
+            self._weigh_tallies()
         if not self.upkeep:
             self._keep_up()
         return self.actions
@@ -217,9 +156,8 @@
 
     def _sort(self):
         """Parts the ready pods by build, once for each change: no delivery looks through the whole list."""
-        for side in self.sides.values():
-            for known in side:
-                known.side = None
+        for known in self.sides[True] + self.sides[False]:
+            known.side = None
         build = self.news.build if self.news else 0
         self.sides = {True: [], False: []}
         for known in self.pods.values():
@@ -279,7 +217,6 @@
         old, self.news = self.news, news
         if old is None or old.build != news.build:
             self._sort()
-        if old is None or old.build != news.build:
             change = "offered" if news.phase == ON_TRIAL else "met"
         elif old.phase != news.phase:
             change = {ON_TRIAL: "offered", RELEASED: "released"}.get(news.phase, "fell")
@@ -290,10 +227,9 @@
             getattr(self, "_" + effect)()
 
     def _begin(self, ramp=0.0):
-        self.places = sum(known.listed.build < self.news.build for known in self.pods.values())
-        self._restart_test()
+        self.places = len(self.sides[False])
         self.ramp, self.tried, self.usual, self.all_slow, self.ill_since = ramp, {}, None, 0.0, None
-        self.lane_slow = {}
+        self.lane_slow, self.sums, self.by_pod = {}, {}, {}
         self._settle()
         self._go_on()
 
@@ -305,22 +241,20 @@
         self._begin()
 
     def _go_on(self):
+        """Sum and timer start anew with each stage, but what speaks against a build is kept: the quiet would
+        never have enough."""
         self.ramped, self.offset = self.now, (self._random() - 0.5) * self.turn_of_all
-        against, by_pod = {what: max(0.0, total) for what, total in self.sums.items()}, self.by_pod
-        self._restart_test()
-        if self.build in (TRIAL, FREED):
-            # The quiet would start anew with each stage and never have enough: what speaks against a build is
-            # kept over its stages. What speaks for it is not.
-            self.sums, self.by_pod = against, by_pod
+        self.sums = {what: max(0.0, self.sums.get(what, 0.0)) for what in P0_FLOOR}
+        self.seen, self.doubt, self.swarm, self.clear_since = 0, 0.0, (0, 0.0), self.now
+        self.bad_keys, self.saying_back = set(), False
 
     def _climb(self):
         """The ramp of the design: it climbs to what the trial's ready pods can carry, and does not fall."""
         news = self.news
         if news is None or news.phase not in (ON_TRIAL, RELEASED):
             return
-        target = 1.0
-        if news.phase == ON_TRIAL:
-            target = min(RAMP_SHARE * news.cap, self.room[True] / (sum(self.room.values()) or 1.0))
+        part = self.room[True] / (sum(self.room.values()) or 1.0)
+        target = min(RAMP_SHARE * news.cap, part) if news.phase == ON_TRIAL else 1.0
         step = target * (self.now - self.ramped) / RAMP_TIME
         self.ramp, self.ramped = max(self.ramp, min(target, self.ramp + step)), self.now
 
@@ -346,10 +280,6 @@
 
     # The test.
 
-    def _restart_test(self):
-        self.sums, self.by_pod, self.seen, self.doubt = {"failed": 0.0, "slow": 0.0}, {}, 0, 0.0
-        self.swarm, self.clear_since, self.bad_keys, self.saying_back = (0, 0.0), self.now, set(), False
-
     def _judge(self, tx, known, outcome, latency):
         """Books an outcome with the build that it tells of."""
         if self.news is None or outcome in (FULL, RECALLED, UNSENT):
@@ -420,61 +350,36 @@
             self.clear_since = self.now
 
     def _tallied(self, event):
-        """What the platform counted is evidence too: a quiet instance sees one outcome of the trial in ten
-        seconds. Rows of one period come together and are weighed when the next ones come, or at upkeep."""
         if event.lane in self.terms.lanes and event.failed <= event.deliveries > 0:
             self.rows.append(event)
 
     def _weigh_tallies(self):
+        """What the platform counted is evidence too, since a quiet instance sees one outcome of the trial in ten
+        seconds. A period, all lanes together, is one piece of evidence, like a second of slow answers."""
         rows, self.rows = self.rows, []
-        if self.news is None or not rows:
-            return
-        build, all_of, at = self.news.build, {}, self.now - rows[0].age - SECOND
-        for row in rows:
-            had = all_of.setdefault(row.lane, [0, 0.0])
-            had[0] += row.deliveries
-            # What failed has taken the goal at least: in a collapse the mean of the rest would look well.
-            had[1] += ((row.deliveries - row.failed) * row.latency
-                       + row.failed * max(row.latency, self.terms.lanes[row.lane].latency_goal))
         if self.build not in (TRIAL, FREED):
-            for lane, (count, total) in all_of.items():
-                before = self.norm.get(lane, (0, 0.0, 0))
-                self.norm[lane] = 0.8 * before[0] + count, 0.8 * before[1] + total, 0.8 * before[2] + 1
             return
-        earlier = {row.lane: row for row in rows if row.build < build}
-        seen, failed = (sum(getattr(row, what) for row in earlier.values()) for what in ("deliveries", "failed"))
-        # Cold pods are slow, and more so the younger: what they can do at least makes up for it.
-        sizes = [(known.listed.size, self._share(known, at)) for known in self.sides[True]]
-        warmth = sum(size * share for size, share in sizes) / (sum(size for size, _ in sizes) or 1.0)
+        earlier = {row.lane: row for row in rows if row.build < self.news.build}
+        seen = sum(row.deliveries for row in earlier.values())
+        pods, at = self.sides[True], self.now - rows[0].age - SECOND
+        warmth = sum(known.listed.size * self._share(known, at) for known in pods)
+        warmth /= sum(known.listed.size for known in pods) or 1.0
+        if warmth < WARM_ENOUGH or (seen < 2 * BASELINE and self.build == TRIAL):
+            return
+        # Cold pods fail more. After a release half of the machines leave, and the rest is pushed for a while.
+        rate = min(0.6, sum(row.failed for row in earlier.values()) / seen) if seen >= 2 * BASELINE else 0.0
+        p0 = max(P0_FLOOR["failed"], rate) + COLD_FAILS * (1 - warmth) + FREED_FAILS * (self.build == FREED)
         steps = {"failed": 0.0, "slow": 0.0}
-        for row in rows if warmth >= WARM_ENOUGH else ():
-            base, done = earlier.get(row.lane), row.deliveries - row.failed
-            if row.build != build or (seen < 2 * BASELINE and self.build == TRIAL):
-                continue
+        for row in (row for row in rows if row.build == self.news.build):
+            done, base = row.deliveries - row.failed, earlier.get(row.lane)
             self.seen += row.deliveries
-            p0 = max(P0_FLOOR["failed"], min(0.6, failed / seen) if seen >= 2 * BASELINE else 0)
-            # Right after the release half of the machines leave, and the rest is pushed for a while.
-            p0 += COLD_FAILS * (1 - warmth) + (FREED_FAILS if self.build == FREED else 0)
-            steps["failed"] += row.failed * self._weight("failed", True, p0) + done * self._weight("failed", False, p0)
-            if base and done and base.deliveries - base.failed >= BASELINE and base.latency:
+            steps["failed"] += (row.failed * self._weight("failed", True, p0)
+                                + done * self._weight("failed", False, p0))
+            if base and done and base.latency and base.deliveries - base.failed >= BASELINE:
                 count = 1 / (1 / done + 1 / (base.deliveries - base.failed))
                 steps["slow"] += count * (min(TIMES_MOST, row.latency * warmth / base.latency) - TIMES) / 2
         for what, step in steps.items():
             self._book(what, min(step, ONE_SECOND * self.back_at[what]))
-        if self.usual is not None:
-            return
-        times, traffic = [], [0.0, 0.0]
-        for lane, (count, total) in all_of.items():
-            norm = self.norm.get(lane, (0, 0.0, 1))
-            if norm[0] >= 2 * BASELINE and count >= BASELINE:
-                times.append(total / count / (norm[1] / norm[0]))
-                traffic = traffic[0] + count, traffic[1] + norm[0] / norm[2]
-        if len(times) >= min(2, len(self.terms.lanes)):
-            # One lane slow everywhere is no sign of the build: the second worst tells.
-            busier = traffic[0] / traffic[1]
-            worst = sorted(times)[-min(2, len(times))] / max(1.0, busier) ** 2
-            bound = ONE_SECOND * self.back_at["slow"]
-            self._add_all(max(-bound, min(bound, traffic[0] * (min(TIMES_MOST, worst) - TIMES) / 2)))
 
     def _judge_all(self, cell, outcome, latency):
         """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
@@ -485,15 +390,12 @@
             return
         busier = self._busier()
         slow = outcome == EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
-        self._add_all(self._weight("all", slow, P0_FLOOR["slow"]), cell[0])
-
-    def _add_all(self, step, lane=None):
-        bound = self.back_at["slow"]
-        self.lane_slow[lane] = max(0.0, min(bound, self.lane_slow.get(lane, 0.0) + step))
-        # A build slows every lane: one lane slow by itself is no sign of it, however slow. Tallies see to that.
-        others = sorted(self.lane_slow.values())[-min(2, len(self.terms.lanes)):]
-        several = lane is None or (others[0] >= SECOND_LANE * bound and len(others) == min(2, len(self.terms.lanes)))
+        bound, step = self.back_at["slow"], self._weight("all", slow, P0_FLOOR["slow"])
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
+        # A build slows every lane: one lane slow by itself is no sign of it, however slow.
+        self.lane_slow[cell[0]] = max(0.0, min(bound, self.lane_slow.get(cell[0], 0.0) + step))
+        lanes = sorted(self.lane_slow.values(), reverse=True)
+        several = (lanes + [0.0])[min(1, len(self.terms.lanes) - 1)] >= SECOND_LANE * bound
         if self.all_slow < bound / 2:
             self.ill_since = None
         elif self.all_slow > bound and several and (self.ill_since is None or self.ramp < BLAMED_FROM):
@@ -509,10 +411,9 @@
         """Keeps what was usual before the build came. An instance that started during the trial takes what it
         met as usual: the later stages then show."""
         age = self.now - (self.now if self.born is None else self.born)
-        taken = self.arrivals.total(self.now)
-        rate = taken * SECOND / min(8 * SECOND, age + 1)
+        rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
         if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
-            self.usual = dict(self.marks), rate, self.good.total(self.now) / taken
+            self.usual = dict(self.marks), rate
 
     def _verdict(self):
         news, part = self.news, self.doubt
@@ -521,9 +422,6 @@
             # until it has passed, the build does not move on.
             blamed = self.now >= self.ill_since + ILL_FOR[self.terms.replaces]
             part = max(part, 1.1 if blamed and self.all_slow > self.back_at["slow"] else 1.0)
-        # An instance that knows no usual, as after a restart, still sees that hardly anything is served.
-        if self.collapsed >= COLLAPSE_FOR and self.ramp >= BLAMED_FROM:
-            part = 2.0
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
         if self.saying_back or news.phase != ON_TRIAL:
             return BACK if self.saying_back and news.phase in (ON_TRIAL, RELEASED) else NO_VOTE
@@ -580,7 +478,7 @@
 
     def _take(self, event):
         lane = self.terms.lanes[event.lane]
-        tx = self.open[event.id] = Transaction(event, lane, self.now)
+        tx = self.open[event.id] = Transaction(event, lane, self.now, NEW)
         # An instance counts as born with its first transaction: before that it has seen no traffic to go by.
         self.born = self.now if self.born is None else self.born
         self._ring(self.taken, lane).add(self.now)
@@ -593,11 +491,10 @@
 
     def _place(self, tx):
         # A quiet instance has too little open to count: it goes by how long its answers take, and by chance.
-        chance = (GOAL_PART * self._lane_part(tx.lane) / self.pressure) ** 2 if self.pressure > GOAL_PART else 1.0
-        quiet = self.arrivals.total(self.now) < LOUD * 8
-        if len(self.open) > self._limit_for(tx.lane) or (quiet and self._random() > max(LEAST_TAKEN, chance)):
-            self._step(tx, "given up")
-        elif not self._send(tx):
+        chance = (GOAL_PART * self._lane_part(tx.lane) / max(GOAL_PART, self.pressure)) ** 2
+        crowded = self.arrivals.total(self.now) < 8 * LOUD and self.pressure > GOAL_PART
+        if (len(self.open) > self._limit_for(tx.lane) or (crowded and self._random() > max(LEAST_TAKEN, chance))
+                or not self._send(tx)):
             self._step(tx, "given up")
 
     def _limit_for(self, lane):
@@ -763,11 +660,11 @@
             self.pressed_at = self.now
         known.fails += 0.1 * ((event.outcome != DONE) - known.fails)
         if event.outcome == UNCONNECTED:
-            known.shunned, known.shun = self.now + known.shun, min(SHUN_MOST, 2 * known.shun)
+            known.shun = min(SHUN_MOST, max(SHUN, 2 * known.shun))
+            known.shunned = self.now + known.shun
         elif event.outcome == DONE:
-            known.shun, lane, share = SHUN, tx.lane, self._share(known)
+            known.shun, lane, share = 0, tx.lane, self._share(known)
             self.answers.add(self.now, GOAL_PART * lane.latency_goal)
-            self.good.add(self.now, self.now <= tx.goal)
             mean = self.means.get(lane.name, event.latency)
             self.means[lane.name] = max(1.0, mean + 0.03 * (event.latency - mean))
             # What a quiet instance knows of a pod is old: the longer ago, the more the present answer counts.
@@ -796,13 +693,8 @@
             return self._step(tx, "slow") if tx else None
         passed = self.upkeep
         self._keep_up()
-        taken, good = self.arrivals.total(self.now), self.good.total(self.now)
-        taken *= min(1.0, self.usual[2] / 0.9) if self.usual else 1.0  # overload before the offer is no sign
-        ill = taken >= 8 * LOUD and good < COLLAPSE * taken and self._busier() <= BUSIER
-        self.collapsed = self.collapsed + passed if ill else 0
         self._settle()
         self._climb()
-        self._weigh_tallies()
         self._cast()
         if self.now >= self.exchange_at:
             self.exchange_at = self.now + EXCHANGE
