--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -61,14 +61,11 @@
 PROOF = {DONE: "answered", ERROR: "perhaps run", FULL: "unrun", EXPIRED: "perhaps run", UNCONNECTED: "unrun",
          RESET: "perhaps run", RECALLED: "perhaps run", UNSENT: "unrun"}
 
-USUAL, TRIAL, FREED, FALLEN = "usual", "trial", "freed", "fallen"
+ANY, USUAL, TRIAL, FREED, FALLEN = "any", "usual", "trial", "freed", "fallen"
 # The newest build's life here: (state, input) -> next state, effect. A build not met on trial is usual.
 BUILD = {
-    (USUAL, "offered"): (TRIAL, "begin"), (USUAL, "met"): (USUAL, "rest"), (USUAL, "fell"): (FALLEN, "fall"),
-    (TRIAL, "offered"): (TRIAL, "begin"), (TRIAL, "met"): (USUAL, "rest"), (TRIAL, "fell"): (FALLEN, "fall"),
-    (FREED, "offered"): (TRIAL, "begin"), (FREED, "met"): (USUAL, "rest"), (FREED, "fell"): (FALLEN, "fall"),
-    (FALLEN, "offered"): (TRIAL, "begin"), (FALLEN, "met"): (USUAL, "rest"),
-    (TRIAL, "moved"): (TRIAL, "go_on"), (TRIAL, "released"): (FREED, "go_on"),
+    (ANY, "offered"): (TRIAL, "begin"), (ANY, "met"): (USUAL, "rest"), (ANY, "fell"): (FALLEN, "fall"),
+    (FALLEN, "fell"): (FALLEN, None), (TRIAL, "moved"): (TRIAL, "go_on"), (TRIAL, "released"): (FREED, "go_on"),
 }
 
 
@@ -90,7 +87,7 @@
         # Transactions, and what they teach.
         self.open, self.due, self.tokens = {}, {}, 0
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
-        # What each may spend at once adds up: of hundreds, each starts with next to nothing.
+        # What each may spend at once adds up: hundreds start with next to nothing.
         self.most = [min(alone, 1 + alone * FEW / terms.balancers) for alone in (20.0, 5.0)]
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
         self.arrivals, self.pressure, self.pressed_at = Ring(8 * SECOND, 16), 0.0, now
@@ -99,16 +96,15 @@
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
-        # Where few votes send a build back, any instance's error does: they share the allowed one. Where many
-        # must err together, each may err more often (a bound of the Poisson tail), up to the design's rate.
+        # Where one vote sends a build back, all share the allowed error. Where many must err together, each may
+        # err more often (a bound of the Poisson tail), up to the design's rate.
         needed = terms.votes_to_revert
-        alone = min(FALSE_BACK, needed / terms.balancers * (FALSE_BACK if needed == 1 else
-                                                            0.7 * FALSE_BACK ** (1 / needed)))
+        together = FALSE_BACK if needed == 1 else 0.7 * FALSE_BACK ** (1 / needed)
+        alone = min(FALSE_BACK, together * needed / terms.balancers)
         # Each keeps to its part of the calls that the platform takes from all, so many votes take long to give.
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
-        bound = (1 - FALSE_ON) / alone
-        self.back_at = {"failed": log(bound), "slow": log(bound * SLOW_STRICTER)}
+        self.back_at = {"failed": log((1 - FALSE_ON) / alone), "slow": log((1 - FALSE_ON) / alone * SLOW_STRICTER)}
         self.usual, self.all_slow, self.ill_since, self.rows = None, 0.0, None, []
         self.lane_slow, self.sums, self.by_pod = {}, {}, {}
         self._go_on()
@@ -140,8 +136,7 @@
         if event.kind == MISSED:
             # The watch may have dropped; a call that fails at once must not become a storm of calls.
             self.watch_at = min(self.watch_at, self.now + int((1 + self._random()) * SECOND))
-            return
-        if event.kind != CHANGES:
+        elif event.kind != CHANGES:
             named = {pod.address for pod in event.pods}
             self.pods = {address: known for address, known in self.pods.items() if address in named}
         for pod in event.pods:
@@ -158,8 +153,7 @@
         """Parts the ready pods by build, once for each change: no delivery looks through the whole list."""
         for known in self.sides[True] + self.sides[False]:
             known.side = None
-        build = self.news.build if self.news else 0
-        self.sides = {True: [], False: []}
+        build, self.sides = self.news.build if self.news else 0, {True: [], False: []}
         for known in self.pods.values():
             if known.listed.condition == READY and known.listed.build <= build:
                 known.side = known.listed.build == build
@@ -222,7 +216,7 @@
             change = {ON_TRIAL: "offered", RELEASED: "released"}.get(news.phase, "fell")
         else:
             change = "moved" if old.stage != news.stage else None
-        self.build, effect = BUILD.get((self.build, change), (self.build, None))
+        self.build, effect = BUILD.get((self.build, change), BUILD.get((ANY, change), (self.build, None)))
         if effect:
             getattr(self, "_" + effect)()
 
@@ -308,8 +302,7 @@
                 self.bad_keys.add(tx.key)
             self.seen += 1
             self._add("failed", failed, None if outcome in (DONE, ERROR) else known.listed.address)
-            # A build may be slow and never fail: answers above the earlier build's mark are tested alike.
-            # Not in a burst: near its capacity a pod's time hangs on the load more than on the build.
+            # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on the build.
             if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
                 self._add("slow", slow, known.listed.address)
 
@@ -382,9 +375,9 @@
             self._book(what, min(step, ONE_SECOND * self.back_at[what]))
 
     def _judge_all(self, cell, outcome, latency):
-        """A build can slow the earlier one in step with itself, which no comparison of the two shows. So all
-        outcomes are tested against what was usual before the offer. More traffic excuses longer times but
-        does not stop the test: clients that try again after failures are more traffic too."""
+        """A build can slow the earlier one in step with itself, so all outcomes are tested against what was usual
+        before the offer. More traffic excuses longer times without ending the test: clients that try again
+        after failures are more traffic too."""
         mark, seen = self.usual[0].get(cell, (0, 0)) if self.usual else (0, 0)
         if seen < MATURE:
             return
@@ -394,11 +387,11 @@
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         # A build slows every lane: one lane slow by itself is no sign of it, however slow.
         self.lane_slow[cell[0]] = max(0.0, min(bound, self.lane_slow.get(cell[0], 0.0) + step))
-        lanes = sorted(self.lane_slow.values(), reverse=True)
-        several = (lanes + [0.0])[min(1, len(self.terms.lanes) - 1)] >= SECOND_LANE * bound
+        second = ([0.0] + sorted(self.lane_slow.values()))[-min(2, len(self.terms.lanes))]
         if self.all_slow < bound / 2:
             self.ill_since = None
-        elif self.all_slow > bound and several and (self.ill_since is None or self.ramp < BLAMED_FROM):
+        elif self.all_slow > bound and second >= SECOND_LANE * bound and (self.ill_since is None
+                                                                          or self.ramp < BLAMED_FROM):
             self.ill_since = self.now
 
     def _busier(self):
@@ -425,21 +418,19 @@
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
         if self.saying_back or news.phase != ON_TRIAL:
             return BACK if self.saying_back and news.phase in (ON_TRIAL, RELEASED) else NO_VOTE
-        if self.terms.decided_by == BY_CLOCK:
-            return HOLD if part > HOLD_PART else NO_VOTE
+        if self.terms.decided_by == BY_CLOCK or part > HOLD_PART:
+            return HOLD if self.terms.decided_by == BY_CLOCK and part > HOLD_PART else NO_VOTE
+        # A list that lags hides the pods to judge and, where they replace the earlier ones, the only ones that
+        # there will be. Hundreds of votes for on would be turned away: they are spread about the due time.
         started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
-        # A list that lags the stage hides the pods to judge and, where they replace the earlier ones, the
-        # only pods that there will be: moving on would leave this instance with none.
         due = max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
-        # Hundreds of votes for on would come at once and be turned away: they are spread about the due time.
         if len(started) < due or self.now < max(started) + AFTER_START + self.offset:
             return NO_VOTE
-        if max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES and part <= HOLD_PART:
-            return ON
         # A quiet instance never sees enough, and one chance failure would bar it for minutes: with too little
         # against the build to hold it, it says on after a while, sooner if there is nothing at all.
         wait = QUIET_FOR if self.sums["failed"] <= 0 else 2 * QUIET_FOR
-        return ON if part <= HOLD_PART and self.now >= self.clear_since + wait + self.offset else NO_VOTE
+        enough = max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES
+        return ON if enough or self.now >= self.clear_since + wait + self.offset else NO_VOTE
 
     def _cast(self):
         """Casts, renews and withdraws the vote; an unanswered one is asked again."""
@@ -451,8 +442,7 @@
         if wanted[2] == NO_VOTE:
             if not stands or vote[0] != wanted[0] or (vote[2] == ON and vote[1] != wanted[1]):
                 return
-        elif (stands and vote == wanted and age < self.renew
-              or wanted == self.moot[0] and self.now < self.moot[1]):
+        elif stands and vote == wanted and age < self.renew or wanted == self.moot[0] and self.now < self.moot[1]:
             return
         if self.asked != wanted and wanted[2] in (HOLD, BACK):
             sums = "".join(f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}, " for what in self.sums)
@@ -479,8 +469,7 @@
     def _take(self, event):
         lane = self.terms.lanes[event.lane]
         tx = self.open[event.id] = Transaction(event, lane, self.now, NEW)
-        # An instance counts as born with its first transaction: before that it has seen no traffic to go by.
-        self.born = self.now if self.born is None else self.born
+        self.born = self.now if self.born is None else self.born  # before that it has seen no traffic to go by
         self._ring(self.taken, lane).add(self.now)
         self.arrivals.add(self.now)
         if event.key:
@@ -531,25 +520,23 @@
 
     def _choose(self, tx, new, pinned):
         """Pods in use take turns; one that is busier, slower, colder or failing is passed over."""
-        used = {delivery.pod.address for delivery in tx.sent}
+        found, best, used = [], 1e6, {delivery.pod.address for delivery in tx.sent}
         for again in (False, True):
-            pool, found = self.drawn[new], []
+            if again:  # None of the pods in use will do: others are drawn, once.
+                self.drawn[new] = []
+                self._draw(new)
+            pool = self.drawn[new]
             self.turn += LOOK if len(pool) > LOOK else 1
             start = self.turn % len(pool) if len(pool) > LOOK else 0
             for known in (pool[start:] + pool[:start])[:LOOK]:
-                share = self._share(known)
-                if ((not new and known.listed.build < pinned) or not self._same_group(tx, known.listed)
-                        or (share < 1.0 and not self._cold_room(known, share))):
-                    continue
-                cost = self._cost(known) * (known.out + 1) / share
-                avoid = 1e6 * (self.now < known.shunned or known.listed.address in used)
-                found.append((cost + avoid, known))
+                share, pod = self._share(known), known.listed
+                if ((new or pod.build >= pinned) and self._same_group(tx, pod)
+                        and (share == 1.0 or self._cold_room(known, share))):
+                    avoid = 1e6 * (self.now < known.shunned or pod.address in used)
+                    found.append((self._cost(known) * (known.out + 1) / share + avoid, known))
             best = min((cost for cost, _ in found), default=1e6)
-            if best < 1e6 or again or len(pool) == len(self.sides[new]):
+            if best < 1e6 or len(pool) == len(self.sides[new]):
                 break
-            # None of the pods in use will do: others are drawn, once.
-            self.drawn[new] = []
-            self._draw(new)
         if not found:
             return None
         if self.terms.balancers < CROWD * len(self.sides[new]):
@@ -651,13 +638,11 @@
             known.load = event.load[self.terms.reports.index(UTILISATION)]
         if event.outcome in (RECALLED, UNSENT):
             return
-        # The mean time in parts of the goal; one turned away says that the queue is full. A client's short
-        # patience cuts a time off and says nothing.
+        # One turned away says that the queue is full; a client's short patience cuts a time off and says nothing.
         times = 2.0 if event.outcome == FULL else event.latency / tx.lane.latency_goal
         if event.outcome in (DONE, FULL) or (event.outcome == EXPIRED and times >= 0.99):
             gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
-            self.pressure += gain * (times - self.pressure)
-            self.pressed_at = self.now
+            self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
         known.fails += 0.1 * ((event.outcome != DONE) - known.fails)
         if event.outcome == UNCONNECTED:
             known.shun = min(SHUN_MOST, max(SHUN, 2 * known.shun))
@@ -673,13 +658,13 @@
             known.heard = self.now
             self.served.add(self.now, share == 1.0)
 
-    def _follow(self, event):
-        """The client has left, or its answer has begun to stream."""
-        tx = self.open.get(event.id)
-        if tx and type(event) is ClientLeft:
-            self._step(tx, "left")
-        elif tx:
-            tx.streams = True
+    def _leave(self, event):
+        if event.id in self.open:
+            self._step(self.open[event.id], "left")
+
+    def _stream(self, event):
+        if event.id in self.open:
+            self.open[event.id].streams = True
 
     def _complain(self, event):
         """A client found an answer wrong: what was booked as a success is a failure."""
@@ -713,5 +698,5 @@
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
     # What is not here needs no answer: nothing is probed or told.
-    EVENTS = {PodList: _listed, News: _told, Taken: _take, Ended: _end, ClientLeft: _follow, TimerDue: _tick,
-              StreamBegan: _follow, Complaint: _complain, Tally: _tallied}
+    EVENTS = {PodList: _listed, News: _told, Taken: _take, Ended: _end, ClientLeft: _leave, TimerDue: _tick,
+              StreamBegan: _stream, Complaint: _complain, Tally: _tallied}
