--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -1,19 +1,19 @@
 """All decisions of thymeknot: where a transaction goes, when it is answered, how the new build is voted on.
 
 Make one Balancer(terms, seed, now) per sidecar and call handle(now, events) with the events of one moment,
-in order; it returns the actions to carry out, in order. The types of terms, events and actions stand in
-interface.py, its records in records.py. Nothing else reaches the module: no clock, no input or output, nothing shared.
-docs/design.md says what comes from the design's source and when each exception to it acts.
+in order; it returns the actions to carry out, in order. Their types stand in interface.py, the records in
+records.py. Nothing else reaches the module: no clock, no input or output, nothing shared. docs/design.md says
+what comes from the design's source and when each exception to it acts.
 """
 
 from math import log
 
 from .interface import (
-    Abandon, BACK, BY_CLOCK, CHANGES, ClientLeft, Complaint, DONE, Defer, Deliver, ERROR, EXPIRED, Ended,
-    FINGERPRINTED, FULL, GONE, GROUP_ALL, GROUP_CELL, HOLD, MISSED, NO_VOTE, News, Note, ON, ON_TRIAL,
+    Abandon, BACK, BY_CLOCK, ClientLeft, Complaint, DONE, Defer, Deliver, ERROR, EXPIRED, Ended,
+    FINGERPRINTED, FULL, GROUP_ALL, GROUP_CELL, HOLD, MISSED, NO_VOTE, News, Note, ON, ON_TRIAL,
     PodList, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer, StreamBegan, Subscribe,
     Taken, Tally, TimerDue, UNCONNECTED, UNSENT, UTILISATION, Vote)
-from .records import Delivery, Known, Ring, Transaction
+from .records import Chance, Delivery, Known, Ring, Transaction, merged
 
 SECOND = 10_000
 UPKEEP, UPKEEP_MOST = SECOND // 20, SECOND // 4  # the latter for one with hardly any traffic
@@ -24,27 +24,22 @@
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
-# Parts of the back bound: what holds a build, and what a single pod, a single second, a second lane may add.
-HOLD_PART, ONE_POD, ONE_SECOND, SECOND_LANE = 0.5, 0.45, 0.5, 0.2
+HOLD_PART, ONE_POD, ONE_SECOND = 0.5, 0.45, 0.5  # of the back bound: holds a build; a pod, a second may add
 COLD_FAILS, FREED_FAILS = 0.3, 0.1  # what tallies may show failing: at a pod without warmth, by a release
-TIMES, TIMES_MOST = 1.5, 3.0    # a mean time against the earlier build's: evidence from the first to the second
-BASELINE = 5                    # fewer outcomes of the earlier build than this say nothing of the present
-WARM_ENOUGH = 0.75              # of its capacity: from here on a pod's slowness may speak of its build
-# Slowness of all builds may pass by itself: so long before the build is blamed; longer with machines replaced.
+TIMES, TIMES_MOST = 1.5, 3.0    # the earlier build's mean time: evidence from the first to the second
+BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
+# Slowness of all builds may pass by itself: so long before one is blamed; longer with machines replaced.
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
-BUSIER, MARGIN = 1.5, 1.4       # times the usual traffic that excuse slowness, times the usual mark that are slow
+BUSIER, MARGIN = 1.5, 1.4       # times the usual traffic excuse slowness; times the usual mark are slow
 BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
-LOUD, SETTLED, MATURE = 15, 3 * SECOND, 20  # transactions a second, age, outcomes: from here on it knows the usual
-SLOW_QUANTILE = 0.9
+LOUD, SETTLED, MATURE = 15, 3 * SECOND, 20  # transactions a second, age, outcomes that tell what is usual
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
-SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
 DRAWN, LOOK, EXCHANGE = 6, 24, 4 * SECOND  # pods in use at least; looked at for a delivery; one exchanged
 CROWD = 0.75                    # sidecars for each pod: from here on an instance's own open work says little
 COLD_PART, COLD_LEAST = 0.5, 4  # of what would push a cold pod over, what all instances use; and deliveries
 RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
 GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
-LEAST_TAKEN = 0.1               # of the transactions, however long answers take: else nothing would show
-LANE_PART = (0.8, 1.25)         # of the limit on open transactions: for the cheapest lane, for the dearest
+LEAST_TAKEN, LANE_PART = 0.1, (0.8, 1.25)  # of the transactions; of the limit, by what the lane earns
 SECOND_COPIES, RETRIES, FEW = 0.05, 0.15, 5  # of the transactions; up to so few sidecars save up in full
 COPY_AFTER = (3.0, 0.4)         # times the lane's mean, times its goal: the later of both
 
@@ -64,8 +59,9 @@
 ANY, USUAL, TRIAL, FREED, FALLEN = "any", "usual", "trial", "freed", "fallen"
 # The newest build's life here: (state, input) -> next state, effect. A build not met on trial is usual.
 BUILD = {
-    (ANY, "offered"): (TRIAL, "begin"), (ANY, "met"): (USUAL, "rest"), (ANY, "fell"): (FALLEN, "fall"),
-    (FALLEN, "fell"): (FALLEN, None), (TRIAL, "moved"): (TRIAL, "go_on"), (TRIAL, "released"): (FREED, "go_on"),
+    (ANY, "offered"): (TRIAL, "begin"), (ANY, "met"): (USUAL, "begin"), (ANY, "fell"): (FALLEN, "begin"),
+    (FALLEN, "fell"): (FALLEN, None),
+    (TRIAL, "moved"): (TRIAL, "go_on"), (TRIAL, "released"): (FREED, "go_on"),
 }
 
 
@@ -79,36 +75,32 @@
 
 class Balancer:
     def __init__(self, terms, seed, now):
-        self.terms, self.now, self.chance, self.actions, self.born = terms, now, seed, [], None
-        # Pods and the list.
+        self.terms, self.now, self.chance, self.actions, self.born = terms, now, Chance(seed), [], None
         self.pods, self.turn, self.watch_at, self.upkeep = {}, 0, now, 0
         self.sides, self.drawn, self.exchange_at = {True: [], False: []}, {True: [], False: []}, now
         self.room, self.warm, self.warm_at = {True: 0.0, False: 0.0}, 0.0, 0
-        # Transactions, and what they teach.
         self.open, self.due, self.tokens = {}, {}, 0
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
-        # What each may spend at once adds up: hundreds start with next to nothing.
-        self.most = [min(alone, 1 + alone * FEW / terms.balancers) for alone in (20.0, 5.0)]
+        self.most = [min(most, 1 + most * FEW / terms.balancers) for most in (20.0, 5.0)]  # it adds up
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
         self.arrivals, self.pressure, self.pressed_at = Ring(8 * SECOND, 16), 0.0, now
         self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
-        # The newest build, its exposure and its test.
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
-        # Where one vote sends a build back, all share the allowed error. Where many must err together, each may
-        # err more often (a bound of the Poisson tail), up to the design's rate.
+        # Where one vote sends a build back, all share the allowed error. Where many must err together, each
+        # may err more often (a bound of the Poisson tail), up to the design's rate.
         needed = terms.votes_to_revert
-        together = FALSE_BACK if needed == 1 else 0.7 * FALSE_BACK ** (1 / needed)
-        alone = min(FALSE_BACK, together * needed / terms.balancers)
-        # Each keeps to its part of the calls that the platform takes from all, so many votes take long to give.
+        together = needed * (FALSE_BACK if needed == 1 else 0.7 * FALSE_BACK ** (1 / needed))
+        odds = (1 - FALSE_ON) / min(FALSE_BACK, together / terms.balancers)
+        self.back_at = {"failed": log(odds), "slow": log(odds * SLOW_STRICTER)}
+        # Each keeps to its part of the calls that the platform takes from all.
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
-        self.back_at = {"failed": log((1 - FALSE_ON) / alone), "slow": log((1 - FALSE_ON) / alone * SLOW_STRICTER)}
         self.usual, self.all_slow, self.ill_since, self.rows = None, 0.0, None, []
-        self.lane_slow, self.sums, self.by_pod = {}, {}, {}
+        self.sums, self.by_pod = {}, {}
         self._go_on()
-        self.vote, self.vote_at, self.asked, self.ask_at, self.moot = None, 0, None, now, (None, 0)
+        self.vote, self.vote_at, self.asked, self.ask_at = None, 0, None, now
 
     def handle(self, now, events):
         self.now, self.actions = now, []
@@ -122,31 +114,18 @@
         return self.actions
 
     def _keep_up(self):
-        """Upkeep follows the traffic: once for a transaction, within bounds."""
-        self.upkeep = max(UPKEEP, min(UPKEEP_MOST, self.arrivals.span // (self.arrivals.total(self.now) + 1)))
+        often = self.arrivals.span // (self.arrivals.total(self.now) + 1)  # once for a transaction
+        self.upkeep = max(UPKEEP, min(UPKEEP_MOST, often))
         self.actions.append(SetTimer(self.now + self.upkeep, 0))
 
-    def _random(self):
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
-        return (self.chance >> 33) / 2147483648
-
     # The list of pods.
 
     def _listed(self, event):
         if event.kind == MISSED:
             # The watch may have dropped; a call that fails at once must not become a storm of calls.
-            self.watch_at = min(self.watch_at, self.now + int((1 + self._random()) * SECOND))
-        elif event.kind != CHANGES:
-            named = {pod.address for pod in event.pods}
-            self.pods = {address: known for address, known in self.pods.items() if address in named}
-        for pod in event.pods:
-            known = self.pods.get(pod.address)
-            if pod.condition == GONE:
-                self.pods.pop(pod.address, None)
-            elif known and (known.listed.started, known.listed.build) == (pod.started, pod.build):
-                known.listed = pod
-            else:
-                self.pods[pod.address] = Known(pod, self.terms.overload_for)
+            self.watch_at = min(self.watch_at, self.now + int((1 + self.chance.draw()) * SECOND))
+            return
+        self.pods = merged(self.pods, event, self.terms.overload_for)
         self._sort()
 
     def _sort(self):
@@ -158,47 +137,40 @@
             if known.listed.condition == READY and known.listed.build <= build:
                 known.side = known.listed.build == build
                 self.sides[known.side].append(known)
-        for new in self.sides:
-            self._draw(new)
+        self._draw(True)
+        self._draw(False)
         self._measure()
 
     def _measure(self):
         """What the ready pods of each side can carry at least, and the sum of the warm ones' sizes."""
         self.warm, self.room = 0.0, {True: 0.0, False: 0.0}
         for known in self.sides[True] + self.sides[False]:
-            share = self._share(known)
+            share = known.share(self.now, self.terms)
             self.room[known.side] += known.listed.size * share
             self.warm += known.listed.size * (share == 1.0)
             self.warm_at = max(self.warm_at, known.listed.started + self.terms.cold + UPKEEP_MOST)
 
     def _draw(self, new, drop=None):
-        """Draws the pods that this instance uses: one for each recent transaction. More would make a quiet one
-        open a connection each time, and hundreds that rank all pods alike would meet at the same few."""
+        """Draws the pods in use, one for each recent transaction: with more, a quiet instance would open a
+        connection each time, and hundreds that rank all pods alike meet at the same few."""
         side = self.sides[new]
         wanted = min(len(side), max(DRAWN, self.arrivals.total(self.now)))
         drawn = [known for known in self.drawn[new] if known.side is new and known is not drop][-wanted:]
         spare = [known for known in side if known not in drawn]
         while len(drawn) < wanted:
-            drawn.append(spare.pop(int(self._random() * len(spare))))
+            drawn.append(spare.pop(int(self.chance.draw() * len(spare))))
         self.drawn[new] = drawn
 
-    def _share(self, known, at=None):
-        """The part of its capacity that a pod has at least: it gains no slower than evenly."""
-        age = (self.now if at is None else at) - known.listed.started
-        if not known.listed.started or age >= self.terms.cold:
-            return 1.0
-        return self.terms.cold_from + (1 - self.terms.cold_from) * max(0, age) / self.terms.cold
-
     def _cold_room(self, known, share):
-        """Rule 4. Each instance keeps to its part of what warm pods are seen to take, so no sum goes over; the
-        fewer of the pods it uses, the fewer others use this one. A part may be less than a delivery: it draws
-        anew, for each pod and span, whether it has it. One each would push a pod over, of hundreds."""
+        """Rule 4. Each instance keeps to its part of what warm pods are seen to take, so no sum goes over;
+        the fewer pods it uses, the fewer others use this one. One delivery each, of hundreds, would push it
+        over: an instance whose part is less draws anew, for each pod and span, whether it has it."""
         rate, span = self.warm_rate * known.listed.size, self.terms.overload_for
         part = max(COLD_PART * self.terms.fall_multiple * share * rate * span / SECOND,
                    COLD_LEAST / self.terms.balancers)
         part *= len(self.sides.get(known.side, ())) / (len(self.drawn.get(known.side, ())) or 1)
         if known.lot[0] != self.now // span:
-            known.lot = self.now // span, self._random()
+            known.lot = self.now // span, self.chance.draw()
         return known.sent.total(self.now) + 1 <= part + known.lot[1]
 
     # The new build.
@@ -220,24 +192,18 @@
         if effect:
             getattr(self, "_" + effect)()
 
-    def _begin(self, ramp=0.0):
-        self.places = len(self.sides[False])
-        self.ramp, self.tried, self.usual, self.all_slow, self.ill_since = ramp, {}, None, 0.0, None
-        self.lane_slow, self.sums, self.by_pod = {}, {}, {}
+    def _begin(self):
+        if self.build == FALLEN:
+            self.pins = {key: build for key, build in self.pins.items() if build != self.news.build}
+        self.places, self.ramp, self.tried = len(self.sides[False]), float(self.build == USUAL), {}
+        self.usual, self.all_slow, self.ill_since = None, 0.0, None
+        self.sums, self.by_pod = {}, {}
         self._settle()
         self._go_on()
 
-    def _rest(self):
-        self._begin(ramp=1.0)
-
-    def _fall(self):
-        self.pins = {key: build for key, build in self.pins.items() if build != self.news.build}
-        self._begin()
-
     def _go_on(self):
-        """Sum and timer start anew with each stage, but what speaks against a build is kept: the quiet would
-        never have enough."""
-        self.ramped, self.offset = self.now, (self._random() - 0.5) * self.turn_of_all
+        """Sum and timer start anew. What speaks against a build is kept, or the quiet never have enough."""
+        self.ramped, self.offset = self.now, (self.chance.draw() - 0.5) * self.turn_of_all
         self.sums = {what: max(0.0, self.sums.get(what, 0.0)) for what in P0_FLOOR}
         self.seen, self.doubt, self.swarm, self.clear_since = 0, 0.0, (0, 0.0), self.now
         self.bad_keys, self.saying_back = set(), False
@@ -267,18 +233,14 @@
                                     <= free + news.cap * taken.total(self.now, True, back)
                                     for back in (120, 90, 60, 30))
 
-    def _hot(self, key):
-        """A hot key would flood the trial's pods and eat the counter of all others: it stays away."""
-        seen = self.keys.get(key, 0)
-        return seen >= HOT_LEAST and seen >= HOT_SHARE * sum(self.keys.values())
-
     # The test.
 
     def _judge(self, tx, known, outcome, latency):
         """Books an outcome with the build that it tells of."""
         if self.news is None or outcome in (FULL, RECALLED, UNSENT):
             return
-        cell, share, build = (tx.lane.name, known.listed.machine), self._share(known), known.listed.build
+        share, build = known.share(self.now, self.terms), known.listed.build
+        cell = tx.lane.name, known.listed.machine
         mark, settled = self.marks.get(cell, (2.0 * latency, 0))
         failed, slow = outcome != DONE, outcome == EXPIRED or (outcome == DONE and latency * share > mark)
         judging = self.build in (TRIAL, FREED)
@@ -302,7 +264,7 @@
                 self.bad_keys.add(tx.key)
             self.seen += 1
             self._add("failed", failed, None if outcome in (DONE, ERROR) else known.listed.address)
-            # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on the build.
+            # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on it.
             if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
                 self._add("slow", slow, known.listed.address)
 
@@ -347,7 +309,7 @@
             self.rows.append(event)
 
     def _weigh_tallies(self):
-        """What the platform counted is evidence too, since a quiet instance sees one outcome of the trial in ten
+        """What the platform counted is evidence too: a quiet instance sees one outcome of the trial in ten
         seconds. A period, all lanes together, is one piece of evidence, like a second of slow answers."""
         rows, self.rows = self.rows, []
         if self.build not in (TRIAL, FREED):
@@ -355,7 +317,7 @@
         earlier = {row.lane: row for row in rows if row.build < self.news.build}
         seen = sum(row.deliveries for row in earlier.values())
         pods, at = self.sides[True], self.now - rows[0].age - SECOND
-        warmth = sum(known.listed.size * self._share(known, at) for known in pods)
+        warmth = sum(known.listed.size * known.share(at, self.terms) for known in pods)
         warmth /= sum(known.listed.size for known in pods) or 1.0
         if warmth < WARM_ENOUGH or (seen < 2 * BASELINE and self.build == TRIAL):
             return
@@ -375,9 +337,8 @@
             self._book(what, min(step, ONE_SECOND * self.back_at[what]))
 
     def _judge_all(self, cell, outcome, latency):
-        """A build can slow the earlier one in step with itself, so all outcomes are tested against what was usual
-        before the offer. More traffic excuses longer times without ending the test: clients that try again
-        after failures are more traffic too."""
+        """A build can slow the earlier one in step with itself: all outcomes are tested against those before
+        the offer. More traffic excuses longer times, but clients that repeat are more traffic too."""
         mark, seen = self.usual[0].get(cell, (0, 0)) if self.usual else (0, 0)
         if seen < MATURE:
             return
@@ -385,13 +346,9 @@
         slow = outcome == EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
         bound, step = self.back_at["slow"], self._weight("all", slow, P0_FLOOR["slow"])
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
-        # A build slows every lane: one lane slow by itself is no sign of it, however slow.
-        self.lane_slow[cell[0]] = max(0.0, min(bound, self.lane_slow.get(cell[0], 0.0) + step))
-        second = ([0.0] + sorted(self.lane_slow.values()))[-min(2, len(self.terms.lanes))]
         if self.all_slow < bound / 2:
             self.ill_since = None
-        elif self.all_slow > bound and second >= SECOND_LANE * bound and (self.ill_since is None
-                                                                          or self.ramp < BLAMED_FROM):
+        elif self.all_slow > bound and (self.ill_since is None or self.ramp < BLAMED_FROM):
             self.ill_since = self.now
 
     def _busier(self):
@@ -401,8 +358,7 @@
         return (self.arrivals.total(self.now, False, 4) - 3) / (usual + 1) if usual else 1.0
 
     def _settle(self):
-        """Keeps what was usual before the build came. An instance that started during the trial takes what it
-        met as usual: the later stages then show."""
+        """Keeps what was usual before the build came, or at first, for an instance that started later."""
         age = self.now - (self.now if self.born is None else self.born)
         rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
         if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
@@ -411,8 +367,7 @@
     def _verdict(self):
         news, part = self.news, self.doubt
         if self.ill_since is not None:
-            # What slows all may pass by itself, and a build with little traffic yet can hardly be the cause;
-            # until it has passed, the build does not move on.
+            # What slows all may pass by itself. Until it has passed, the build does not move on.
             blamed = self.now >= self.ill_since + ILL_FOR[self.terms.replaces]
             part = max(part, 1.1 if blamed and self.all_slow > self.back_at["slow"] else 1.0)
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
@@ -420,14 +375,14 @@
             return BACK if self.saying_back and news.phase in (ON_TRIAL, RELEASED) else NO_VOTE
         if self.terms.decided_by == BY_CLOCK or part > HOLD_PART:
             return HOLD if self.terms.decided_by == BY_CLOCK and part > HOLD_PART else NO_VOTE
-        # A list that lags hides the pods to judge and, where they replace the earlier ones, the only ones that
-        # there will be. Hundreds of votes for on would be turned away: they are spread about the due time.
+        # A list that lags hides the pods to judge and, with machines replaced, the only ones there will be.
+        # Hundreds of votes for on at once would be turned away: they are spread about the due time.
         started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
         due = max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
         if len(started) < due or self.now < max(started) + AFTER_START + self.offset:
             return NO_VOTE
-        # A quiet instance never sees enough, and one chance failure would bar it for minutes: with too little
-        # against the build to hold it, it says on after a while, sooner if there is nothing at all.
+        # A quiet instance never sees enough: with too little against the build to hold it, it says on after a
+        # while, sooner if there is nothing at all. One chance failure would else bar it for minutes.
         wait = QUIET_FOR if self.sums["failed"] <= 0 else 2 * QUIET_FOR
         enough = max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES
         return ON if enough or self.now >= self.clear_since + wait + self.offset else NO_VOTE
@@ -442,22 +397,21 @@
         if wanted[2] == NO_VOTE:
             if not stands or vote[0] != wanted[0] or (vote[2] == ON and vote[1] != wanted[1]):
                 return
-        elif stands and vote == wanted and age < self.renew or wanted == self.moot[0] and self.now < self.moot[1]:
+        elif stands and vote == wanted and age < self.renew:
             return
         if self.asked != wanted and wanted[2] in (HOLD, BACK):
-            sums = "".join(f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}, " for what in self.sums)
-            self.actions.append(Note("vote {2} on build {0} stage {1}: ".format(*wanted) + sums
-                                     + f"all slow {self.all_slow:+.1f}, {self.seen} seen"))
+            self.actions.append(Note("vote {2} on build {0} stage {1}: ".format(*wanted) + "".join(
+                f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}, " for what in self.sums)
+                + f"all slow {self.all_slow:+.1f}, {self.seen} seen"))
         self.asked, self.ask_at = wanted, self.now + self.terms.vote_wait + SECOND // 10
         self.actions.append(Vote(*wanted))
 
     def _vote_answered(self, news):
         # What was turned away or got no answer is asked again, not in step with the others.
-        pause = 0 if news.outcome == DONE else SECOND // 5 + int(self._random() * self.turn_of_all)
-        self.ask_at = self.now + max(pause, UPKEEP)
+        pause = 0 if news.outcome == DONE else SECOND // 5 + int(self.chance.draw() * self.turn_of_all)
+        self.ask_at = self.now + max(pause, SECOND if news.outcome == UNSENT else UPKEEP)
         if news.outcome == DONE and self.asked:
             self.vote, self.vote_at = (None if self.asked[2] == NO_VOTE else self.asked), self.now
-        self.moot = (self.asked, self.now + SECOND) if news.outcome == UNSENT else (None, 0)
 
     # A transaction's life.
 
@@ -469,7 +423,7 @@
     def _take(self, event):
         lane = self.terms.lanes[event.lane]
         tx = self.open[event.id] = Transaction(event, lane, self.now, NEW)
-        self.born = self.now if self.born is None else self.born  # before that it has seen no traffic to go by
+        self.born = self.now if self.born is None else self.born  # with its first traffic
         self._ring(self.taken, lane).add(self.now)
         self.arrivals.add(self.now)
         if event.key:
@@ -480,26 +434,23 @@
 
     def _place(self, tx):
         # A quiet instance has too little open to count: it goes by how long its answers take, and by chance.
-        chance = (GOAL_PART * self._lane_part(tx.lane) / max(GOAL_PART, self.pressure)) ** 2
-        crowded = self.arrivals.total(self.now) < 8 * LOUD and self.pressure > GOAL_PART
-        if (len(self.open) > self._limit_for(tx.lane) or (crowded and self._random() > max(LEAST_TAKEN, chance))
-                or not self._send(tx)):
+        quiet = self.arrivals.total(self.now) < 8 * LOUD and self.pressure > GOAL_PART
+        chance = (GOAL_PART * self._lane_part(tx.lane) / self.pressure) ** 2 if quiet else 1.0
+        taken = len(self.open) <= self._limit_for(tx.lane) and self.chance.draw() <= max(LEAST_TAKEN, chance)
+        if not taken or not self._send(tx):
             self._step(tx, "given up")
 
     def _limit_for(self, lane):
         """Open work may be what answers come for within part of the goal (Little's law), so that a queue ends
-        before the goal does; beyond it the lanes that earn least for their work are turned away first."""
-        # A new instance has seen no answers yet, which is no sign of overload.
+        before the goal does; lanes that earn least go first. No answers yet are no sign of overload."""
         since = min(2 * SECOND, self.now - self.born)
         limit = max(LIMIT_LEAST, self.answers.total(self.now) / since) if since > SECOND else 1000.0
         return limit * self._lane_part(lane)
 
     def _lane_part(self, lane):
         worth = {name: self.terms.lanes[name].earnings / mean for name, mean in self.means.items()}
-        if lane.name not in worth:
-            return 1.0
-        low, high = min(worth.values()), max(worth.values())
-        rank = (worth[lane.name] - low) / (high - low) if high > low else 0.5
+        low, high = min(worth.values(), default=0), max(worth.values(), default=0)
+        rank = (worth[lane.name] - low) / (high - low) if lane.name in worth and high > low else 0.5
         return LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * rank
 
     def _send(self, tx):
@@ -508,8 +459,11 @@
             return False
         pinned = self.pins.get(tx.key, 0) if self.terms.keys_stay else 0
         below = position(tx.key) < self.ramp and news.phase in (ON_TRIAL, RELEASED)
-        # Off the ordinary path: another try, a key that failed there and a hot one leave the trial alone.
-        astray = news.phase == ON_TRIAL and (tx.sent or tx.key in self.bad_keys or self._hot(tx.key))
+        # Off the ordinary path: another try, a key that failed there, and a hot one, that would flood the
+        # trial's pods and eat the counter of all others, leave the trial alone.
+        seen = self.keys.get(tx.key, 0)
+        hot = seen >= HOT_LEAST and seen >= HOT_SHARE * sum(self.keys.values())
+        astray = news.phase == ON_TRIAL and (tx.sent or tx.key in self.bad_keys or hot)
         order = (True, False) if below and not astray else (False, True)
         for new in (True,) if pinned >= news.build else order:
             known = self._choose(tx, new, pinned) if not new or self._may_try(tx.lane) else None
@@ -529,11 +483,11 @@
             self.turn += LOOK if len(pool) > LOOK else 1
             start = self.turn % len(pool) if len(pool) > LOOK else 0
             for known in (pool[start:] + pool[:start])[:LOOK]:
-                share, pod = self._share(known), known.listed
+                share, pod = known.share(self.now, self.terms), known.listed
                 if ((new or pod.build >= pinned) and self._same_group(tx, pod)
                         and (share == 1.0 or self._cold_room(known, share))):
-                    avoid = 1e6 * (self.now < known.shunned or pod.address in used)
-                    found.append((self._cost(known) * (known.out + 1) / share + avoid, known))
+                    cost = self._cost(known) * (known.out + 1) / share
+                    found.append((cost + 1e6 * (pod.address in used), known))
             best = min((cost for cost, _ in found), default=1e6)
             if best < 1e6 or len(pool) == len(self.sides[new]):
                 break
@@ -544,12 +498,7 @@
             return near[self.turn % len(near)]
         # One of hundreds sees next to nothing of what the others have out. If each took the cheapest pod, all
         # would meet there; by lot, each pod gets its part.
-        lot = self._random() * sum(1 / cost for cost, _ in found)
-        for cost, known in found:
-            lot -= 1 / cost
-            if lot <= 0:
-                break
-        return known
+        return found[self.chance.pick([1 / cost for cost, _ in found])][1]
 
     def _cost(self, known):
         return known.pace * (1 + 8 * known.fails) * (1 + known.load) / known.listed.size
@@ -590,9 +539,9 @@
 
     def _again(self, tx):
         """A delivery ended without an answer: another while it can still earn, else the answer at once."""
-        cost = 0 if tx.suspect() is None else 1
         if tx.out():
             return
+        cost = 0 if tx.suspect() is None else 1
         if self._in_time(tx) and self.retries >= cost and self._may(tx, False) and self._send(tx):
             self.retries -= cost
         else:
@@ -600,10 +549,9 @@
 
     def _second(self, tx):
         """A second copy for one much later than its lane, as long as few need it and there is room."""
-        if tx.streams or tx.out() != 1 or self.copies < 1 or 2 * len(self.open) > self._limit_for(tx.lane):
-            return
-        if self._in_time(tx) and self._may(tx, False) and self._send(tx):
-            self.copies -= 1
+        room = self.copies >= 1 and 2 * len(self.open) <= self._limit_for(tx.lane)
+        if room and not tx.streams and tx.out() == 1 and self._in_time(tx) and self._may(tx, False):
+            self.copies -= self._send(tx)
 
     def _turn_away(self, tx):
         """The final answer, at once: sitting on it would only keep the client from trying again."""
@@ -638,21 +586,19 @@
             known.load = event.load[self.terms.reports.index(UTILISATION)]
         if event.outcome in (RECALLED, UNSENT):
             return
-        # One turned away says that the queue is full; a client's short patience cuts a time off and says nothing.
+        # One turned away says that the queue is full; a time cut off by a client's short patience, nothing.
         times = 2.0 if event.outcome == FULL else event.latency / tx.lane.latency_goal
         if event.outcome in (DONE, FULL) or (event.outcome == EXPIRED and times >= 0.99):
             gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
             self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
-        known.fails += 0.1 * ((event.outcome != DONE) - known.fails)
-        if event.outcome == UNCONNECTED:
-            known.shun = min(SHUN_MOST, max(SHUN, 2 * known.shun))
-            known.shunned = self.now + known.shun
-        elif event.outcome == DONE:
-            known.shun, lane, share = 0, tx.lane, self._share(known)
+        gain = 0.5 if event.outcome == UNCONNECTED else 0.1
+        known.fails += gain * ((event.outcome != DONE) - known.fails)
+        if event.outcome == DONE:
+            lane, share = tx.lane, known.share(self.now, self.terms)
             self.answers.add(self.now, GOAL_PART * lane.latency_goal)
             mean = self.means.get(lane.name, event.latency)
             self.means[lane.name] = max(1.0, mean + 0.03 * (event.latency - mean))
-            # What a quiet instance knows of a pod is old: the longer ago, the more the present answer counts.
+            # The longer ago the last answer, the more the present one counts: the quiet know old things only.
             gain = min(0.5, 0.08 + 0.1 * (self.now - known.heard) / SECOND)
             known.pace += gain * (min(4.0, event.latency * share / self.means[lane.name]) - known.pace)
             known.heard = self.now
@@ -690,10 +636,10 @@
             self.actions.append(Subscribe(True))
         if self.now <= self.warm_at:
             self._measure()
-        # A mean: peaks of hundreds would not add up to what all take. Overload must not pull it down quickly.
-        rate, age = self.served.total(self.now) / 4 / (self.warm or 1e9), self.now - (self.born or self.now)
-        span = max(SECOND, min(RATE_UP if rate > self.warm_rate else RATE_DOWN, age))
-        self.warm_rate += (rate - self.warm_rate) * passed / span
+        # A mean, as peaks of hundreds do not add up; one that overload does not pull down quickly.
+        rate = self.served.total(self.now) / 4 / (self.warm or 1e9)
+        span = min(RATE_UP if rate > self.warm_rate else RATE_DOWN, self.now - (self.born or self.now))
+        self.warm_rate += (rate - self.warm_rate) * passed / max(SECOND, span)
         if self.now >= self.keys_at + 2 * SECOND:
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
--- a/thymeknot/records.py
+++ b/thymeknot/records.py
@@ -1,5 +1,27 @@
 """What an instance remembers: counts over time, transactions, deliveries, pods. Records only, no values."""
 
+from .interface import CHANGES, GONE
+
+
+class Chance:
+    """A linear congruential generator, of which the high bits are used."""
+
+    def __init__(self, seed):
+        self.state = seed
+
+    def draw(self):
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return (self.state >> 33) / 2147483648
+
+    def pick(self, weights):
+        """A place in the weights, each as likely as it weighs."""
+        lot = self.draw() * sum(weights)
+        for place, weight in enumerate(weights):
+            lot -= weight
+            if lot <= 0:
+                break
+        return place
+
 
 class Ring:
     """Counts over the last span of time, in buckets that are used again."""
@@ -49,6 +71,29 @@
 
     def __init__(self, listed, span):
         self.listed, self.out, self.pace, self.fails = listed, 0, 1.0, 0.0
-        self.load, self.shunned, self.shun, self.sent, self.heard = 0.0, 0, 0, Ring(span, 15), 0
+        self.load, self.sent, self.heard = 0.0, Ring(span, 15), 0
         self.lot = -1, 0.0          # span, and what chance adds to this instance's part in it
         self.side = None            # True: of the newest build; False: of an earlier one
+
+    def share(self, at, terms):
+        """The part of its capacity that it has at least: it gains no slower than evenly."""
+        age = at - self.listed.started
+        if not self.listed.started or age >= terms.cold:
+            return 1.0
+        return terms.cold_from + (1 - terms.cold_from) * max(0, age) / terms.cold
+
+
+def merged(pods, event, span):
+    """The pods by address after a list: a whole one names all, a restarted or replaced pod is a new one."""
+    if event.kind != CHANGES:
+        named = {pod.address for pod in event.pods}
+        pods = {address: known for address, known in pods.items() if address in named}
+    for pod in event.pods:
+        known = pods.get(pod.address)
+        if pod.condition == GONE:
+            pods.pop(pod.address, None)
+        elif known and (known.listed.started, known.listed.build) == (pod.started, pod.build):
+            known.listed = pod
+        else:
+            pods[pod.address] = Known(pod, span)
+    return pods
