--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -2,21 +2,15 @@
 
 Make one Balancer(terms, seed, now) per sidecar and call handle(now, events) with the events of one moment,
 in order; it returns the actions to carry out, in order. Their types stand in interface.py, the records in
-records.py. Nothing else reaches the module: no clock, no input or output, nothing shared. docs/design.md says
-what comes from the design's source and when each exception to it acts.
+records.py; nothing else reaches the module, and nothing is shared. docs/design.md tells the sources.
 """
 
 from math import log
 
-from .interface import (
-    Abandon, BACK, BY_CLOCK, ClientLeft, Complaint, DONE, Defer, Deliver, ERROR, EXPIRED, Ended,
-    FINGERPRINTED, FULL, GROUP_ALL, GROUP_CELL, HOLD, MISSED, NO_VOTE, News, Note, ON, ON_TRIAL,
-    PodList, READY, RECALLED, RELEASED, RESET, RETRIABLE, Recall, SetTimer, StreamBegan, Subscribe,
-    Taken, Tally, TimerDue, UNCONNECTED, UNSENT, UTILISATION, Vote)
+from . import interface as i
 from .records import Chance, Delivery, Known, Ring, Transaction, merged
 
 SECOND = 10_000
-UPKEEP, UPKEEP_MOST = SECOND // 20, SECOND // 4  # the latter for one with hardly any traffic
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
 P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0, "all": 3.0}, {"failed": 0.01, "slow": 0.1}
@@ -30,12 +24,11 @@
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
 # Slowness of all builds may pass by itself: so long before one is blamed; longer with machines replaced.
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
-BUSIER, MARGIN = 1.5, 1.4       # times the usual traffic excuse slowness; times the usual mark are slow
-BLAMED_FROM = 0.25              # of the ramp: less traffic than that cannot slow all
+BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
 LOUD, SETTLED, MATURE = 15, 3 * SECOND, 20  # transactions a second, age, outcomes that tell what is usual
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
-DRAWN, LOOK, EXCHANGE = 6, 24, 4 * SECOND  # pods in use at least; looked at for a delivery; one exchanged
-CROWD = 0.75                    # sidecars for each pod: from here on an instance's own open work says little
+UPKEEP, UPKEEP_MOST, EXCHANGE = SECOND // 20, SECOND // 4, 4 * SECOND  # the second with hardly any traffic
+DRAWN, LOOK, CROWD = 6, 24, 0.75  # pods in use at least; looked at; sidecars a pod that make a crowd
 COLD_PART, COLD_LEAST = 0.5, 4  # of what would push a cold pod over, what all instances use; and deliveries
 RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
 GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
@@ -53,8 +46,9 @@
     (OUT, "slow"): (OUT, "second"), (OUT, "left"): (OVER, "close"),
 }
 # What an outcome proves for rule 2.
-PROOF = {DONE: "answered", ERROR: "perhaps run", FULL: "unrun", EXPIRED: "perhaps run", UNCONNECTED: "unrun",
-         RESET: "perhaps run", RECALLED: "perhaps run", UNSENT: "unrun"}
+PROOF = {i.DONE: "answered", i.ERROR: "perhaps run", i.EXPIRED: "perhaps run", i.RESET: "perhaps run",
+         i.RECALLED: "perhaps run", i.FULL: "unrun", i.UNCONNECTED: "unrun", i.UNSENT: "unrun"}
+
 
 ANY, USUAL, TRIAL, FREED, FALLEN = "any", "usual", "trial", "freed", "fallen"
 # The newest build's life here: (state, input) -> next state, effect. A build not met on trial is usual.
@@ -88,8 +82,7 @@
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
-        # Where one vote sends a build back, all share the allowed error. Where many must err together, each
-        # may err more often (a bound of the Poisson tail), up to the design's rate.
+        # All share the allowed error; where many must err together, each may err more (Poisson tail's bound).
         needed = terms.votes_to_revert
         together = needed * (FALSE_BACK if needed == 1 else 0.7 * FALSE_BACK ** (1 / needed))
         odds = (1 - FALSE_ON) / min(FALSE_BACK, together / terms.balancers)
@@ -97,10 +90,9 @@
         # Each keeps to its part of the calls that the platform takes from all.
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
-        self.usual, self.all_slow, self.ill_since, self.rows = None, 0.0, None, []
-        self.sums, self.by_pod = {}, {}
+        self.usual, self.all_slow, self.ill_since, self.sums, self.by_pod = None, 0.0, None, {}, {}
+        self.rows, self.vote, self.vote_at, self.asked, self.ask_at = [], None, 0, None, now
         self._go_on()
-        self.vote, self.vote_at, self.asked, self.ask_at = None, 0, None, now
 
     def handle(self, now, events):
         self.now, self.actions = now, []
@@ -110,18 +102,11 @@
         if self.rows:
             self._weigh_tallies()
         if not self.upkeep:
-            self._keep_up()
+            self._tick(i.TimerDue(0))
         return self.actions
 
-    def _keep_up(self):
-        often = self.arrivals.span // (self.arrivals.total(self.now) + 1)  # once for a transaction
-        self.upkeep = max(UPKEEP, min(UPKEEP_MOST, often))
-        self.actions.append(SetTimer(self.now + self.upkeep, 0))
-
-    # The list of pods.
-
     def _listed(self, event):
-        if event.kind == MISSED:
+        if event.kind == i.MISSED:
             # The watch may have dropped; a call that fails at once must not become a storm of calls.
             self.watch_at = min(self.watch_at, self.now + int((1 + self.chance.draw()) * SECOND))
             return
@@ -134,7 +119,7 @@
             known.side = None
         build, self.sides = self.news.build if self.news else 0, {True: [], False: []}
         for known in self.pods.values():
-            if known.listed.condition == READY and known.listed.build <= build:
+            if known.listed.condition == i.READY and known.listed.build <= build:
                 known.side = known.listed.build == build
                 self.sides[known.side].append(known)
         self._draw(True)
@@ -173,19 +158,17 @@
             known.lot = self.now // span, self.chance.draw()
         return known.sent.total(self.now) + 1 <= part + known.lot[1]
 
-    # The new build.
-
     def _told(self, news):
         if news.answers_vote:
             self._vote_answered(news)
-        if news.outcome != DONE:
+        if news.outcome != i.DONE:
             return
         old, self.news = self.news, news
         if old is None or old.build != news.build:
             self._sort()
-            change = "offered" if news.phase == ON_TRIAL else "met"
+            change = "offered" if news.phase == i.ON_TRIAL else "met"
         elif old.phase != news.phase:
-            change = {ON_TRIAL: "offered", RELEASED: "released"}.get(news.phase, "fell")
+            change = {i.ON_TRIAL: "offered", i.RELEASED: "released"}.get(news.phase, "fell")
         else:
             change = "moved" if old.stage != news.stage else None
         self.build, effect = BUILD.get((self.build, change), BUILD.get((ANY, change), (self.build, None)))
@@ -196,9 +179,7 @@
         if self.build == FALLEN:
             self.pins = {key: build for key, build in self.pins.items() if build != self.news.build}
         self.places, self.ramp, self.tried = len(self.sides[False]), float(self.build == USUAL), {}
-        self.usual, self.all_slow, self.ill_since = None, 0.0, None
-        self.sums, self.by_pod = {}, {}
-        self._settle()
+        self.usual, self.all_slow, self.ill_since, self.sums, self.by_pod = None, 0.0, None, {}, {}
         self._go_on()
 
     def _go_on(self):
@@ -210,13 +191,11 @@
 
     def _climb(self):
         """The ramp of the design: it climbs to what the trial's ready pods can carry, and does not fall."""
-        news = self.news
-        if news is None or news.phase not in (ON_TRIAL, RELEASED):
-            return
-        part = self.room[True] / (sum(self.room.values()) or 1.0)
-        target = min(RAMP_SHARE * news.cap, part) if news.phase == ON_TRIAL else 1.0
-        step = target * (self.now - self.ramped) / RAMP_TIME
-        self.ramp, self.ramped = max(self.ramp, min(target, self.ramp + step)), self.now
+        if self.news and self.news.phase in (i.ON_TRIAL, i.RELEASED):
+            part = self.room[True] / (sum(self.room.values()) or 1.0)
+            target = min(RAMP_SHARE * self.news.cap, part) if self.news.phase == i.ON_TRIAL else 1.0
+            step = target * (self.now - self.ramped) / RAMP_TIME
+            self.ramp, self.ramped = max(self.ramp, min(target, self.ramp + step)), self.now
 
     def _ring(self, rings, lane):
         counted_as = lane.name if self.terms.by_lane else ""
@@ -225,45 +204,42 @@
     def _may_try(self, lane):
         """Rule 5, also for windows still to come: the later parts of this one must carry themselves."""
         news = self.news
-        guarded = news.phase == ON_TRIAL and news.stage < self.terms.guarded_stages
-        if news.phase == RELEASED or (guarded and lane.effect != RETRIABLE):
-            return news.phase == RELEASED
+        guarded = news.phase == i.ON_TRIAL and news.stage < self.terms.guarded_stages
+        if news.phase == i.RELEASED or (guarded and lane.effect != i.RETRIABLE):
+            return news.phase == i.RELEASED
         taken, tried, free = self._ring(self.taken, lane), self._ring(self.tried, lane), self.terms.allowance
         return news.cap > 0 and all(tried.total(self.now, False, back) + 1
                                     <= free + news.cap * taken.total(self.now, True, back)
                                     for back in (120, 90, 60, 30))
 
-    # The test.
-
     def _judge(self, tx, known, outcome, latency):
-        """Books an outcome with the build that it tells of."""
-        if self.news is None or outcome in (FULL, RECALLED, UNSENT):
+        if self.news is None or outcome in (i.FULL, i.RECALLED, i.UNSENT):
             return
         share, build = known.share(self.now, self.terms), known.listed.build
         cell = tx.lane.name, known.listed.machine
         mark, settled = self.marks.get(cell, (2.0 * latency, 0))
-        failed, slow = outcome != DONE, outcome == EXPIRED or (outcome == DONE and latency * share > mark)
+        failed = outcome != i.DONE
+        slow = outcome == i.EXPIRED or (not failed and latency * share > mark)
         judging = self.build in (TRIAL, FREED)
         if judging and share == 1.0:
             self._judge_all(cell, outcome, latency)
         if build < self.news.build or not judging:
-            if share == 1.0 and outcome in (DONE, EXPIRED):
+            if share == 1.0 and outcome in (i.DONE, i.EXPIRED):
                 # The mark follows the latency that one answer in ten exceeds, quickly at first.
                 shift = (SLOW_QUANTILE if slow else SLOW_QUANTILE - 1) * max(0.05, 1 / (2 + 0.2 * settled))
                 self.marks[cell] = mark * (1 + shift), settled + 1
             for what, amount in (("all", 1), ("failed", failed), ("slow", slow)):
                 self.earlier[what].add(self.now, amount)
         elif build == self.news.build:
-            compared = self._compare() and self.news.phase == ON_TRIAL
+            compared = self._compare() and self.news.phase == i.ON_TRIAL
             # A cold pod's time-outs prove nothing of the build, nor does a failure of the way to it with no
             # earlier pod to show that the way is sound. One key that fails again and again is one failure.
-            if ((outcome == EXPIRED and share < 1.0) or (failed and tx.key in self.bad_keys)
-                    or (outcome not in (DONE, ERROR) and not compared)):
+            if ((outcome == i.EXPIRED and share < 1.0) or (failed and tx.key in self.bad_keys)
+                    or (outcome not in (i.DONE, i.ERROR) and not compared)):
                 return
-            if failed:
-                self.bad_keys.add(tx.key)
+            self.bad_keys.update([tx.key] if failed else [])
             self.seen += 1
-            self._add("failed", failed, None if outcome in (DONE, ERROR) else known.listed.address)
+            self._add("failed", failed, None if outcome in (i.DONE, i.ERROR) else known.listed.address)
             # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on it.
             if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
                 self._add("slow", slow, known.listed.address)
@@ -285,16 +261,14 @@
     def _add(self, what, bad, pod=None):
         step = self._weight(what, bad, self.p0[what])
         if pod:
-            # A single machine may be ill by itself: alone it proves nothing of the build. And slow answers
-            # come in swarms, from one queue: a second of them is one piece of evidence.
-            bound, had = ONE_POD * self.back_at[what], self.by_pod.get((what, pod), 0.0)
-            if self.swarm[0] != self.now // SECOND:
-                self.swarm = self.now // SECOND, ONE_SECOND * self.back_at["slow"]
-            room = min(bound - had, self.swarm[1] if what == "slow" else bound)
-            step = max(min(step, room), -bound - had)
+            # A single machine may be ill by itself. Slow answers come in swarms: a second is one evidence.
+            had, second = self.by_pod.get((what, pod), 0.0), self.now // SECOND
+            bound, room = ONE_POD * self.back_at[what], self.back_at[what]
+            if what == "slow":
+                room = self.swarm[1] if self.swarm[0] == second else ONE_SECOND * self.back_at[what]
+            step = max(min(step, bound - had, room), -bound - had)
             self.by_pod[what, pod] = had + step
-            if what == "slow" and bad:
-                self.swarm = self.swarm[0], self.swarm[1] - step
+            self.swarm = (second, room - max(0.0, step)) if what == "slow" else self.swarm
         self._book(what, step)
 
     def _book(self, what, step):
@@ -309,30 +283,31 @@
             self.rows.append(event)
 
     def _weigh_tallies(self):
-        """What the platform counted is evidence too: a quiet instance sees one outcome of the trial in ten
-        seconds. A period, all lanes together, is one piece of evidence, like a second of slow answers."""
+        """What the platform counted is evidence where the quiet see too little; a period is one piece."""
         rows, self.rows = self.rows, []
         if self.build not in (TRIAL, FREED):
             return
         earlier = {row.lane: row for row in rows if row.build < self.news.build}
         seen = sum(row.deliveries for row in earlier.values())
-        pods, at = self.sides[True], self.now - rows[0].age - SECOND
-        warmth = sum(known.listed.size * known.share(at, self.terms) for known in pods)
-        warmth /= sum(known.listed.size for known in pods) or 1.0
+        at, trial = self.now - rows[0].age - SECOND, self.sides[True]
+        sizes = sum(known.listed.size for known in trial) or 1.0
+        warmth = sum(known.listed.size * known.share(at, self.terms) for known in trial) / sizes
         if warmth < WARM_ENOUGH or (seen < 2 * BASELINE and self.build == TRIAL):
             return
         # Cold pods fail more. After a release half of the machines leave, and the rest is pushed for a while.
         rate = min(0.6, sum(row.failed for row in earlier.values()) / seen) if seen >= 2 * BASELINE else 0.0
         p0 = max(P0_FLOOR["failed"], rate) + COLD_FAILS * (1 - warmth) + FREED_FAILS * (self.build == FREED)
         steps = {"failed": 0.0, "slow": 0.0}
-        for row in (row for row in rows if row.build == self.news.build):
+        bad, good = (self._weight("failed", failed, p0) for failed in (True, False))
+        for row in rows:
             done, base = row.deliveries - row.failed, earlier.get(row.lane)
-            self.seen += row.deliveries
-            steps["failed"] += (row.failed * self._weight("failed", True, p0)
-                                + done * self._weight("failed", False, p0))
-            if base and done and base.latency and base.deliveries - base.failed >= BASELINE:
-                count = 1 / (1 / done + 1 / (base.deliveries - base.failed))
-                steps["slow"] += count * (min(TIMES_MOST, row.latency * warmth / base.latency) - TIMES) / 2
+            if row.build == self.news.build:
+                self.seen += row.deliveries
+                steps["failed"] += row.failed * bad + done * good
+                if base and done and base.latency and base.deliveries - base.failed >= BASELINE:
+                    count = 1 / (1 / done + 1 / (base.deliveries - base.failed))
+                    times = min(TIMES_MOST, row.latency * warmth / base.latency)
+                    steps["slow"] += count * (times - TIMES) / 2
         for what, step in steps.items():
             self._book(what, min(step, ONE_SECOND * self.back_at[what]))
 
@@ -343,7 +318,7 @@
         if seen < MATURE:
             return
         busier = self._busier()
-        slow = outcome == EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
+        slow = outcome == i.EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
         bound, step = self.back_at["slow"], self._weight("all", slow, P0_FLOOR["slow"])
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
@@ -371,21 +346,19 @@
             blamed = self.now >= self.ill_since + ILL_FOR[self.terms.replaces]
             part = max(part, 1.1 if blamed and self.all_slow > self.back_at["slow"] else 1.0)
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
-        if self.saying_back or news.phase != ON_TRIAL:
-            return BACK if self.saying_back and news.phase in (ON_TRIAL, RELEASED) else NO_VOTE
-        if self.terms.decided_by == BY_CLOCK or part > HOLD_PART:
-            return HOLD if self.terms.decided_by == BY_CLOCK and part > HOLD_PART else NO_VOTE
-        # A list that lags hides the pods to judge and, with machines replaced, the only ones there will be.
-        # Hundreds of votes for on at once would be turned away: they are spread about the due time.
+        if self.saying_back or news.phase != i.ON_TRIAL:
+            return i.BACK if self.saying_back and news.phase in (i.ON_TRIAL, i.RELEASED) else i.NO_VOTE
+        if self.terms.decided_by == i.BY_CLOCK or part > HOLD_PART:
+            return i.HOLD if self.terms.decided_by == i.BY_CLOCK and part > HOLD_PART else i.NO_VOTE
+        # A list that lags hides the pods to judge. Hundreds of votes at once would be turned away.
         started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
         due = max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
         if len(started) < due or self.now < max(started) + AFTER_START + self.offset:
-            return NO_VOTE
-        # A quiet instance never sees enough: with too little against the build to hold it, it says on after a
-        # while, sooner if there is nothing at all. One chance failure would else bar it for minutes.
+            return i.NO_VOTE
+        # A quiet instance never sees enough: with too little to hold the build it says on after a while.
         wait = QUIET_FOR if self.sums["failed"] <= 0 else 2 * QUIET_FOR
         enough = max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES
-        return ON if enough or self.now >= self.clear_since + wait + self.offset else NO_VOTE
+        return i.ON if enough or self.now >= self.clear_since + wait + self.offset else i.NO_VOTE
 
     def _cast(self):
         """Casts, renews and withdraws the vote; an unanswered one is asked again."""
@@ -394,26 +367,24 @@
         wanted = (self.news.build, self.news.stage, self._verdict())
         age, vote = self.now - self.vote_at, self.vote
         stands = vote is not None and age < self.terms.vote_life
-        if wanted[2] == NO_VOTE:
-            if not stands or vote[0] != wanted[0] or (vote[2] == ON and vote[1] != wanted[1]):
+        if wanted[2] == i.NO_VOTE:
+            if not stands or vote[0] != wanted[0] or (vote[2] == i.ON and vote[1] != wanted[1]):
                 return
         elif stands and vote == wanted and age < self.renew:
             return
-        if self.asked != wanted and wanted[2] in (HOLD, BACK):
-            self.actions.append(Note("vote {2} on build {0} stage {1}: ".format(*wanted) + "".join(
+        if self.asked != wanted and wanted[2] in (i.HOLD, i.BACK):
+            self.actions.append(i.Note("vote {2} on build {0} stage {1}: ".format(*wanted) + "".join(
                 f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}, " for what in self.sums)
                 + f"all slow {self.all_slow:+.1f}, {self.seen} seen"))
         self.asked, self.ask_at = wanted, self.now + self.terms.vote_wait + SECOND // 10
-        self.actions.append(Vote(*wanted))
+        self.actions.append(i.Vote(*wanted))
 
     def _vote_answered(self, news):
         # What was turned away or got no answer is asked again, not in step with the others.
-        pause = 0 if news.outcome == DONE else SECOND // 5 + int(self.chance.draw() * self.turn_of_all)
-        self.ask_at = self.now + max(pause, SECOND if news.outcome == UNSENT else UPKEEP)
-        if news.outcome == DONE and self.asked:
-            self.vote, self.vote_at = (None if self.asked[2] == NO_VOTE else self.asked), self.now
-
-    # A transaction's life.
+        pause = 0 if news.outcome == i.DONE else SECOND // 5 + int(self.chance.draw() * self.turn_of_all)
+        self.ask_at = self.now + max(pause, SECOND if news.outcome == i.UNSENT else UPKEEP)
+        if news.outcome == i.DONE and self.asked:
+            self.vote, self.vote_at = (None if self.asked[2] == i.NO_VOTE else self.asked), self.now
 
     def _step(self, tx, what):
         tx.state, effect = LIFE.get((tx.state, what), (tx.state, None))
@@ -458,12 +429,11 @@
         if news is None or len(tx.sent) >= self.terms.max_deliveries or self.now >= tx.ends:
             return False
         pinned = self.pins.get(tx.key, 0) if self.terms.keys_stay else 0
-        below = position(tx.key) < self.ramp and news.phase in (ON_TRIAL, RELEASED)
-        # Off the ordinary path: another try, a key that failed there, and a hot one, that would flood the
-        # trial's pods and eat the counter of all others, leave the trial alone.
+        below = position(tx.key) < self.ramp and news.phase in (i.ON_TRIAL, i.RELEASED)
+        # Off the ordinary path: another try, a key that failed there, a hot one that would flood the trial.
         seen = self.keys.get(tx.key, 0)
         hot = seen >= HOT_LEAST and seen >= HOT_SHARE * sum(self.keys.values())
-        astray = news.phase == ON_TRIAL and (tx.sent or tx.key in self.bad_keys or hot)
+        astray = news.phase == i.ON_TRIAL and (tx.sent or tx.key in self.bad_keys or hot)
         order = (True, False) if below and not astray else (False, True)
         for new in (True,) if pinned >= news.build else order:
             known = self._choose(tx, new, pinned) if not new or self._may_try(tx.lane) else None
@@ -496,8 +466,7 @@
         if self.terms.balancers < CROWD * len(self.sides[new]):
             near = [known for cost, known in found if cost <= best * 1.15]
             return near[self.turn % len(near)]
-        # One of hundreds sees next to nothing of what the others have out. If each took the cheapest pod, all
-        # would meet there; by lot, each pod gets its part.
+        # Hundreds that see nothing of each other would meet at the cheapest: by lot, each pod gets its part.
         return found[self.chance.pick([1 / cost for cost, _ in found])][1]
 
     def _cost(self, known):
@@ -506,9 +475,9 @@
     def _same_group(self, tx, pod):
         """Rule 2: what may have run goes again only to pods that would drop the repeat."""
         suspect, group = tx.suspect(), tx.lane.group
-        if suspect is None or tx.lane.effect == RETRIABLE or group == GROUP_ALL:
+        if suspect is None or tx.lane.effect == i.RETRIABLE or group == i.GROUP_ALL:
             return True
-        return pod.zone == suspect.pod.zone and (group != GROUP_CELL or pod.cell == suspect.pod.cell)
+        return pod.zone == suspect.pod.zone and (group != i.GROUP_CELL or pod.cell == suspect.pod.cell)
 
     def _deliver(self, tx, known, new):
         if new:
@@ -516,23 +485,21 @@
         known.out += 1
         known.sent.add(self.now)
         tx.sent.append(Delivery(known, self.now))
-        left = tx.ends - self.now
-        if tx.lane.late_earnings == 0 and self.now < tx.goal:
-            left = min(left, tx.goal - self.now)
-        self.actions.append(Deliver(tx.id, known.listed.address, max(1, left)))
-        if len(tx.sent) == 1 and self.terms.second_copies and tx.lane.effect == RETRIABLE:
+        worthless = tx.lane.late_earnings == 0 and self.now < tx.goal
+        left = min(tx.ends, tx.goal if worthless else tx.ends) - self.now
+        self.actions.append(i.Deliver(tx.id, known.listed.address, max(1, left)))
+        if len(tx.sent) == 1 and self.terms.second_copies and tx.lane.effect == i.RETRIABLE:
             goal, self.tokens = tx.lane.latency_goal, self.tokens + 1
             wait = max(COPY_AFTER[0] * self.means.get(tx.lane.name, goal), COPY_AFTER[1] * goal)
             self.due[self.tokens] = tx.id
-            self.actions.append(SetTimer(self.now + int(wait), self.tokens))
+            self.actions.append(i.SetTimer(self.now + int(wait), self.tokens))
 
     def _may(self, tx, defer):
         """Rule 2: whether a deferral, or else another delivery, is allowed now."""
         suspect = tx.suspect()
-        if suspect is None or tx.lane.effect == RETRIABLE:
-            return True
-        return (tx.lane.effect == FINGERPRINTED and self.now < suspect.at + tx.lane.window
-                and (tx.lane.group == GROUP_ALL or not defer))
+        return (suspect is None or tx.lane.effect == i.RETRIABLE
+                or (tx.lane.effect == i.FINGERPRINTED and self.now < suspect.at + tx.lane.window
+                    and (tx.lane.group == i.GROUP_ALL or not defer)))
 
     def _in_time(self, tx):
         return self.now + self.means.get(tx.lane.name, 0) < min(tx.goal, tx.ends)
@@ -556,12 +523,12 @@
     def _turn_away(self, tx):
         """The final answer, at once: sitting on it would only keep the client from trying again."""
         wait = min(self.terms.max_retry_after, tx.lane.latency_goal // 2) if self.terms.retry_after else 0
-        self.actions.append(Defer(tx.id, wait) if self._may(tx, True) else Abandon(tx.id))
+        self.actions.append(i.Defer(tx.id, wait) if self._may(tx, True) else i.Abandon(tx.id))
         self._close(tx)
 
     def _close(self, tx):
         if self.terms.may_recall and not tx.streams:
-            self.actions += [Recall(tx.id, number) for number, delivery in enumerate(tx.sent) if delivery.out]
+            self.actions += [i.Recall(tx.id, at) for at, delivery in enumerate(tx.sent) if delivery.out]
         self._forget(tx)
 
     def _forget(self, tx):
@@ -576,24 +543,25 @@
         delivery.out, delivery.perhaps = False, proof != "unrun"
         delivery.known.out -= 1
         self._learn(tx, delivery.known, event)
-        if event.outcome == DONE and self.terms.keys_stay:
+        if event.outcome == i.DONE and self.terms.keys_stay:
             self.pins[tx.key] = max(self.pins.get(tx.key, 0), delivery.pod.build)
         self._step(tx, "answered" if event.closed else proof)
 
     def _learn(self, tx, known, event):
         self._judge(tx, known, event.outcome, event.latency)
-        if event.load and UTILISATION in self.terms.reports:
-            known.load = event.load[self.terms.reports.index(UTILISATION)]
-        if event.outcome in (RECALLED, UNSENT):
+        if event.load and i.UTILISATION in self.terms.reports:
+            load = event.load[self.terms.reports.index(i.UTILISATION)]
+            known.load = load if 0 <= load <= 2 else known.load  # an absurd report is none
+        if event.outcome in (i.RECALLED, i.UNSENT):
             return
-        # One turned away says that the queue is full; a time cut off by a client's short patience, nothing.
-        times = 2.0 if event.outcome == FULL else event.latency / tx.lane.latency_goal
-        if event.outcome in (DONE, FULL) or (event.outcome == EXPIRED and times >= 0.99):
+        # Turned away: the queue is full. A client's short patience says nothing.
+        times = 2.0 if event.outcome == i.FULL else event.latency / tx.lane.latency_goal
+        if event.outcome in (i.DONE, i.FULL) or (event.outcome == i.EXPIRED and times >= 0.99):
             gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
             self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
-        gain = 0.5 if event.outcome == UNCONNECTED else 0.1
-        known.fails += gain * ((event.outcome != DONE) - known.fails)
-        if event.outcome == DONE:
+        gain = 0.5 if event.outcome == i.UNCONNECTED else 0.1
+        known.fails += gain * ((event.outcome != i.DONE) - known.fails)
+        if event.outcome == i.DONE:
             lane, share = tx.lane, known.share(self.now, self.terms)
             self.answers.add(self.now, GOAL_PART * lane.latency_goal)
             mean = self.means.get(lane.name, event.latency)
@@ -604,13 +572,10 @@
             known.heard = self.now
             self.served.add(self.now, share == 1.0)
 
-    def _leave(self, event):
-        if event.id in self.open:
-            self._step(self.open[event.id], "left")
-
-    def _stream(self, event):
+    def _follow(self, event):
         if event.id in self.open:
-            self.open[event.id].streams = True
+            self.open[event.id].streams |= type(event) is i.StreamBegan
+            self._step(self.open[event.id], "left" if type(event) is i.ClientLeft else "streams")
 
     def _complain(self, event):
         """A client found an answer wrong: what was booked as a success is a failure."""
@@ -622,18 +587,19 @@
         if event.token:
             tx = self.open.get(self.due.pop(event.token, None))
             return self._step(tx, "slow") if tx else None
-        passed = self.upkeep
-        self._keep_up()
+        passed, often = self.upkeep, self.arrivals.span // (self.arrivals.total(self.now) + 1)
+        self.upkeep = max(UPKEEP, min(UPKEEP_MOST, often))  # once for a transaction
+        self.actions.append(i.SetTimer(self.now + self.upkeep, 0))
         self._settle()
         self._climb()
         self._cast()
         if self.now >= self.exchange_at:
             self.exchange_at = self.now + EXCHANGE
-            for new, drawn in self.drawn.items():
-                self._draw(new, max(drawn, key=self._cost, default=None))
+            for new in self.drawn:
+                self._draw(new, max(self.drawn[new], key=self._cost, default=None))
         if self.terms.subscribes and self.now >= self.watch_at:
             self.watch_at = self.now + self.terms.ask_within // 2
-            self.actions.append(Subscribe(True))
+            self.actions.append(i.Subscribe(True))
         if self.now <= self.warm_at:
             self._measure()
         # A mean, as peaks of hundreds do not add up; one that overload does not pull down quickly.
@@ -643,6 +609,5 @@
         if self.now >= self.keys_at + 2 * SECOND:
             self.keys_at, self.keys = self.now, {key: n / 2 for key, n in self.keys.items() if n > 0.5}
 
-    # What is not here needs no answer: nothing is probed or told.
-    EVENTS = {PodList: _listed, News: _told, Taken: _take, Ended: _end, ClientLeft: _leave, TimerDue: _tick,
-              StreamBegan: _stream, Complaint: _complain, Tally: _tallied}
+    EVENTS = {i.PodList: _listed, i.News: _told, i.Taken: _take, i.Ended: _end, i.ClientLeft: _follow,
+              i.StreamBegan: _follow, i.TimerDue: _tick, i.Complaint: _complain, i.Tally: _tallied}
