Deferrals count as slowness of all, unless they or the traffic explain themselves

Cause: a build that slows all fills the limit on open work; what is deferred then has no answer that could be slow, so the test against what was usual saw little of it, least of all right after a restart. What is turned away for want of room now counts as a slow outcome, unless over 5% were deferred before the offer or the traffic is over 1.5 times the usual. Else it should catch: any build that starves the fleet. Harm: pods lost during a trial for another reason.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -123,7 +123,7 @@
 
     def test_slowness_of_all_builds_holds_then_sends_back(self):
         made = balancer(told=news())
-        made.usual = USUAL, 50.0
+        made.usual = USUAL, 50.0, 0.0
         judged(made, i.DONE, "old-1", 60, latency=5000, lanes=("read", "pay"))
         self.assertEqual(made._verdict(), i.NO_VOTE)
         made.ramp = 0.3
@@ -144,7 +144,7 @@
 
     def test_a_build_with_little_traffic_is_held_for_it_only(self):
         made = balancer(told=news())
-        made.usual = USUAL, 50.0
+        made.usual = USUAL, 50.0, 0.0
         judged(made, i.DONE, "old-1", 60, latency=5000, lanes=("read", "pay"))
         made.now += 5 * SECOND
         judged(made, i.DONE, "old-1", 1, latency=5000)
@@ -152,7 +152,7 @@
 
     def test_more_traffic_excuses_slowness_of_all(self):
         made = balancer(told=news())
-        made.usual = USUAL, 10.0
+        made.usual = USUAL, 10.0, 0.0
         made.arrivals.add(NOW, 100)
         judged(made, i.DONE, "old-1", 60, latency=5000, lanes=("read", "pay"))
         self.assertIsNone(made.ill_since)
@@ -161,7 +161,7 @@
 
     def test_a_quiet_instance_does_not_take_chance_for_usual(self):
         made = balancer(told=news())
-        made.usual = {("read", "std"): (500, 19)}, 50.0
+        made.usual = {("read", "std"): (500, 19)}, 50.0, 0.0
         judged(made, i.DONE, "old-1", 60, latency=5000)
         self.assertIsNone(made.ill_since)
 
@@ -181,6 +181,13 @@
         made._settle()
         self.assertIsNotNone(made.usual)
 
+    def test_deferrals_that_hide_slowness_count_as_slow(self):
+        for usually_deferred, told in ((0.0, True), (0.5, False)):
+            made = balancer(pod("a", condition=i.DRAINING), told=news())
+            made.usual, made.ramp = (USUAL, 50.0, usually_deferred), 0.3
+            made.handle(NOW, [taken(str(n)) for n in range(20)])
+            self.assertEqual(made.ill_since is not None, told)
+
     def test_a_storm_of_errors_at_both_builds_is_not_the_new_ones(self):
         made = balancer(told=news())
         for later in range(6):
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -25,7 +25,7 @@
 # Slowness of all builds may pass by itself: so long before one is blamed; longer with machines replaced.
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
 BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
-LOUD, SETTLED, MATURE = 15, 3 * SECOND, 20  # transactions a second, age, outcomes that tell what is usual
+LOUD, SETTLED, MATURE, USUAL_SHED = 15, 3 * SECOND, 20, 0.05  # rate, age, outcomes, deferrals: the usual
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
 UPKEEP, UPKEEP_MOST, EXCHANGE = SECOND // 20, SECOND // 4, 4 * SECOND  # the second with hardly any traffic
 DRAWN, LOOK, CROWD = 6, 24, 0.75  # pods in use at least; looked at; sidecars a pod that make a crowd
@@ -77,7 +77,8 @@
         self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
         self.most = [min(most, 1 + most * FEW / terms.balancers) for most in (20.0, 5.0)]  # it adds up
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
-        self.arrivals, self.pressure, self.pressed_at = Ring(8 * SECOND, 16), 0.0, now
+        self.arrivals, self.shed = Ring(8 * SECOND, 16), Ring(8 * SECOND, 16)
+        self.pressure, self.pressed_at = 0.0, now
         self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
@@ -315,9 +316,9 @@
         """A build can slow the earlier one in step with itself: all outcomes are tested against those before
         the offer. More traffic excuses longer times, but clients that repeat are more traffic too."""
         mark, seen = self.usual[0].get(cell, (0, 0)) if self.usual else (0, 0)
-        if seen < MATURE:
+        busier, deferred = self._busier(), cell is None and self.usual
+        if (self.usual[2] > USUAL_SHED or busier > BUSIER) if deferred else seen < MATURE:
             return
-        busier = self._busier()
         slow = outcome == i.EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
         bound, step = self.back_at["slow"], self._weight("all", slow, P0_FLOOR["slow"])
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
@@ -335,9 +336,10 @@
     def _settle(self):
         """Keeps what was usual before the build came, or at first, for an instance that started later."""
         age = self.now - (self.now if self.born is None else self.born)
-        rate = self.arrivals.total(self.now) * SECOND / min(8 * SECOND, age + 1)
+        taken = self.arrivals.total(self.now)
+        rate = taken * SECOND / min(8 * SECOND, age + 1)
         if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
-            self.usual = dict(self.marks), rate
+            self.usual = dict(self.marks), rate, self.shed.total(self.now) / taken
 
     def _verdict(self):
         news, part = self.news, self.doubt
@@ -409,6 +411,8 @@
         chance = (GOAL_PART * self._lane_part(tx.lane) / self.pressure) ** 2 if quiet else 1.0
         taken = len(self.open) <= self._limit_for(tx.lane) and self.chance.draw() <= max(LEAST_TAKEN, chance)
         if not taken or not self._send(tx):
+            self.shed.add(self.now)
+            self._judge_all(None, i.EXPIRED, 0)  # limits would hide slowness of all
             self._step(tx, "given up")
 
     def _limit_for(self, lane):
