Unreachable pods passed over again; a period of tallies is weighed whole; one recent failure tells the quiet of a storm

Causes: without shunning, drawn pods that refuse connections were tried on and on; rows of one period arrive in several batches and were weighed in pieces, each against its own few rows; a quiet sidecar in a storm of errors had too few earlier outcomes to call it one. One period now adds 0.6 of the bound; the earlier build's rate of the last 2 s counts from one outcome on (of two at least).

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -18,7 +18,7 @@
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
-HOLD_PART, ONE_POD, ONE_SECOND = 0.5, 0.45, 0.5  # of the back bound: holds a build; a pod, a second may add
+HOLD_PART, ONE_POD, ONE_SECOND, ONE_PERIOD = 0.5, 0.45, 0.5, 0.6  # of the back bound: hold; what may add
 COLD_FAILS, FREED_FAILS = 0.3, 0.1  # what tallies may show failing: at a pod without warmth, by a release
 TIMES, TIMES_MOST = 1.5, 3.0    # the earlier build's mean time: evidence from the first to the second
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
@@ -27,6 +27,7 @@
 BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
 LOUD, SETTLED, MATURE, USUAL_SHED = 15, 3 * SECOND, 20, 0.05  # rate, age, outcomes, deferrals: the usual
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
+SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND  # an unreachable pod is passed over: at first, at most
 UPKEEP, UPKEEP_MOST, EXCHANGE = SECOND // 20, SECOND // 4, 4 * SECOND  # the second with hardly any traffic
 DRAWN, LOOK, CROWD = 6, 24, 0.75  # pods in use at least; looked at; sidecars a pod that make a crowd
 COLD_PART, COLD_LEAST = 0.5, 4  # of what would push a cold pod over, what all instances use; and deliveries
@@ -92,7 +93,7 @@
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         self.usual, self.all_slow, self.ill_since, self.sums, self.by_pod = None, 0.0, None, {}, {}
-        self.rows, self.vote, self.vote_at, self.asked, self.ask_at = [], None, 0, None, now
+        self.vote, self.vote_at, self.asked, self.ask_at, self.rows, self.rows_at = None, 0, None, now, [], 0
         self._go_on()
 
     def handle(self, now, events):
@@ -100,8 +101,6 @@
         for event in events:
             if type(event) in self.EVENTS:
                 self.EVENTS[type(event)](self, event)
-        if self.rows:
-            self._weigh_tallies()
         if not self.upkeep:
             self._tick(i.TimerDue(0))
         return self.actions
@@ -248,9 +247,10 @@
     def _compare(self):
         """Takes the earlier build's rates, the recent ones where higher: a storm of errors at both builds is
         not the new one's. Tells whether enough of the earlier outcomes are recent."""
-        for back, least in ((16, BASELINE), (4, 2 * BASELINE)):
+        for back, least in ((16, BASELINE), (4, 1)):
             seen = self.earlier["all"].total(self.now, False, back)
             for what, floor in P0_FLOOR.items() if seen >= least else ():
+                seen = max(seen, 2 * BASELINE if what == "slow" else 2)  # in a storm one failure tells the quiet
                 rate = max(floor, min(0.6, self.earlier[what].total(self.now, False, back) / seen))
                 self.p0[what] = rate if back == 16 else max(rate, self.p0[what])
         return self.earlier["all"].total(self.now, False, 4) >= BASELINE
@@ -280,8 +280,8 @@
             self.clear_since = self.now
 
     def _tallied(self, event):
-        if event.lane in self.terms.lanes and event.failed <= event.deliveries > 0:
-            self.rows.append(event)
+        self.rows_at = self.rows_at if self.rows else self.now
+        self.rows += [event] if event.lane in self.terms.lanes and event.failed <= event.deliveries > 0 else []
 
     def _weigh_tallies(self):
         """What the platform counted is evidence where the quiet see too little; a period is one piece."""
@@ -310,7 +310,7 @@
                     times = min(TIMES_MOST, row.latency * warmth / base.latency)
                     steps["slow"] += count * (times - TIMES) / 2
         for what, step in steps.items():
-            self._book(what, min(step, ONE_SECOND * self.back_at[what]))
+            self._book(what, min(step, ONE_PERIOD * self.back_at[what]))
 
     def _judge_all(self, cell, outcome, latency):
         """A build can slow the earlier one in step with itself: all outcomes are tested against those before
@@ -327,17 +327,15 @@
         elif self.all_slow > bound and (self.ill_since is None or self.ramp < BLAMED_FROM):
             self.ill_since = self.now
 
-    def _busier(self):
-        """The traffic of the last two seconds against that before the offer, chance allowed for."""
+    def _busier(self):  # the traffic of the last two seconds against the usual, chance allowed for
         span = 4 * self.arrivals.width + self.now % self.arrivals.width
         usual = self.usual[1] * span / SECOND if self.usual else 0
         return (self.arrivals.total(self.now, False, 4) - 3) / (usual + 1) if usual else 1.0
 
-    def _settle(self):
-        """Keeps what was usual before the build came, or at first, for an instance that started later."""
+    def _settle(self):  # what was usual before the build came or, for one that started later, at first
         age = self.now - (self.now if self.born is None else self.born)
         taken = self.arrivals.total(self.now)
-        rate = taken * SECOND / min(8 * SECOND, age + 1)
+        rate = taken * SECOND / min(self.arrivals.span, age + 1)
         if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
             self.usual = dict(self.marks), rate, self.shed.total(self.now) / taken
 
@@ -354,21 +352,20 @@
             return i.HOLD if self.terms.decided_by == i.BY_CLOCK and part > HOLD_PART else i.NO_VOTE
         # A list that lags hides the pods to judge. Hundreds of votes at once would be turned away.
         started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
-        due = max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
-        if len(started) < due or self.now < max(started) + AFTER_START + self.offset:
+        listed = len(started) >= max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
+        if not listed or self.now < max(started) + AFTER_START + self.offset:
             return i.NO_VOTE
         # A quiet instance never sees enough: with too little to hold the build it says on after a while.
-        wait = QUIET_FOR if self.sums["failed"] <= 0 else 2 * QUIET_FOR
+        wait = self.offset + QUIET_FOR * (1 if self.sums["failed"] <= 0 else 2)
         enough = max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES
-        return i.ON if enough or self.now >= self.clear_since + wait + self.offset else i.NO_VOTE
+        return i.ON if enough or self.now >= self.clear_since + wait else i.NO_VOTE
 
     def _cast(self):
         """Casts, renews and withdraws the vote; an unanswered one is asked again."""
         if self.news is None or self.now < self.ask_at:
             return
-        wanted = (self.news.build, self.news.stage, self._verdict())
-        age, vote = self.now - self.vote_at, self.vote
-        stands = vote is not None and age < self.terms.vote_life
+        wanted, age = (self.news.build, self.news.stage, self._verdict()), self.now - self.vote_at
+        vote, stands = self.vote, self.vote is not None and age < self.terms.vote_life
         if wanted[2] == i.NO_VOTE:
             if not stands or vote[0] != wanted[0] or (vote[2] == i.ON and vote[1] != wanted[1]):
                 return
@@ -383,8 +380,8 @@
 
     def _vote_answered(self, news):
         # What was turned away or got no answer is asked again, not in step with the others.
-        pause = 0 if news.outcome == i.DONE else SECOND // 5 + int(self.chance.draw() * self.turn_of_all)
-        self.ask_at = self.now + max(pause, SECOND if news.outcome == i.UNSENT else UPKEEP)
+        pause = SECOND // 5 + int(self.chance.draw() * self.turn_of_all)
+        self.ask_at = self.now + (UPKEEP if news.outcome == i.DONE else max(pause, SECOND))
         if news.outcome == i.DONE and self.asked:
             self.vote, self.vote_at = (None if self.asked[2] == i.NO_VOTE else self.asked), self.now
 
@@ -410,9 +407,10 @@
         quiet = self.arrivals.total(self.now) < 8 * LOUD and self.pressure > GOAL_PART
         chance = (GOAL_PART * self._lane_part(tx.lane) / self.pressure) ** 2 if quiet else 1.0
         taken = len(self.open) <= self._limit_for(tx.lane) and self.chance.draw() <= max(LEAST_TAKEN, chance)
-        if not taken or not self._send(tx):
+        if not taken:
             self.shed.add(self.now)
             self._judge_all(None, i.EXPIRED, 0)  # limits would hide slowness of all
+        if not taken or not self._send(tx):
             self._step(tx, "given up")
 
     def _limit_for(self, lane):
@@ -460,8 +458,8 @@
                 share, pod = known.share(self.now, self.terms), known.listed
                 if ((new or pod.build >= pinned) and self._same_group(tx, pod)
                         and (share == 1.0 or self._cold_room(known, share))):
-                    cost = self._cost(known) * (known.out + 1) / share
-                    found.append((cost + 1e6 * (pod.address in used), known))
+                    cost, avoid = self._cost(known) * (known.out + 1) / share, self.now < known.shunned
+                    found.append((cost + 1e6 * (avoid or pod.address in used), known))
             best = min((cost for cost, _ in found), default=1e6)
             if best < 1e6 or len(pool) == len(self.sides[new]):
                 break
@@ -554,8 +552,8 @@
     def _learn(self, tx, known, event):
         self._judge(tx, known, event.outcome, event.latency)
         if event.load and i.UTILISATION in self.terms.reports:
-            load = event.load[self.terms.reports.index(i.UTILISATION)]
-            known.load = load if 0 <= load <= 2 else known.load  # an absurd report is none
+            load = event.load[self.terms.reports.index(i.UTILISATION)]  # an absurd report is none
+            known.load = load if 0 <= load <= 2 else known.load
         if event.outcome in (i.RECALLED, i.UNSENT):
             return
         # Turned away: the queue is full. A client's short patience says nothing.
@@ -563,8 +561,10 @@
         if event.outcome in (i.DONE, i.FULL) or (event.outcome == i.EXPIRED and times >= 0.99):
             gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
             self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
-        gain = 0.5 if event.outcome == i.UNCONNECTED else 0.1
-        known.fails += gain * ((event.outcome != i.DONE) - known.fails)
+        known.fails += 0.1 * ((event.outcome != i.DONE) - known.fails)
+        if event.outcome == i.UNCONNECTED:
+            known.shun = min(SHUN_MOST, max(SHUN, 2 * known.shun))
+            known.shunned = self.now + known.shun
         if event.outcome == i.DONE:
             lane, share = tx.lane, known.share(self.now, self.terms)
             self.answers.add(self.now, GOAL_PART * lane.latency_goal)
@@ -573,7 +573,7 @@
             # The longer ago the last answer, the more the present one counts: the quiet know old things only.
             gain = min(0.5, 0.08 + 0.1 * (self.now - known.heard) / SECOND)
             known.pace += gain * (min(4.0, event.latency * share / self.means[lane.name]) - known.pace)
-            known.heard = self.now
+            known.heard, known.shun = self.now, 0
             self.served.add(self.now, share == 1.0)
 
     def _follow(self, event):
@@ -596,6 +596,8 @@
         self.actions.append(i.SetTimer(self.now + self.upkeep, 0))
         self._settle()
         self._climb()
+        if self.rows and self.now >= self.rows_at + UPKEEP_MOST:  # a period's rows do not come all at once
+            self._weigh_tallies()
         self._cast()
         if self.now >= self.exchange_at:
             self.exchange_at = self.now + EXCHANGE
