--- /dev/null
+++ b/tests/test_many.py
@@ -0,0 +1,138 @@
+"""Hundreds of quiet sidecars: sums of small parts, drawn pods, thin evidence."""
+
+import unittest
+
+from thymeknot import interface as i
+from thymeknot.balance import DRAWN, SECOND, UPKEEP_MOST
+
+from .helpers import NOW, balancer, ended, kinds, news, pod, sent, taken
+
+OLD = [pod(f"old-{n}") for n in range(40)]
+
+
+class DrawnPods(unittest.TestCase):
+    def test_a_quiet_instance_uses_few_and_exchanges_one(self):
+        made = balancer(*OLD)
+        before = {known.listed.address for known in made.drawn[True]}
+        made.exchange_at = made.now = NOW
+        made._tick(i.TimerDue(0))
+        after = {known.listed.address for known in made.drawn[True]}
+        self.assertEqual((len(before), len(after)), (DRAWN, DRAWN))
+        self.assertGreaterEqual(len(before & after), DRAWN - 1)
+
+    def test_hundreds_do_not_meet_at_the_largest(self):
+        pods = [one._replace(size=1.2 if n < 4 else 1.0) for n, one in enumerate(OLD)]
+        met = set()
+        for seed in range(60):
+            made = balancer(*pods, balancers=400)
+            made.chance.state = seed << 40
+            made._draw(True, made.drawn[True][0])
+            met.update(sent(made.handle(NOW, [taken()])))
+        self.assertGreater(len(met), 8)
+
+    def test_when_all_drawn_ones_are_gone_others_are_drawn(self):
+        made = balancer(*OLD)
+        gone = tuple(known.listed._replace(condition=i.GONE) for known in made.drawn[True])
+        made.handle(NOW, [i.PodList(i.CHANGES, gone)])
+        self.assertNotIn(sent(made.handle(NOW, [taken()]))[0], {one.address for one in gone})
+        made.handle(NOW, [i.PodList(i.CHANGES, tuple(one._replace(condition=i.DRAINING) for one in OLD))])
+        self.assertEqual(kinds(made.handle(NOW, [taken("t2")])), [i.Defer])
+
+    def test_when_all_drawn_ones_are_unreachable_others_are_drawn(self):
+        made = balancer(*OLD)
+        ill = {known.listed.address for known in made.drawn[True]}
+        for known in made.drawn[True]:
+            known.shunned = NOW + SECOND
+        self.assertNotIn(sent(made.handle(NOW, [taken()]))[0], ill)
+
+    def test_a_build_with_one_pod_is_used_also_when_it_drains_nothing_is(self):
+        made = balancer(*OLD, pod("new-1", 2), told=news(cap=1.0))
+        made.ramp = 1.0
+        self.assertEqual(sent(made.handle(NOW, [taken(key="k")])), ["new-1"])
+        made.handle(NOW, [ended(outcome=i.DONE, address="new-1", closed=True),
+                          i.PodList(i.CHANGES, (pod("new-1", 2, condition=i.DRAINING),))])
+        self.assertEqual(kinds(made.handle(NOW, [taken("t2", key="k")])), [i.Defer])
+
+    def test_after_a_restart_the_remembered_list_serves_until_a_whole_one_comes(self):
+        made = balancer(*OLD)
+        self.assertEqual(len(sent(made.handle(NOW, [taken()]))), 1)
+        made.handle(NOW, [i.PodList(i.WHOLE, (pod("other"),))])
+        self.assertEqual(sent(made.handle(NOW, [taken("t2")])), ["other"])
+
+    def test_an_absurd_load_report_is_none(self):
+        made = balancer(reports=(i.UTILISATION,))
+        address = sent(made.handle(NOW, [taken()]))[0]
+        made.handle(NOW, [ended(outcome=i.DONE, address=address, closed=True)._replace(load=(float("nan"),))])
+        self.assertEqual(made.pods[address].load, 0.0)
+
+
+class ThinEvidence(unittest.TestCase):
+    def tally(self, made, failed, latency=1000, times=1):
+        for _ in range(times):
+            made.handle(made.now, [i.Tally(1, "read", 100, 0, 1000, 0), i.Tally(2, "read", 40, failed, latency, 0)])
+            made.now += 2 * SECOND
+            made._tick(i.TimerDue(0))
+
+    def test_tallies_send_a_failing_build_back_but_one_period_does_not(self):
+        made = balancer(told=news(), balancers=400, votes_to_revert=100)
+        self.tally(made, 15)
+        self.assertNotEqual(made._verdict(), i.BACK)
+        self.tally(made, 15)
+        self.assertEqual(made._verdict(), i.BACK)
+
+    def test_tallies_send_a_slow_build_back_and_not_a_good_one(self):
+        for latency, back in ((3000, True), (1100, False)):
+            made = balancer(told=news(), balancers=400, votes_to_revert=100)
+            self.tally(made, 0, latency, times=3)
+            self.assertEqual(made._verdict() == i.BACK, back)
+
+    def test_tallies_of_cold_pods_prove_nothing(self):
+        made = balancer(pod("old-1"), pod("new-1", 2, started=NOW), told=news())
+        made.handle(NOW, [i.Tally(1, "read", 100, 0, 1000, 0), i.Tally(2, "read", 40, 20, 5000, 0)])
+        made._weigh_tallies()
+        self.assertLessEqual(max(made.sums.values()), 0)
+
+    def test_what_speaks_against_a_build_outlasts_the_stage(self):
+        made = balancer(told=news(stage=1))
+        made._add("failed", True)
+        against = made.sums["failed"]
+        made.handle(NOW, [news(stage=2)])
+        self.assertEqual(made.sums["failed"], against)
+
+    def test_more_that_must_err_together_may_err_more(self):
+        one, many = balancer(balancers=540), balancer(balancers=540, votes_to_revert=43)
+        self.assertGreater(one.back_at["failed"], 2 * many.back_at["failed"])
+
+    def test_one_recent_failure_of_the_earlier_build_tells_a_storm(self):
+        made = balancer(told=news())
+        made.earlier["all"].add(NOW, 1)
+        made.earlier["failed"].add(NOW, 1)
+        made._compare()
+        self.assertEqual(made.p0["failed"], 0.5)
+
+
+class SmallParts(unittest.TestCase):
+    def test_votes_for_on_are_spread_over_the_calls(self):
+        due = []
+        for seed in range(50):
+            made = balancer(balancers=400, votes_per_s=100.0)
+            made.chance.state = seed << 40
+            made.handle(NOW, [news()])
+            due.append(made.offset)
+        self.assertGreater(max(due) - min(due), 3 * SECOND)
+
+    def test_savings_of_hundreds_are_small(self):
+        self.assertLess(balancer(balancers=400).copies, 1)
+        self.assertGreater(balancer(balancers=4).copies, 1)
+
+    def test_slow_answers_defer_by_chance_where_there_is_too_little_open_to_count(self):
+        made = balancer(*OLD, balancers=400)
+        made.pressure = 1.5
+        deferred = sum(kinds(made.handle(NOW, [taken(str(n))])) == [i.Defer] for n in range(40))
+        self.assertTrue(20 < deferred < 40)
+
+    def test_upkeep_follows_the_traffic(self):
+        made = balancer()
+        made.arrivals.add(NOW, 500)
+        made._tick(i.TimerDue(0))
+        self.assertLess(made.upkeep, UPKEEP_MOST)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -250,7 +250,7 @@
         for back, least in ((16, BASELINE), (4, 1)):
             seen = self.earlier["all"].total(self.now, False, back)
             for what, floor in P0_FLOOR.items() if seen >= least else ():
-                seen = max(seen, 2 * BASELINE if what == "slow" else 2)  # in a storm one failure tells the quiet
+                seen = max(seen, 2 * BASELINE if what == "slow" else 2)  # in a storm one failure will do
                 rate = max(floor, min(0.6, self.earlier[what].total(self.now, False, back) / seen))
                 self.p0[what] = rate if back == 16 else max(rate, self.p0[what])
         return self.earlier["all"].total(self.now, False, 4) >= BASELINE
@@ -281,7 +281,8 @@
 
     def _tallied(self, event):
         self.rows_at = self.rows_at if self.rows else self.now
-        self.rows += [event] if event.lane in self.terms.lanes and event.failed <= event.deliveries > 0 else []
+        sound = event.lane in self.terms.lanes and event.failed <= event.deliveries > 0
+        self.rows += [event] if sound else []
 
     def _weigh_tallies(self):
         """What the platform counted is evidence where the quiet see too little; a period is one piece."""
@@ -417,7 +418,8 @@
         """Open work may be what answers come for within part of the goal (Little's law), so that a queue ends
         before the goal does; lanes that earn least go first. No answers yet are no sign of overload."""
         since = min(2 * SECOND, self.now - self.born)
-        limit = max(LIMIT_LEAST, self.answers.total(self.now) / since) if since > SECOND else 1000.0
+        least = max(3.0, LIMIT_LEAST * min(1.0, FEW / self.terms.balancers))  # it adds up, too
+        limit = max(least, self.answers.total(self.now) / since) if since > SECOND else 1000.0
         return limit * self._lane_part(lane)
 
     def _lane_part(self, lane):
