--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -264,9 +264,8 @@
         if pod:
             # A single machine may be ill by itself. Slow answers come in swarms: a second is one evidence.
             had, second = self.by_pod.get((what, pod), 0.0), self.now // SECOND
-            bound, room = ONE_POD * self.back_at[what], self.back_at[what]
-            if what == "slow":
-                room = self.swarm[1] if self.swarm[0] == second else ONE_SECOND * self.back_at[what]
+            bound, room = ONE_POD * self.back_at[what], ONE_SECOND * self.back_at[what]
+            room = self.swarm[1] if what == "slow" and self.swarm[0] == second else room
             step = max(min(step, bound - had, room), -bound - had)
             self.by_pod[what, pod] = had + step
             self.swarm = (second, room - max(0.0, step)) if what == "slow" else self.swarm
@@ -281,8 +280,8 @@
 
     def _tallied(self, event):
         self.rows_at = self.rows_at if self.rows else self.now
-        sound = event.lane in self.terms.lanes and event.failed <= event.deliveries > 0
-        self.rows += [event] if sound else []
+        if event.lane in self.terms.lanes and event.failed <= event.deliveries > 0:
+            self.rows.append(event)
 
     def _weigh_tallies(self):
         """What the platform counted is evidence where the quiet see too little; a period is one piece."""
@@ -334,10 +333,10 @@
         return (self.arrivals.total(self.now, False, 4) - 3) / (usual + 1) if usual else 1.0
 
     def _settle(self):  # what was usual before the build came or, for one that started later, at first
-        age = self.now - (self.now if self.born is None else self.born)
-        taken = self.arrivals.total(self.now)
+        age, taken = self.now - (self.born or self.now), self.arrivals.total(self.now)
         rate = taken * SECOND / min(self.arrivals.span, age + 1)
-        if self.build == TRIAL and self.usual is None and age >= SETTLED and rate >= LOUD:
+        loud = rate >= LOUD and self.terms.balancers < CROWD * self.places  # one of a crowd sees too small a part
+        if self.build == TRIAL and self.usual is None and age >= SETTLED and loud:
             self.usual = dict(self.marks), rate, self.shed.total(self.now) / taken
 
     def _verdict(self):
@@ -442,8 +441,7 @@
         for new in (True,) if pinned >= news.build else order:
             known = self._choose(tx, new, pinned) if not new or self._may_try(tx.lane) else None
             if known:
-                self._deliver(tx, known, new)
-                return True
+                return self._deliver(tx, known, new)
         return False
 
     def _choose(self, tx, new, pinned):
@@ -489,14 +487,15 @@
         known.out += 1
         known.sent.add(self.now)
         tx.sent.append(Delivery(known, self.now))
-        worthless = tx.lane.late_earnings == 0 and self.now < tx.goal
-        left = min(tx.ends, tx.goal if worthless else tx.ends) - self.now
+        late = tx.lane.late_earnings > 0 or self.now >= tx.goal
+        left = (tx.ends if late else min(tx.ends, tx.goal)) - self.now
         self.actions.append(i.Deliver(tx.id, known.listed.address, max(1, left)))
         if len(tx.sent) == 1 and self.terms.second_copies and tx.lane.effect == i.RETRIABLE:
             goal, self.tokens = tx.lane.latency_goal, self.tokens + 1
             wait = max(COPY_AFTER[0] * self.means.get(tx.lane.name, goal), COPY_AFTER[1] * goal)
             self.due[self.tokens] = tx.id
             self.actions.append(i.SetTimer(self.now + int(wait), self.tokens))
+        return True
 
     def _may(self, tx, defer):
         """Rule 2: whether a deferral, or else another delivery, is allowed now."""
@@ -586,13 +585,13 @@
     def _complain(self, event):
         """A client found an answer wrong: what was booked as a success is a failure."""
         known = self.pods.get(event.pod)
-        if known and self.build in (TRIAL, FREED) and known.listed.build == self.news.build:
+        if known and known.side and self.build in (TRIAL, FREED):
             self._add("failed", True)
 
     def _tick(self, event):
         if event.token:
             tx = self.open.get(self.due.pop(event.token, None))
-            return self._step(tx, "slow") if tx else None
+            return tx and self._step(tx, "slow")
         passed, often = self.upkeep, self.arrivals.span // (self.arrivals.total(self.now) + 1)
         self.upkeep = max(UPKEEP, min(UPKEEP_MOST, often))  # once for a transaction
         self.actions.append(i.SetTimer(self.now + self.upkeep, 0))
