--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -101,9 +101,7 @@
         for event in events:
             if type(event) in self.EVENTS:
                 self.EVENTS[type(event)](self, event)
-        if not self.upkeep:
-            self._tick(i.TimerDue(0))
-        return self.actions
+        return self.actions if self.upkeep else self._tick(i.TimerDue(0)) or self.actions
 
     def _listed(self, event):
         if event.kind == i.MISSED:
@@ -335,7 +333,7 @@
     def _settle(self):  # what was usual before the build came or, for one that started later, at first
         age, taken = self.now - (self.born or self.now), self.arrivals.total(self.now)
         rate = taken * SECOND / min(self.arrivals.span, age + 1)
-        loud = rate >= LOUD and self.terms.balancers < CROWD * self.places  # one of a crowd sees too small a part
+        loud = rate >= LOUD and self.terms.balancers < CROWD * self.places  # of a crowd, one sees little
         if self.build == TRIAL and self.usual is None and age >= SETTLED and loud:
             self.usual = dict(self.marks), rate, self.shed.total(self.now) / taken
 
