Errors of one pod alone prove nothing of the build where the trial has more than three; two such pods do

Cause: in a jhb incident a few pods answered half of what they got with errors, and where five of 85 sidecars send a build back, those that met one of them did. Errors count like lost deliveries now: one pod adds 0.55 of the bound. Harm: a build that fails on a single pod of many only is not sent back.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -87,6 +87,13 @@
         judged(made, i.DONE, "new-1", 60, latency=5000)
         self.assertNotEqual(made._verdict(), i.BACK)
 
+    def test_one_pod_of_many_that_errs_does_not_send_a_build_back_but_two_do(self):
+        made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
+        judged(made, i.ERROR, "new-0", 9)
+        self.assertNotEqual(made._verdict(), i.BACK)
+        judged(made, i.ERROR, "new-1", 9)
+        self.assertEqual(made._verdict(), i.BACK)
+
     def test_slow_pods_together_do_but_not_within_one_second(self):
         made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
         made.marks["read", "std"] = (500, 100)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -18,7 +18,8 @@
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
-HOLD_PART, ONE_POD, ONE_SECOND, ONE_PERIOD = 0.5, 0.45, 0.5, 0.6  # of the back bound: hold; what may add
+HOLD_PART, ONE_SECOND, ONE_PERIOD = 0.5, 0.5, 0.6  # of the back bound: holds; what slowness, tallies add
+ONE_POD, FEW_PODS = {"failed": 0.55, "slow": 0.45}, 3  # one pod adds so much; of so few, its errors in full
 COLD_FAILS, FREED_FAILS = 0.3, 0.1  # what tallies may show failing: at a pod without warmth, by a release
 TIMES, TIMES_MOST = 1.5, 3.0    # the earlier build's mean time: evidence from the first to the second
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
@@ -237,7 +238,8 @@
                 return
             self.bad_keys.update([tx.key] if failed else [])
             self.seen += 1
-            self._add("failed", failed, None if outcome in (i.DONE, i.ERROR) else known.listed.address)
+            alone = outcome in (i.DONE, i.ERROR) and len(self.sides[True]) <= FEW_PODS
+            self._add("failed", failed, None if alone else known.listed.address)
             # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on it.
             if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
                 self._add("slow", slow, known.listed.address)
@@ -262,8 +264,8 @@
         if pod:
             # A single machine may be ill by itself. Slow answers come in swarms: a second is one evidence.
             had, second = self.by_pod.get((what, pod), 0.0), self.now // SECOND
-            bound, room = ONE_POD * self.back_at[what], ONE_SECOND * self.back_at[what]
-            room = self.swarm[1] if what == "slow" and self.swarm[0] == second else room
+            bound, fresh = ONE_POD[what] * self.back_at[what], self.swarm[0] != second
+            room = bound if what == "failed" else ONE_SECOND * self.back_at[what] if fresh else self.swarm[1]
             step = max(min(step, bound - had, room), -bound - had)
             self.by_pod[what, pod] = had + step
             self.swarm = (second, room - max(0.0, step)) if what == "slow" else self.swarm
@@ -333,8 +335,8 @@
     def _settle(self):  # what was usual before the build came or, for one that started later, at first
         age, taken = self.now - (self.born or self.now), self.arrivals.total(self.now)
         rate = taken * SECOND / min(self.arrivals.span, age + 1)
-        loud = rate >= LOUD and self.terms.balancers < CROWD * self.places  # of a crowd, one sees little
-        if self.build == TRIAL and self.usual is None and age >= SETTLED and loud:
+        fit = age >= SETTLED and rate >= LOUD and self.terms.balancers < CROWD * self.places  # not in a crowd
+        if self.build == TRIAL and self.usual is None and fit:
             self.usual = dict(self.marks), rate, self.shed.total(self.now) / taken
 
     def _verdict(self):
@@ -485,9 +487,8 @@
         known.out += 1
         known.sent.add(self.now)
         tx.sent.append(Delivery(known, self.now))
-        late = tx.lane.late_earnings > 0 or self.now >= tx.goal
-        left = (tx.ends if late else min(tx.ends, tx.goal)) - self.now
-        self.actions.append(i.Deliver(tx.id, known.listed.address, max(1, left)))
+        ends = tx.ends if tx.lane.late_earnings > 0 or self.now >= tx.goal else min(tx.ends, tx.goal)
+        self.actions.append(i.Deliver(tx.id, known.listed.address, max(1, ends - self.now)))
         if len(tx.sent) == 1 and self.terms.second_copies and tx.lane.effect == i.RETRIABLE:
             goal, self.tokens = tx.lane.latency_goal, self.tokens + 1
             wait = max(COPY_AFTER[0] * self.means.get(tx.lane.name, goal), COPY_AFTER[1] * goal)
