After a release, what a sidecar itself finds unreachable is not the build's failure in a tally

Cause: with the earlier machines gone a tally has nothing to compare with, and one of refused connections sent a good build back. The rate is then what the sidecar itself could not reach or lost on the way. Else it should catch: resets of the network after a release. Harm: a build that drops connections is seen late.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -80,7 +80,7 @@
         self.most = [min(most, 1 + most * FEW / terms.balancers) for most in (20.0, 5.0)]  # it adds up
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
         self.arrivals, self.shed = Ring(8 * SECOND, 16), Ring(8 * SECOND, 16)
-        self.pressure, self.pressed_at = 0.0, now
+        self.pressure, self.pressed_at, self.lost = 0.0, now, 0.0
         self.served, self.warm_rate = Ring(4 * SECOND, 8), 0.0
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
@@ -290,16 +290,16 @@
             return
         earlier = {row.lane: row for row in rows if row.build < self.news.build}
         seen = sum(row.deliveries for row in earlier.values())
-        at, trial = self.now - rows[0].age - SECOND, self.sides[True]
-        sizes = sum(known.listed.size for known in trial) or 1.0
-        warmth = sum(known.listed.size * known.share(at, self.terms) for known in trial) / sizes
+        at, trial = self.now - rows[0].age - SECOND, [(one, one.listed.size) for one in self.sides[True]]
+        warmth = sum(size * one.share(at, self.terms) for one, size in trial) / (sum(s for _, s in trial) or 1)
         if warmth < WARM_ENOUGH or (seen < 2 * BASELINE and self.build == TRIAL):
             return
         # Cold pods fail more. After a release half of the machines leave, and the rest is pushed for a while.
-        rate = min(0.6, sum(row.failed for row in earlier.values()) / seen) if seen >= 2 * BASELINE else 0.0
+        failed = sum(row.failed for row in earlier.values())
+        rate = min(0.6, failed / seen) if seen >= 2 * BASELINE else self.lost
         p0 = max(P0_FLOOR["failed"], rate) + COLD_FAILS * (1 - warmth) + FREED_FAILS * (self.build == FREED)
         steps = {"failed": 0.0, "slow": 0.0}
-        bad, good = (self._weight("failed", failed, p0) for failed in (True, False))
+        bad, good = (self._weight("failed", ill, p0) for ill in (True, False))
         for row in rows:
             done, base = row.deliveries - row.failed, earlier.get(row.lane)
             if row.build == self.news.build:
@@ -562,6 +562,7 @@
             gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
             self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
         known.fails += 0.1 * ((event.outcome != i.DONE) - known.fails)
+        self.lost += 0.05 * ((event.outcome in (i.UNCONNECTED, i.RESET)) - self.lost)  # on the way
         if event.outcome == i.UNCONNECTED:
             known.shun = min(SHUN_MOST, max(SHUN, 2 * known.shun))
             known.shunned = self.now + known.shun
@@ -581,8 +582,7 @@
             self.open[event.id].streams |= type(event) is i.StreamBegan
             self._step(self.open[event.id], "left" if type(event) is i.ClientLeft else "streams")
 
-    def _complain(self, event):
-        """A client found an answer wrong: what was booked as a success is a failure."""
+    def _complain(self, event):  # a client found an answer wrong: what was booked as a success is a failure
         known = self.pods.get(event.pod)
         if known and known.side and self.build in (TRIAL, FREED):
             self._add("failed", True)
