--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -291,7 +291,7 @@
         earlier = {row.lane: row for row in rows if row.build < self.news.build}
         seen = sum(row.deliveries for row in earlier.values())
         at, trial = self.now - rows[0].age - SECOND, [(one, one.listed.size) for one in self.sides[True]]
-        warmth = sum(size * one.share(at, self.terms) for one, size in trial) / (sum(s for _, s in trial) or 1)
+        warmth = sum(n * one.share(at, self.terms) for one, n in trial) / (sum(n for _, n in trial) or 1)
         if warmth < WARM_ENOUGH or (seen < 2 * BASELINE and self.build == TRIAL):
             return
         # Cold pods fail more. After a release half of the machines leave, and the rest is pushed for a while.
