--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -181,12 +181,12 @@
         self.usual, self.all_slow, self.ill_since, self.sums, self.by_pod = None, 0.0, None, {}, {}
         self._go_on()
 
-    def _go_on(self):
-        """Sum and timer start anew. What speaks against a build is kept, or the quiet never have enough."""
-        self.ramped, self.offset = self.now, (self.chance.draw() - 0.5) * self.turn_of_all
-        self.sums = {what: max(0.0, self.sums.get(what, 0.0)) for what in P0_FLOOR}
-        self.seen, self.doubt, self.swarm, self.clear_since = 0, 0.0, (0, 0.0), self.now
-        self.bad_keys, self.saying_back = set(), False
+    def _go_on(self):  # failures are kept, or the quiet never have enough; each stage's cold pods are slow
+        self.ramped, self.clear_since = self.now, self.now
+        self.offset = (self.chance.draw() - 0.5) * self.turn_of_all
+        self.sums = {"failed": max(0.0, self.sums.get("failed", 0.0)), "slow": 0.0}
+        self.by_pod = {key: had for key, had in self.by_pod.items() if key[0] == "failed"}
+        self.seen, self.doubt, self.swarm, self.bad_keys, self.saying_back = 0, 0.0, (0, 0.0), set(), False
 
     def _climb(self):
         """The ramp of the design: it climbs to what the trial's ready pods can carry, and does not fall."""
