Sidecars that find pods unreachable use fewer of them

Cause: where new connections are slow or refused, a sidecar that draws a pod for each transaction opens a connection each time and takes the room from the others. The number drawn now falls with the fourth power of the share reached. Harm: fewer pods in use after a network fault, until answers come again.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -20,6 +20,15 @@
         self.assertEqual((len(before), len(after)), (DRAWN, DRAWN))
         self.assertGreaterEqual(len(before & after), DRAWN - 1)
 
+    def test_an_instance_that_finds_pods_unreachable_uses_fewer(self):
+        made = balancer(*OLD)
+        made.arrivals.add(NOW, 30)
+        sizes = []
+        for made.lost in (0.0, 0.5):
+            made._draw(True)
+            sizes.append(len(made.drawn[True]))
+        self.assertEqual(sizes, [30, DRAWN])
+
     def test_hundreds_do_not_meet_at_the_largest(self):
         pods = [one._replace(size=1.2 if n < 4 else 1.0) for n, one in enumerate(OLD)]
         met = set()
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -137,8 +137,8 @@
     def _draw(self, new, drop=None):
         """Draws the pods in use, one for each recent transaction: with more, a quiet instance would open a
         connection each time, and hundreds that rank all pods alike meet at the same few."""
-        side = self.sides[new]
-        wanted = min(len(side), max(DRAWN, self.arrivals.total(self.now)))
+        side, reached = self.sides[new], (1 - self.lost) ** 4  # fewer where pods refuse connections
+        wanted = min(len(side), max(DRAWN, int(self.arrivals.total(self.now) * reached)))
         drawn = [known for known in self.drawn[new] if known.side is new and known is not drop][-wanted:]
         spare = [known for known in side if known not in drawn]
         while len(drawn) < wanted:
