--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -66,6 +66,13 @@
     votes_per_s: float
 
 
+class Reach(NamedTuple):
+    """What bounds the connections of a sidecar; the decisions do not read it."""
+    connect_within: int
+    idle: int
+    most_open: int
+
+
 class Pod(NamedTuple):
     address: str
     zone: str
--- /dev/null
+++ b/thymeknot/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept in memory: numbered slots, deadlines in one order, connections to pods."""
--- /dev/null
+++ b/thymeknot/protocol/client.py
@@ -0,0 +1,128 @@
+"""A client's connection: commands in, answers out in the order of the commands."""
+
+from collections import deque
+from typing import NamedTuple, Optional
+
+from twisted.internet.protocol import Protocol
+
+from . import resp
+
+QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
+MOST_WAITING = 256          # commands in hand on one connection; beyond it, it is not read on
+
+
+class Command(NamedTuple):
+    """A transaction as a client words it. What is kept as bytes outlives the buffer that it was read into."""
+    name: bytes
+    key: bytes
+    id: bytes
+    pairs: tuple            # name and value, in the client's order
+    body: tuple             # the words after the pairs
+    lane: str
+    tenant: Optional[str]
+    left: int               # milliseconds
+    repeat: bool
+
+    def words(self, left):
+        """The command as a pod gets it: unchanged but for the time that the sidecar will wait."""
+        pairs = b",".join(name + b"=" + (b"%d" % left if name == b"d" else value) for name, value in self.pairs)
+        return [self.name, self.key, self.id, pairs, *self.body]
+
+
+def read_command(parts):
+    """A Command of the words of one, or a text that says what is wrong with it."""
+    words = [bytes(part) for part in parts]
+    if len(words) < 4:
+        return "a command takes a key, an id and a list of names and values"
+    pairs = tuple(pair.partition(b"=")[::2] for pair in words[3].split(b","))
+    told = dict(pairs)
+    if not words[2]:
+        return "the id is missing"
+    if not told.get(b"c"):
+        return "c, the lane, is missing"
+    left = told.get(b"d", b"")
+    if not left.isdigit() or len(left) > 9 or int(left) <= 0:
+        return "d, the time in milliseconds, is missing or no number"
+    try:
+        lane, tenant = told[b"c"].decode(), told.get(b"t", b"").decode() or None
+        words[1].decode(), words[2].decode()
+    except UnicodeDecodeError:
+        return "a name is not UTF-8"
+    return Command(words[0], words[1], words[2], pairs, tuple(words[4:]), lane, tenant, int(left),
+                   told.get(b"r") == b"1")
+
+
+class ClientConnection(Protocol):
+    """Its owner is asked to take(connection, place, command) and told of left(connection)."""
+
+    def __init__(self, owner):
+        self.owner, self.parser = owner, resp.Parser()
+        self.slot, self.first, self.places = None, 0, deque()
+        self.sound, self.closing, self.reading = True, False, True
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.owner.opened(self)
+
+    def connectionLost(self, reason):
+        self.sound = False
+        self.owner.left(self)
+
+    def idle(self):
+        return not self.places and not self.parser.held
+
+    def dataReceived(self, data):
+        if not self.sound:
+            return
+        try:
+            for message in self.parser.feed(data):
+                self._command(message)
+        except resp.Malformed as error:
+            self.sound = False  # what follows can't be told apart any more: answer what is owed, then close
+            self.answer(self._place(), resp.failure(f"ERR syntax: {error}"))
+            self.finish()
+        except Exception as error:  # a fault here must cost this connection alone
+            self.owner.fault("client connection", error)
+            self.transport.abortConnection()
+        if len(self.places) > MOST_WAITING and self.reading:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def _place(self):
+        self.places.append(None)
+        return self.first + len(self.places) - 1
+
+    def _command(self, parts):
+        place = self._place()
+        if not isinstance(parts, list) or not parts or not all(isinstance(part, memoryview) for part in parts):
+            return self.answer(place, resp.failure("ERR a command is an array of strings"))
+        name = bytes(parts[0]).upper()
+        if name == b"PING":
+            return self.answer(place, resp.status("PONG"))
+        if name not in (QUERY, SUBMIT):
+            return self.answer(place, resp.failure("ERR unknown command"))
+        command = read_command(parts)
+        if isinstance(command, str):
+            return self.answer(place, resp.failure(f"ERR {command}"))
+        self.owner.take(self, place, command)
+
+    def answer(self, place, content):
+        """Puts an answer in its place and writes all that is due; a place is answered once."""
+        at = place - self.first
+        if not self.connected or at < 0 or self.places[at] is not None:
+            return
+        self.places[at] = content
+        while self.places and self.places[0] is not None:
+            self.transport.write(self.places.popleft())
+            self.first += 1
+        if not self.reading and len(self.places) < MOST_WAITING // 2:
+            self.reading = True
+            self.transport.resumeProducing()
+        if self.closing and not self.places:
+            self.transport.loseConnection()
+
+    def finish(self):
+        """Closes once everything owed is answered."""
+        self.closing = True
+        if not self.places:
+            self.transport.loseConnection()
--- /dev/null
+++ b/thymeknot/protocol/discovery.py
@@ -0,0 +1,73 @@
+"""Discovery's lists and changes, its words to ours."""
+
+from typing import NamedTuple
+
+import orjson
+
+from .. import interface as i
+from . import http
+
+PATH = "/v1/servers"
+SIGN_OF_LIFE = 20_000       # tenths of a millisecond: an empty line comes as often while nothing changes
+SILENCE = 3 * SIGN_OF_LIFE
+CONDITIONS = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
+
+
+class Unreadable(ValueError):
+    """What came is no list. The text names the faulty key."""
+
+
+class Listing(NamedTuple):
+    version: int
+    pods: i.PodList
+    addresses: dict             # of the pods that are listed with one
+
+
+def watch(host, version):
+    return http.request("GET", f"{PATH}?stream=1&index={version}", host)
+
+
+def fetch(host):
+    return http.request("GET", PATH, host)
+
+
+def _entry(value, at, epoch):
+    key = f"servers.{at}"
+    if not isinstance(value, dict):
+        raise Unreadable(f"{key} is no object")
+
+    def read(name, kinds, default=None):
+        found = value.get(name, default)
+        if not isinstance(found, kinds) or isinstance(found, bool):
+            raise Unreadable(f"{key}.{name} is missing or of a wrong type")
+        return found
+    if read("state", str) not in CONDITIONS:
+        raise Unreadable(f"{key}.state is not known: {value['state']!r}")
+    condition = CONDITIONS[value["state"]]
+    address = read("addr", str, "" if condition == i.GONE else None)
+    if condition != i.GONE and not address.rpartition(":")[2].isdigit():
+        raise Unreadable(f"{key}.addr is no address with a port")
+    started = read("started_ms", (int, float), 0)
+    pod = i.Pod(read("id", str), read("zone", str, ""), float(read("weight", (int, float), 1.0)),
+                int(read("cell", int, 0)), condition, int(started * 10) - epoch if started else 0,
+                read("kind", str, ""), int(read("image_id", int, 0)))
+    return pod, address
+
+
+def read_list(value, epoch, kind=None):
+    """A Listing of a list's object. epoch: Unix time less the sidecar's clock, in tenths of a millisecond."""
+    if not isinstance(value, dict) or not isinstance(value.get("servers"), list):
+        raise Unreadable("servers is missing or no list")
+    if not isinstance(value.get("version"), int):
+        raise Unreadable("version is missing or no whole number")
+    entries = [_entry(entry, at, epoch) for at, entry in enumerate(value["servers"])]
+    kind = kind or (i.WHOLE if value.get("full") else i.CHANGES)
+    return Listing(value["version"], i.PodList(kind, tuple(pod for pod, _ in entries)),
+                   {pod.address: address for pod, address in entries if address})
+
+
+def read_json(text, epoch):
+    try:
+        return read_list(orjson.loads(text), epoch)
+    except orjson.JSONDecodeError as error:
+        raise Unreadable(f"no JSON: {error}") from None
--- /dev/null
+++ b/thymeknot/protocol/http.py
@@ -0,0 +1,158 @@
+"""HTTP/1.1 as a client reads it: an incremental parser of answers with chunks and event streams. Pure."""
+
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 1024 * 1024, 4 * 1024 * 1024
+
+
+class Malformed(ValueError):
+    """What came is not HTTP/1.1, or larger than is taken."""
+
+
+class Head(NamedTuple):
+    status: int
+    headers: dict
+
+
+class Body(NamedTuple):
+    content: memoryview
+
+
+class End(NamedTuple):
+    """An answer is whole; the next one may follow on the connection."""
+
+
+def request(method, path, host, form=None):
+    """The bytes of a call; a form goes into its body."""
+    body = urlencode(form).encode() if form is not None else b""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    if form is not None:
+        lines += ["Content-Type: application/x-www-form-urlencoded", f"Content-Length: {len(body)}"]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Parser:
+    """Answers, one after another: a Head, then Body slices, then an End."""
+
+    def __init__(self):
+        self.rest, self.state, self.left = b"", self._head, 0
+
+    def feed(self, data):
+        buffer = memoryview(self.rest + data if self.rest else data)
+        at = 0
+        while True:
+            found, at = self.state(buffer, at)
+            if found is None:
+                break
+            yield from found
+        self.rest = bytes(buffer[at:])
+
+    def _line(self, buffer, at, most):
+        end = bytes(buffer[at:at + most]).find(b"\r\n")
+        if end < 0 and len(buffer) - at >= most:
+            raise Malformed("a line without an end")
+        return (None, at) if end < 0 else (bytes(buffer[at:at + end]), at + end + 2)
+
+    def _head(self, buffer, at):
+        raw = bytes(buffer[at:at + MOST_HEAD])
+        end = raw.find(b"\r\n\r\n")
+        if end < 0:
+            if len(raw) >= MOST_HEAD:
+                raise Malformed("a head without an end")
+            return None, at
+        first, *lines = raw[:end].decode("latin-1").split("\r\n")
+        words = first.split(" ", 2)
+        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
+            raise Malformed("no status line")
+        headers = {name.strip().lower(): text.strip()
+                   for name, _, text in (line.partition(":") for line in lines)}
+        head, after = Head(int(words[1]), headers), at + end + 4
+        if headers.get("transfer-encoding", "").lower() == "chunked":
+            self.state = self._chunk
+            return [head], after
+        length = headers.get("content-length", "0")
+        if not length.isdigit() or int(length) > MOST_BODY:
+            raise Malformed("a length that is no number, or too large")
+        self.left, self.state = int(length), self._sized
+        return [head], after
+
+    def _sized(self, buffer, at):
+        if self.left == 0:
+            self.state = self._head
+            return [End()], at
+        part = buffer[at:at + self.left]
+        if not part:
+            return None, at
+        self.left -= len(part)
+        return [Body(part)], at + len(part)
+
+    def _chunk(self, buffer, at):
+        line, after = self._line(buffer, at, MOST_LINE)
+        if line is None:
+            return None, at
+        try:
+            self.left = int(line.partition(b";")[0], 16)
+        except ValueError:
+            raise Malformed("a chunk without a size") from None
+        if not 0 <= self.left <= MOST_BODY:
+            raise Malformed("a chunk that is too large")
+        self.state = self._in_chunk if self.left else self._trailer
+        return [], after
+
+    def _in_chunk(self, buffer, at):
+        if self.left == 0:
+            if len(buffer) - at < 2:
+                return None, at
+            if buffer[at:at + 2] != b"\r\n":
+                raise Malformed("a chunk longer than it says")
+            self.state = self._chunk
+            return [], at + 2
+        part = buffer[at:at + self.left]
+        if not part:
+            return None, at
+        self.left -= len(part)
+        return [Body(part)], at + len(part)
+
+    def _trailer(self, buffer, at):
+        line, after = self._line(buffer, at, MOST_LINE)
+        if line is None:
+            return None, at
+        if line:
+            return [], after
+        self.state = self._head
+        return [End()], after
+
+
+class Lines:
+    """The lines of a body that comes in slices."""
+
+    def __init__(self):
+        self.rest = b""
+
+    def feed(self, content):
+        *whole, self.rest = (self.rest + bytes(content)).split(b"\n")
+        if len(self.rest) > MOST_LINE:
+            raise Malformed("a line that is too long")
+        return [line.rstrip(b"\r") for line in whole]
+
+
+class EventStream:
+    """The events of a text/event-stream: (event, data) pairs. A line with only a colon is a sign of life."""
+
+    def __init__(self):
+        self.lines, self.event, self.data = Lines(), "message", []
+
+    def feed(self, content):
+        for line in self.lines.feed(content):
+            if not line:
+                if self.data:
+                    yield self.event, "\n".join(self.data)
+                self.event, self.data = "message", []
+                continue
+            name, _, text = line.decode("utf-8", "replace").partition(":")
+            text = text[1:] if text.startswith(" ") else text
+            if name == "event":
+                self.event = text
+            elif name == "data":
+                self.data.append(text)
--- /dev/null
+++ b/thymeknot/protocol/platform.py
@@ -0,0 +1,92 @@
+"""The platform's calls, answers and news, its words to ours."""
+
+import re
+from html import unescape
+from urllib.parse import parse_qsl
+
+from .. import interface as i
+from . import http
+from .calls import Reply
+from .pod import WRITTEN
+
+BASE = "/v2/projects/main/"
+SIGN_OF_LIFE = 10_000       # tenths of a millisecond
+SILENCE = 4 * SIGN_OF_LIFE
+MOST_CALLS = 16             # at once; the platform holds 32 connections of a sidecar
+VERDICTS = {i.NO_VOTE: "abstain", i.ON: "promote", i.HOLD: "pause", i.BACK: "abort"}
+PHASES = {"trial": i.ON_TRIAL, "rolling_back": i.GOING_BACK, "released": i.RELEASED, "withdrawn": i.WITHDRAWN}
+# What came back from a call (status, code) -> what it means for a vote. Missing: it may count.
+REFUSALS = {(400, "throttled"): i.FULL, (400, "conflict"): i.UNSENT, (400, "invalid"): i.ERROR,
+            (500, "internal"): i.ERROR}
+LEAF = re.compile(r"<([A-Za-z][\w.-]*)(?:\s[^<>]*)?>([^<>]*)</\1\s*>")
+
+
+class Unreadable(ValueError):
+    """What came is not what the platform says. The text names the faulty field."""
+
+
+def vote(host, action):
+    return http.request("POST", BASE, host, {"Action": "PutApproval", "version": action.build,
+                                             "step": action.stage, "vote": VERDICTS[action.verdict]})
+
+
+def stream(host):
+    return http.request("GET", BASE + "stream", host)
+
+
+def _read(told, name, decode):
+    try:
+        return decode(told[name])
+    except KeyError:
+        raise Unreadable(f"{name} is missing or not known: {told.get(name)!r}") from None
+    except (TypeError, ValueError):
+        raise Unreadable(f"{name} makes no sense: {told[name]!r}") from None
+
+
+def _tenths(milliseconds):
+    return int(float(milliseconds) * 10)
+
+
+def _share(text):
+    value = float(text)
+    if not 0 <= value <= 1:
+        raise ValueError(text)
+    return value
+
+
+def read_news(told, answers_vote=False):
+    """News of the names and values that tell how the newest build stands."""
+    return i.News(_read(told, "version", int), _read(told, "step", int), _read(told, "status", PHASES.__getitem__),
+                  answers_vote, i.DONE, _read(told, "maxWeight", _share), _read(told, "observedAgoMs", _tenths))
+
+
+def read_event(event, data):
+    """News or a Tally of an event of the stream; None for a kind that is not known."""
+    told = dict(parse_qsl(data, keep_blank_values=True))
+    if event == "progress":
+        return read_news(told)
+    if event == "metrics":
+        return i.Tally(_read(told, "version", int), _read(told, "kind", str), _read(told, "requests", int),
+                       _read(told, "failures", int), _read(told, "avgMs", _tenths),
+                       _read(told, "observedAgoMs", _tenths))
+    return None
+
+
+def leaves(text):
+    """The elements of a piece of XML that hold text alone, by name."""
+    return {name: unescape(content.strip()) for name, content in LEAF.findall(text)}
+
+
+def vote_news(build, end):
+    """The News that answers a vote, of a Reply or a Broken."""
+    if isinstance(end, Reply):
+        told = leaves(end.body.decode("utf-8", "replace"))
+        if end.status == 200:
+            try:
+                return read_news(told, True)
+            except Unreadable:
+                return i.News(build, None, None, True, i.EXPIRED, None, None)
+        outcome = REFUSALS.get((end.status, told.get("Code")), i.EXPIRED)
+    else:
+        outcome = i.EXPIRED if end.reached == WRITTEN else i.ERROR
+    return i.News(build, None, None, True, outcome, None, None)
--- /dev/null
+++ b/thymeknot/protocol/pod.py
@@ -0,0 +1,118 @@
+"""A connection to a pod: one delivery at a time. How it ended comes as a value by a Deferred, never raised."""
+
+from typing import NamedTuple, Optional
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from . import resp
+
+# How far an attempt came.
+NOT_CONNECTED, NOT_ALL_WRITTEN, WRITTEN = "not connected", "not all written", "written"
+
+
+class Answer(NamedTuple):
+    """What a pod answered: its value and its load report, or the text of its failure."""
+    value: Optional[memoryview]
+    report: Optional[bytes]
+    failure: Optional[str]
+
+
+class Broken(NamedTuple):
+    """The way to the pod failed; how far the attempt had come decides whether it may have run."""
+    reached: str
+    reason: str
+
+
+def read_answer(message):
+    """An Answer, or None where the message is none that a pod gives."""
+    if isinstance(message, resp.Failure):
+        return Answer(None, None, message.text)
+    if isinstance(message, list) and message and isinstance(message[0], memoryview):
+        report = message[-1] if len(message) > 1 else None
+        return Answer(message[0], bytes(report) if isinstance(report, memoryview) else None, None)
+    return None
+
+
+class PodConnection(Protocol):
+    """Its owner is told of ready(connection) and lost(connection)."""
+
+    def __init__(self, owner, pool, connecting):
+        self.owner, self.pool, self.connecting, self.parser = owner, pool, connecting, resp.Parser()
+        self.waiting, self.written, self.slot, self.used_at = None, False, None, None
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.owner.ready(self)
+
+    def deliver(self, words):
+        """Sends a command. The Deferred fires with an Answer or a Broken."""
+        self.waiting, self.written, self._command = Deferred(), False, resp.command(words)
+        # A pull producer is asked for more exactly when the last byte has gone to the network.
+        self.transport.registerProducer(self, False)
+        return self.waiting
+
+    def resumeProducing(self):
+        if self._command:
+            command, self._command = self._command, None
+            self.transport.write(command)
+        else:
+            self.written = True
+            self.transport.unregisterProducer()
+
+    def stopProducing(self):
+        """The transport says so when it is lost; connectionLost follows."""
+
+    def dataReceived(self, data):
+        try:
+            for message in self.parser.feed(data):
+                self._message(message)
+        except resp.Malformed as error:
+            self.drop(f"unreadable answer: {error}")
+        except Exception as error:  # a fault here must cost this connection alone
+            self.owner.fault("pod connection", error)
+            self.drop("fault")
+
+    def _message(self, message):
+        waiting, self.waiting = self.waiting, None
+        answer = read_answer(message)
+        if waiting is None or not self.written or answer is None:
+            self.waiting = waiting
+            return self.drop("an answer that nothing asked for" if waiting is None else "unreadable answer")
+        self.owner.ready(self)
+        waiting.callback(answer)
+
+    def drop(self, reason):
+        """Ends the connection; a delivery still waiting on it has failed."""
+        self.transport.abortConnection()
+        self._broken(reason)
+
+    def give_up(self):
+        """Ends the connection because its delivery is not waited for any more."""
+        self.waiting = None
+        self.transport.loseConnection()
+        if not self.written:
+            self.transport.abortConnection()
+
+    def _broken(self, reason):
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            waiting.callback(Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason))
+
+    def connectionLost(self, reason):
+        self.owner.lost(self)
+        self._broken(reason.getErrorMessage())
+
+
+class PodConnector(ClientFactory):
+    """One attempt to connect; where it fails, the Deferred fires with a Broken."""
+    noisy = False
+
+    def __init__(self, owner, pool):
+        self.owner, self.pool, self.failed, self.deadline = owner, pool, Deferred(), None
+
+    def buildProtocol(self, address):
+        return PodConnection(self.owner, self.pool, self)
+
+    def clientConnectionFailed(self, connector, reason):
+        self.failed.callback(Broken(NOT_CONNECTED, reason.getErrorMessage()))
--- /dev/null
+++ b/thymeknot/service/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, logs, start and stop."""
--- /dev/null
+++ b/thymeknot/service/configuration.py
@@ -0,0 +1,115 @@
+"""The one place where configuration is read, checked and given defaults."""
+
+import os
+from typing import NamedTuple
+
+import orjson
+
+from .. import interface as i
+from .. import wire
+from ..protocol import discovery, platform
+
+
+class Faulty(ValueError):
+    """A configuration that can't be used. The text begins with the faulty key."""
+
+
+class Start(NamedTuple):
+    """All that a sidecar is told at its start."""
+    name: str
+    listen: tuple
+    discovery: tuple
+    platform: tuple
+    seed: int
+    sockets: int
+    news: i.News
+    known: discovery.Listing
+    terms: i.Terms
+    reach: i.Reach
+
+
+SOCKETS = 1024              # where no limit is told
+
+
+def pairs(value, path=""):
+    """The settings' nested object as the wire's names and values."""
+    if isinstance(value, dict):
+        return [pair for name, inner in value.items() for pair in pairs(inner, f"{path}.{name}" if path else name)]
+    if isinstance(value, list):
+        if value and all(isinstance(inner, dict) for inner in value):
+            return [f"{path}.count={len(value)}"] + [
+                pair for at, inner in enumerate(value) for pair in pairs(inner, f"{path}.{at}")]
+        return [f"{path}=" + ",".join(_text(inner) for inner in value)]
+    return [f"{path}={_text(value)}"]
+
+
+def _text(value):
+    return {True: "true", False: "false", None: "-"}.get(value, str(value)) if not isinstance(
+        value, (int, float)) or isinstance(value, bool) else str(value)
+
+
+def _at(value, path, kind, *default):
+    """What stands at a dotted path, checked for its type."""
+    for name in path.split("."):
+        value = value.get(name) if isinstance(value, dict) else None
+    if value is None and default:
+        return default[0]
+    if value is None:
+        raise Faulty(f"{path}: is missing")
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise Faulty(f"{path}: is of a wrong type: {value!r}"[:200])
+    return value
+
+
+def _address(value, path):
+    host, _, port = _at(value, path, str).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Faulty(f"{path}: is no address with a port: {_at(value, path, str)!r}")
+    return host, int(port)
+
+
+def _seed(value):
+    text = _at(value, "seed", (str, int))
+    try:
+        return int(text, 16) if isinstance(text, str) else text
+    except ValueError:
+        raise Faulty(f"seed: is no hexadecimal number: {text!r}") from None
+
+
+def read(told, epoch):
+    """The Start that an object tells. epoch: Unix time less the clock, in tenths of a millisecond."""
+    if not isinstance(told, dict):
+        raise Faulty("the configuration is no object")
+    settings = pairs(_at(told, "settings", dict))
+    try:
+        terms, reach = wire.terms(settings), wire.reach(settings)
+    except wire.Malformed as error:
+        raise Faulty(f"settings: {error}") from None
+    try:
+        news = platform.read_news(_at(told, "deployer.news", dict))
+    except platform.Unreadable as error:
+        raise Faulty(f"deployer.news.{error}") from None
+    try:
+        known = discovery.read_list(_at(told, "known", dict), epoch, i.REMEMBERED)
+    except discovery.Unreadable as error:
+        raise Faulty(f"known.{error}") from None
+    sockets = _at(told, "limits.sockets", int, SOCKETS)
+    if sockets < 64:
+        raise Faulty(f"limits.sockets: {sockets} are too few, 64 at least")
+    return Start(_at(told, "name", str, "sidecar"), _address(told, "listen"), _address(told, "discovery"),
+                 _address(told, "deployer.address"), _seed(told), sockets, news, known, terms, reach)
+
+
+def load(environment, epoch):
+    """The Start of the file that NODE_CONFIG names."""
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise Faulty("NODE_CONFIG: is missing from the environment")
+    try:
+        with open(path, "rb") as source:
+            told = orjson.loads(source.read())
+    except OSError as error:
+        raise Faulty(f"NODE_CONFIG: can't be read: {os.strerror(error.errno)}: {path}") from None
+    except orjson.JSONDecodeError as error:
+        raise Faulty(f"NODE_CONFIG: is no JSON: {error}") from None
+    return read(told, epoch)
