--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,16 @@
-"""The state that tests build on."""
+"""The state that tests build on, and stand-ins of the systems that the program speaks to."""
+
+import copy
+import json
+import os
+import queue
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+from urllib.parse import parse_qsl
 
 from thymeknot import interface as i
 from thymeknot.balance import Balancer, SECOND
@@ -52,3 +64,205 @@
 
 def sent(actions):
     return [action.pod for action in actions if isinstance(action, i.Deliver)]
+
+
+# Stand-ins of the outside systems, on free loopback ports, and the program itself.
+
+PATIENCE = 20                   # seconds that a test waits at most; nothing passes by waiting
+
+SETTINGS = {
+    "balancers": 1, "discovery": "automatic", "stats": {"names": [], "source": "silent"},
+    "categories": [
+        {"name": name, "semantics": effect, "key_scope": "all", "window": 5_000_000_000, "promise": 3_000_000_000,
+         "give_up": 20_000_000_000, "worth": 1.0, "late_worth": 0.5}
+        for name, effect in (("read", "idempotent"), ("mark", "deduplicated"), ("pay", "at_most_once"))],
+    "permissions": {"max_attempts": 4, "max_retry_after": 500_000_000, "second_copies": False, "may_cancel": True,
+                    "retry_after": True, "connect_timeout": 250_000_000, "conn_idle": 15_000_000_000,
+                    "max_open": 20000},
+    "rules": {"ask_within": 10_000_000_000, "cold_from": 0.31, "cold": 4_800_000_000, "fall_multiple": 2.0,
+              "overload_for": 1_500_000_000},
+    "extra": {"window": 3_000_000_000, "allowance": 3.0, "guarded_stages": 0, "waves": [0.5, 1.0], "counts": "all",
+              "keys_stay": True, "swap": "parallel", "decided_by": "by_count", "votes_to_revert": 1,
+              "vote_life": 4_000_000_000, "vote_wait": 1_200_000_000, "calls_per_s": 150.0}}
+
+
+class Peer:
+    """A listener on a free loopback port, a thread for each connection; serve(connection, source) is its part."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.connections = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(target=self._run, args=(connection,), daemon=True).start()
+
+    def _run(self, connection):
+        with connection, connection.makefile("rb") as source:
+            try:
+                self.serve(connection, source)
+            except OSError:
+                pass
+
+    def cut(self):
+        """Resets what stands."""
+        for connection in self.connections:
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass
+
+    def close(self):
+        self.listener.close()
+        self.cut()
+
+
+def words_of(source):
+    """The next command that comes in, or None."""
+    first = source.readline()
+    if not first:
+        return None
+    words = []
+    for _ in range(int(first[1:])):
+        words.append(source.read(int(source.readline()[1:]) + 2)[:-2])
+    return words
+
+
+class PodPeer(Peer):
+    """A pod. answer(words) gives the bytes to write, b"" to say nothing, or None to reset the connection."""
+
+    def __init__(self, answer=None):
+        self.heard, self.ended = queue.Queue(), queue.Queue()
+        self.answer = answer or (lambda words: b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(words[2]), words[2]))
+        super().__init__()
+
+    def serve(self, connection, source):
+        while (words := words_of(source)) is not None:
+            self.heard.put(words)
+            answer = self.answer(words)
+            if answer is None:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                return
+            connection.sendall(answer)
+        self.ended.put(True)
+
+    def entry(self, name, build=41, state="Ready", **more):
+        return {"id": name, "addr": self.address, "zone": "a", "kind": "m", "cell": 0, "state": state,
+                "weight": 1.0, "started_ms": 0, "image_id": build, **more}
+
+
+class HttpPeer(Peer):
+    """Discovery or the platform: keeps the streams that were asked for, hands calls to answer(form)."""
+
+    def __init__(self, answer=None):
+        self.streams, self.asked, self.calls, self.answer = [], queue.Queue(), queue.Queue(), answer
+        super().__init__()
+
+    def serve(self, connection, source):
+        while first := source.readline():
+            length = 0
+            while (line := source.readline().strip()):
+                if line.lower().startswith(b"content-length:"):
+                    length = int(line.split(b":")[1])
+            if first.startswith(b"GET"):
+                connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.streams.append(connection)
+                self.asked.put(first.split()[1].decode())
+            else:
+                form = dict(parse_qsl(source.read(length).decode()))
+                status, body = self.answer(form) if self.answer else (400, b"<Error><Code>throttled</Code></Error>")
+                connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+                self.calls.put(form)
+
+    def push(self, text):
+        text = text.encode()
+        self.streams[-1].sendall(b"%x\r\n%s\r\n" % (len(text), text))
+
+    def push_list(self, version, *entries, full=False):
+        self.push(json.dumps({"version": version, "full": full, "servers": entries}) + "\n")
+
+    def push_news(self, version=41, step=1, status="released", cap=1.0):
+        self.push(f"event: progress\ndata: version={version}&step={step}&status={status}&maxWeight={cap}"
+                  "&observedAgoMs=5\n\n")
+
+
+class Program:
+    """The program, started on a configuration beside stand-ins of all that it speaks to."""
+
+    def __init__(self, *entries, answer=None, news=None, change=None):
+        self.discovery, self.platform = HttpPeer(), HttpPeer(answer)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        told = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
+                "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+                "deployer": {"address": self.platform.address, "news": news or {
+                    "version": 41, "step": 1, "status": "released", "maxWeight": 1.0, "observedAgoMs": 60000}},
+                "known": {"version": 7, "full": True, "servers": list(entries)}, "settings": copy.deepcopy(SETTINGS)}
+        if change:
+            change(told)
+        self.folder = tempfile.TemporaryDirectory()
+        path = os.path.join(self.folder.name, "config.json")
+        with open(path, "w", encoding="utf-8") as target:
+            json.dump(told, target)
+        self.process = subprocess.Popen([sys.executable, "-m", "thymeknot"], stdout=subprocess.PIPE,
+                                        stderr=subprocess.PIPE, env={**os.environ, "NODE_CONFIG": path})
+
+    def __enter__(self):
+        line = b""
+        while b'"ready"' not in line:
+            line = self.process.stdout.readline()
+            if not line:
+                raise AssertionError(self.process.stderr.read().decode())
+        threading.Thread(target=self.process.stdout.read, daemon=True).start()
+        self.discovery.asked.get(timeout=PATIENCE)
+        self.platform.asked.get(timeout=PATIENCE)
+        return self
+
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.communicate()
+        self.discovery.close()
+        self.platform.close()
+        self.folder.cleanup()
+
+    def client(self):
+        return Client(self.port)
+
+
+class Client:
+    def __init__(self, port):
+        self.connection = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE)
+        self.source = self.connection.makefile("rb")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.source.close()
+        self.connection.close()
+
+    def send(self, *words):
+        self.connection.sendall(command(*words))
+
+    def ask(self, *words):
+        self.send(*words)
+        return self.answer()
+
+    def answer(self):
+        line = self.source.readline()
+        if line.startswith(b"$"):
+            return self.source.read(int(line[1:]) + 2)[:-2]
+        return line.strip()
+
+
+def command(*words):
+    words = [word if isinstance(word, bytes) else word.encode() for word in words]
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,231 @@
+"""The program over sockets, against stand-ins of pods, discovery and the platform."""
+
+import queue
+import signal
+import threading
+import unittest
+
+from tests.helpers import PATIENCE, PodPeer, Program, command
+
+READ, MARK, PAY = "c=read,t=acme,d=15000", "c=mark,t=acme,d=15000,k=5c0f", "c=pay,t=acme,d=15000"
+
+
+def value(content):
+    return b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(content), content)
+
+
+class WithPods(unittest.TestCase):
+    def pod(self, answer=None):
+        peer = PodPeer(answer)
+        self.addCleanup(peer.close)
+        return peer
+
+    def program(self, *entries, **more):
+        running = Program(*entries, **more)
+        self.addCleanup(running.__exit__)
+        return running.__enter__()
+
+
+class Served(WithPods):
+    def test_each_kind_is_served_and_passed_on_unchanged_but_for_the_time(self):
+        pod = self.pod()
+        with self.program(pod.entry("s-1")).client() as client:
+            for words in (("SVC.QUERY", "7f3a", "01", READ), ("SVC.SUBMIT", "7f3a", "02", MARK, "BODY"),
+                          ("SVC.SUBMIT", "7f3a", "03", PAY, b"\r\n\x00" * 9000)):
+                self.assertEqual(client.ask(*words), words[2].encode())
+                got = pod.heard.get(timeout=PATIENCE)
+                sent = [word if isinstance(word, bytes) else word.encode() for word in words]
+                self.assertEqual(got[:3] + got[4:], sent[:3] + sent[4:])
+                name, _, left = got[3].split(b",")[2].partition(b"=")
+                self.assertEqual((name, got[3].replace(b"d=" + left, b"d=15000")), (b"d", sent[3]))
+                self.assertLessEqual(int(left), 15000)
+
+    def test_pipelined_commands_are_answered_in_their_order(self):
+        second = threading.Event()
+
+        def answer(words):
+            if words[2] == b"01":
+                second.wait(PATIENCE)
+            else:
+                second.set()
+            return value(words[2])
+        pod = self.pod(answer)
+        with self.program(pod.entry("s-1")).client() as client:
+            client.connection.sendall(command("SVC.QUERY", "a", "01", READ) + command("SVC.QUERY", "b", "02", READ)
+                                      + command("PING"))
+            self.assertEqual([client.answer() for _ in range(3)], [b"01", b"02", b"+PONG"])
+
+    def test_frames_may_come_in_pieces(self):
+        pod = self.pod()
+        with self.program(pod.entry("s-1")).client() as client:
+            for byte in command("SVC.QUERY", "a", "01", READ):
+                client.connection.sendall(bytes([byte]))
+            self.assertEqual(client.answer(), b"01")
+
+
+class Failing(WithPods):
+    def test_what_all_pods_turn_away_is_deferred(self):
+        pod = self.pod(lambda words: b"-BUSY\r\n")
+        with self.program(pod.entry("s-1")).client() as client:
+            self.assertRegex(client.ask("SVC.SUBMIT", "a", "01", PAY, "B"), rb"^-BUSY \d+$")
+
+    def test_a_refused_connection_never_ran_so_a_binding_one_goes_elsewhere(self):
+        gone, pod = self.pod(), self.pod()
+        gone.close()
+        with self.program(gone.entry("s-1", weight=9.0), pod.entry("s-2")).client() as client:
+            for name in ("01", "02", "03"):
+                self.assertEqual(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), name.encode())
+
+    def test_a_reset_after_the_last_byte_may_have_run_so_a_binding_one_is_abandoned(self):
+        pods = [self.pod(lambda words: None) for _ in range(2)]
+        with self.program(*(pod.entry(f"s-{at}") for at, pod in enumerate(pods))).client() as client:
+            self.assertRegex(client.ask("SVC.SUBMIT", "a", "01", PAY, "B"), b"^-ERR")
+        self.assertEqual(sum(pod.heard.qsize() for pod in pods), 1)
+
+    def test_a_retriable_one_is_sent_again_after_a_reset(self):
+        pods = [self.pod(lambda words: None), self.pod()]
+        with self.program(*(pod.entry(f"s-{at}") for at, pod in enumerate(pods))).client() as client:
+            self.assertEqual([client.ask("SVC.QUERY", "a", name, READ) for name in ("01", "02")], [b"01", b"02"])
+
+    def test_silence_ends_with_the_clients_time_and_the_connection_with_it(self):
+        pod = self.pod(lambda words: b"")
+        with self.program(pod.entry("s-1")).client() as client:
+            self.assertRegex(client.ask("SVC.SUBMIT", "a", "01", "c=pay,d=300", "B"), b"^-ERR")
+        self.assertTrue(pod.ended.get(timeout=PATIENCE))
+
+    def test_an_unreadable_answer_may_have_run(self):
+        for answer in (b"*1\r\n$4\r\nhal", b"$70000\r\n", b"nonsense\r\n", b"*1\r\n$-1\r\n"):
+            pod = self.pod(lambda words, answer=answer: answer)
+            with self.program(pod.entry("s-1")).client() as client:
+                self.assertRegex(client.ask("SVC.SUBMIT", "a", "01", "c=pay,d=1000", "B"), b"^-ERR")
+            self.assertEqual(pod.heard.qsize(), 1)
+
+    def test_a_client_that_leaves_ends_its_delivery(self):
+        pod = self.pod(lambda words: b"")
+        with self.program(pod.entry("s-1")).client() as client:
+            client.send("SVC.SUBMIT", "a", "01", PAY, "B")
+            pod.heard.get(timeout=PATIENCE)
+            client.connection.shutdown(2)
+            self.assertTrue(pod.ended.get(timeout=PATIENCE))
+
+    def test_bad_commands_are_named_and_touch_no_other_client(self):
+        pod = self.pod()
+        running = self.program(pod.entry("s-1"))
+        with running.client() as good, running.client() as bad:
+            for words, reason in ((("NO.SUCH", "a"), b"unknown command"), (("SVC.QUERY", "a"), b"takes a key"),
+                                  (("SVC.QUERY", "a", "01", "c=none,d=100"), b"no such lane"),
+                                  (("SVC.QUERY", "a", "01", "d=100"), b"c, the lane"),
+                                  (("SVC.QUERY", "a", "01", "c=read"), b"d, the time"),
+                                  (("SVC.QUERY", "a", "", READ), b"the id")):
+                self.assertRegex(bad.ask(*words), b"^-ERR .*" + reason)
+            bad.connection.sendall(b"*2\r\n$70000\r\n")
+            self.assertRegex(bad.answer(), b"^-ERR syntax")
+            self.assertEqual(bad.answer(), b"")
+            self.assertEqual(good.ask("SVC.QUERY", "a", "02", READ), b"02")
+
+
+class Told(WithPods):
+    def test_a_drain_told_during_work_lets_it_end_and_sends_nothing_new(self):
+        told = threading.Event()
+
+        def answer(words):
+            told.wait(PATIENCE)
+            return value(words[2])
+        old, new = self.pod(answer), self.pod()
+        running = self.program(old.entry("s-1"))
+        with running.client() as first, running.client() as second:
+            first.send("SVC.QUERY", "a", "01", READ)
+            old.heard.get(timeout=PATIENCE)
+            running.discovery.push_list(8, old.entry("s-1", state="Terminating"), new.entry("s-2"))
+            while second.ask("SVC.QUERY", "a", "r", READ) != b"r" or new.heard.empty():
+                pass
+            self.assertEqual([second.ask("SVC.QUERY", "a", f"1{at}", READ) for at in range(9)],
+                             [b"1%d" % at for at in range(9)])
+            told.set()
+            self.assertEqual(first.answer(), b"01")
+
+    def test_a_build_that_fails_is_voted_back_and_the_vote_asked_again_until_it_counts(self):
+        answers = [(400, b"<Error><Code>throttled</Code></Error>"), (200, (
+            b'<?xml version="1.0"?>\n<Response><entries><item><version>42</version><step>0</step><status>rolling_back'
+            b"</status><maxWeight>0</maxWeight><observedAgoMs>3</observedAgoMs></item></entries></Response>"))]
+        good, bad = self.pod(), self.pod(lambda words: b"-ERR failed\r\n")
+        running = self.program(good.entry("s-1"), bad.entry("s-2", 42),
+                               answer=lambda form: answers.pop(0) if len(answers) > 1 else answers[0],
+                               news={"version": 42, "step": 0, "status": "trial", "maxWeight": 0.5,
+                                     "observedAgoMs": 5})
+        with running.client() as client:
+            votes, at = [], 0
+            while len(votes) < 2:
+                at += 1
+                client.ask("SVC.QUERY", f"key{at}", f"{at}", READ)
+                try:
+                    votes.append(running.platform.calls.get_nowait())
+                except queue.Empty:
+                    pass
+            self.assertEqual(votes, [{"Action": "PutApproval", "version": "42", "step": "0", "vote": "abort"}] * 2)
+            while not bad.heard.empty():
+                bad.heard.get()
+            for at in range(50):
+                client.ask("SVC.QUERY", f"key{at}", f"after{at}", READ)
+            self.assertEqual(bad.heard.qsize(), 0)
+
+    def test_streams_that_end_are_asked_for_again_and_heard(self):
+        pod, new = self.pod(), self.pod()
+        running = self.program(pod.entry("s-1"))
+        running.discovery.push_list(9, pod.entry("s-1"))
+        for peer in (running.discovery, running.platform):
+            peer.cut()
+        self.assertEqual(running.platform.asked.get(timeout=PATIENCE), "/v2/projects/main/stream")
+        self.assertRegex(running.discovery.asked.get(timeout=PATIENCE), r"stream=1&index=(7|9)$")
+        running.discovery.push_list(10, new.entry("s-3"), pod.entry("s-1", state="Gone"))
+        with running.client() as client:
+            while new.heard.empty():
+                client.ask("SVC.QUERY", "a", "01", READ)
+
+    def test_what_discovery_says_unreadably_changes_nothing_and_is_asked_again(self):
+        pod = self.pod()
+        running = self.program(pod.entry("s-1"))
+        running.discovery.push('{"version": 9, "full": true, "servers": [{"id": 5}]}\n')
+        running.discovery.asked.get(timeout=PATIENCE)
+        with running.client() as client:
+            self.assertEqual(client.ask("SVC.QUERY", "a", "01", READ), b"01")
+
+
+class Stopping(WithPods):
+    def test_sigterm_answers_what_is_in_hand_and_what_comes_meanwhile(self):
+        stopped = threading.Event()
+
+        def answer(words):
+            if words[2] == b"01":
+                stopped.wait(PATIENCE)
+            return value(words[2])
+        pod = self.pod(answer)
+        running = self.program(pod.entry("s-1"))
+        with running.client() as first, running.client() as second:
+            first.send("SVC.QUERY", "a", "01", READ)
+            pod.heard.get(timeout=PATIENCE)
+            running.process.send_signal(signal.SIGTERM)
+            with running.client() as late:
+                self.assertEqual(late.ask("SVC.QUERY", "a", "02", READ), b"02")
+            self.assertEqual(second.answer(), b"")
+            stopped.set()
+            self.assertEqual((first.answer(), first.answer()), (b"01", b""))
+        self.assertEqual(running.process.wait(PATIENCE), 0)
+
+    def test_a_bad_configuration_ends_it_and_names_the_key(self):
+        def without(*path):
+            def change(told):
+                for name in path[:-1]:
+                    told = told[name]
+                told.pop(path[-1])
+            return change
+        cases = {"deployer.address": without("deployer", "address"), "extra.window": without("settings", "extra", "window"),
+                 "known.servers.0.state": lambda told: told["known"]["servers"].append({"id": "x"}),
+                 "limits.sockets": lambda told: told["limits"].update(sockets="many"),
+                 "deployer.news.status": lambda told: told["deployer"]["news"].update(status="odd")}
+        for key, change in cases.items():
+            running = Program(change=change)
+            _, error = running.process.communicate(timeout=PATIENCE)
+            running.__exit__()
+            self.assertNotEqual(running.process.returncode, 0)
+            self.assertRegex(error.decode(), f"^thymeknot: .*{key}.*\n$")
