Deliveries that wait are withdrawn, late answers listened for; unit tests without a network

Checked by a probe, not by guess: the log counts good answers that come within half a second after a delivery was given up. A delivery is now ended by closing the sending side at once, before the next one can be written, and listened to for half a second. Idle connections of a pod that came back as another process or build are retired, since they may be silent; a client's connection that is being closed still gets an answer to a command that had begun to come.

--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,229 @@
+"""Between network and decisions, without a network: deliveries that wait, limits, faults, deadlines, configuration."""
+
+import copy
+import unittest
+
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from tests.helpers import SETTINGS, command
+from thymeknot import interface as i
+from thymeknot.memory.deadlines import Deadlines
+from thymeknot.memory.pools import Pools
+from thymeknot.memory.slots import Slots
+from thymeknot.protocol.client import ClientConnection
+from thymeknot.service import configuration
+from thymeknot.sidecar import Sidecar
+
+
+def entry(name, build=41, state="Ready", **more):
+    return {"id": name, "addr": f"127.0.0.1:{int(name[2:]) + 7000}", "state": state, "image_id": build, **more}
+
+
+def told(*entries, **news):
+    """A configuration's object: build 41 released, unless the news says otherwise."""
+    return {"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f",
+            "limits": {"sockets": 1024}, "settings": copy.deepcopy(SETTINGS),
+            "deployer": {"address": "127.0.0.1:3", "news": {"version": 41, "step": 1, "status": "released",
+                                                           "maxWeight": 1.0, "observedAgoMs": 60000, **news}},
+            "known": {"version": 7, "full": True, "servers": list(entries)}}
+
+
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def registerProducer(self, producer, streaming):
+        super().registerProducer(producer, streaming)
+        if not streaming:  # as the network's own does: a pull producer is asked at once
+            producer.resumeProducing()
+
+
+class Network:
+    """A sidecar on a network that exists in memory alone."""
+
+    def __init__(self, *entries, sockets=1024, **news):
+        self.reactor, self.faults = MemoryReactorClock(), []
+        deadlines = Deadlines(lambda: 1_000_000 + int(self.reactor.seconds() * 10_000), self.reactor.callLater,
+                              lambda *fault: self.faults.append(fault))
+        start = configuration.read(told(*entries, **news), 0)._replace(sockets=sockets)
+        self.sidecar = Sidecar(start, self.reactor, deadlines, 0)
+        self.sidecar.begin()
+        self.streams = len(self.reactor.tcpClients)
+
+    def client(self):
+        connection = ClientConnection(self.sidecar)
+        connection.makeConnection(Transport())
+        return connection
+
+    def ask(self, name="01", lane="read", left=5000, connection=None):
+        connection = connection or self.client()
+        connection.dataReceived(command("SVC.QUERY", "key", name, f"c={lane},d={left}"))
+        return connection
+
+    def dialled(self):
+        """The ports of pods that were dialled."""
+        return [port for _, port, *_ in self.reactor.tcpClients[self.streams:]]
+
+    def connect(self, at=-1):
+        connection = self.reactor.tcpClients[at][2].buildProtocol(None)
+        connection.makeConnection(Transport())
+        return connection
+
+    def refuse(self, at=-1):
+        self.reactor.tcpClients[at][2].clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+    def list(self, *entries):
+        self.sidecar._listing(configuration.discovery.read_list({"version": 9, "servers": list(entries)}, 0))
+
+
+class Waiting(unittest.TestCase):
+    def test_a_delivery_that_waits_is_not_carried_past_a_drain(self):
+        network = Network(entry("s-1"))
+        network.ask()
+        network.list(entry("s-2"), entry("s-1", state="Terminating"))
+        self.assertEqual(network.dialled(), [7001, 7002])
+        late = network.connect(-2)
+        self.assertEqual(late.transport.value(), b"")
+
+    def test_nor_to_another_process_under_the_same_id(self):
+        network = Network(entry("s-1"))
+        network.ask()
+        network.list(entry("s-1", build=40))
+        self.assertEqual(network.connect(-2).transport.value()[:3], b"*4\r")
+        self.assertEqual(len(network.sidecar.by_id), 1)
+
+    def test_nor_past_a_lower_cap(self):
+        network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+        client = network.ask()
+        network.sidecar.tell(i.News(42, 0, i.GOING_BACK, False, i.DONE, 0.0, 0))
+        self.assertRegex(client.transport.value(), b"^-BUSY")
+        self.assertEqual(network.connect().transport.value(), b"")
+
+    def test_a_connection_that_does_not_come_up_in_time_never_ran(self):
+        network = Network(entry("s-1"))
+        network.ask(lane="pay")
+        network.reactor.advance(0.3)
+        network.reactor.advance(0)
+        self.assertTrue(network.reactor.connectors[-1].stoppedConnecting)
+        network.refuse()
+        self.assertEqual(network.dialled(), [7001, 7001])
+
+    def test_a_connection_that_gets_free_serves_the_one_that_waits(self):
+        network = Network(entry("s-1"))
+        network.ask("01")
+        first = network.connect()
+        network.ask("02")
+        first.resumeProducing()
+        first.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+        self.assertIn(b"$2\r\n02\r\n", first.transport.value())
+
+    def test_what_is_written_in_part_never_ran(self):
+        network = Network(entry("s-1"))
+        network.ask(lane="pay")
+        network.connect().connectionLost(Failure(ConnectionRefusedError()))
+        self.assertEqual(network.dialled(), [7001, 7001])
+
+
+class Bounds(unittest.TestCase):
+    def test_without_descriptors_for_pods_it_defers(self):
+        network = Network(entry("s-1"), sockets=64)
+        clients = [network.ask(f"{at}") for at in range(20)]
+        self.assertEqual(len(network.dialled()), network.sidecar.pools.most)
+        self.assertRegex(clients[-1].transport.value(), b"^-BUSY")
+
+    def test_an_idle_client_makes_room_for_another(self):
+        network = Network(entry("s-1"), sockets=64)
+        clients = [network.client() for _ in range(network.sidecar.most_clients)]
+        self.assertEqual([client.transport.disconnecting for client in clients],
+                         [True] + [False] * (len(clients) - 1))
+
+    def test_an_idle_connection_is_retired_before_the_pod_does_it(self):
+        network = Network(entry("s-1"))
+        network.ask()
+        connection = network.connect()
+        connection.resumeProducing()
+        connection.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+        for _ in range(14):
+            network.reactor.advance(1)
+            network.reactor.advance(0)
+        self.assertTrue(connection.transport.disconnecting)
+
+    def test_a_fault_in_the_decisions_is_answered_and_the_next_one_served(self):
+        network = Network(entry("s-1"))
+        decide, network.sidecar.balancer.handle = network.sidecar.balancer.handle, lambda *_: 1 / 0
+        client = network.ask("01")
+        self.assertRegex(client.transport.value(), b"^-ERR")
+        network.sidecar.balancer.handle = decide
+        network.ask("02")
+        self.assertEqual(network.dialled(), [7001])
+
+    def test_what_the_decisions_miss_is_answered_at_the_clients_end(self):
+        network = Network(entry("s-1"))
+        network.sidecar.balancer.handle = lambda *_: []
+        client = network.ask(left=200)
+        network.reactor.advance(0.21)
+        network.reactor.advance(0)
+        self.assertRegex(client.transport.value(), b"^-ERR")
+        self.assertEqual(len(network.sidecar.transactions), 0)
+
+    def test_nothing_is_kept_of_transactions_that_are_over(self):
+        network = Network(entry("s-1"))
+        client, other = network.ask("01"), network.ask("02")
+        other.connectionLost(Failure(ConnectionRefusedError()))
+        connection = network.connect(network.streams)
+        connection.resumeProducing()
+        connection.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+        self.assertEqual(client.transport.value(), b"$1\r\nv\r\n")
+        self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
+
+
+class Memory(unittest.TestCase):
+    def test_slots_are_numbered_and_used_again(self):
+        slots = Slots()
+        first, second = slots.add("a"), slots.add("b")
+        slots.remove(first)
+        slots.remove(first)
+        self.assertEqual((slots.add("c"), slots.get(second), len(slots), slots.peak), (first, "b", 2, 2))
+
+    def test_deadlines_come_in_order_of_time_then_of_asking(self):
+        reactor, called, faults = MemoryReactorClock(), [], []
+        deadlines = Deadlines(lambda: int(reactor.seconds() * 10_000), reactor.callLater,
+                              lambda *fault: faults.append(fault))
+        deadlines.add(200, called.append, "late")
+        deadlines.add(100, called.append, "first")
+        deadlines.add(100, called.index, "none")
+        deadlines.add(100, called.append, "second")
+        deadlines.cancel(deadlines.add(100, called.append, "cancelled"))
+        for _ in range(4):
+            reactor.advance(0.01)
+            reactor.advance(0)
+        self.assertEqual((called, len(faults)), (["first", "second", "late"], 1))
+
+    def test_a_pod_that_has_moved_gets_a_new_pool(self):
+        pools = Pools(9)
+        pool, _ = pools.at("s-1", "h:1")
+        pool.idle.append("connection")
+        moved, stale = pools.at("s-1", "h:2")
+        self.assertEqual((moved.port, stale, pools.at("s-1", "h:2")[0]), (2, ["connection"], moved))
+        self.assertEqual(pools.drop_gone({}), [])
+        self.assertEqual(pools.by_pod, {})
+
+
+class Configuration(unittest.TestCase):
+    def test_what_is_faulty_is_named_by_its_key(self):
+        cases = {"listen": 5, "discovery": "nowhere", "deployer": {"address": "h:1"}, "seed": "xyz", "known": {},
+                 "settings": [], "limits": {"sockets": 3}}
+        for key, faulty in cases.items():
+            with self.assertRaisesRegex(configuration.Faulty, f"^{key}"):
+                configuration.read({**told(), key: faulty}, 0)
+        settings = copy.deepcopy(SETTINGS)
+        settings["categories"][1]["worth"] = "much"
+        with self.assertRaisesRegex(configuration.Faulty, "settings: .*categories.1.worth"):
+            configuration.read({**told(), "settings": settings}, 0)
+
+    def test_defaults_and_unknown_keys(self):
+        start = configuration.read({**told(), "limits": None, "name": None, "weather": 1}, 0)
+        self.assertEqual((start.name, start.sockets, start.seed), ("sidecar", configuration.SOCKETS, 31))
+        self.assertEqual((start.terms.waves, start.reach.connect_within), ((0.5, 1.0), 2500))
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -58,7 +58,7 @@
     def __init__(self, owner):
         self.owner, self.parser = owner, resp.Parser()
         self.slot, self.first, self.places = None, 0, deque()
-        self.sound, self.closing, self.reading = True, False, True
+        self.sound, self.closing, self.reading, self.used_at = True, False, True, 0
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -118,11 +118,11 @@
         if not self.reading and len(self.places) < MOST_WAITING // 2:
             self.reading = True
             self.transport.resumeProducing()
-        if self.closing and not self.places:
-            self.transport.loseConnection()
+        if self.closing:
+            self.finish()
 
     def finish(self):
-        """Closes once everything owed is answered."""
+        """Closes once everything owed is answered; a command that has begun to come is waited for."""
         self.closing = True
-        if not self.places:
+        if self.idle() or (not self.sound and not self.places):
             self.transport.loseConnection()
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -1,5 +1,6 @@
 """A connection to a pod: one delivery at a time. How it ended comes as a value by a Deferred, never raised."""
 
+import socket
 from typing import NamedTuple, Optional
 
 from twisted.internet.defer import Deferred
@@ -39,7 +40,8 @@
 
     def __init__(self, owner, pool, connecting):
         self.owner, self.pool, self.connecting, self.parser = owner, pool, connecting, resp.Parser()
-        self.waiting, self.written, self.slot, self.used_at = None, False, None, None
+        self.waiting, self.written, self.given_up = None, False, False
+        self.slot, self.used_at = None, None
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -79,7 +81,10 @@
         if waiting is None or not self.written or answer is None:
             self.waiting = waiting
             return self.drop("an answer that nothing asked for" if waiting is None else "unreadable answer")
-        self.owner.ready(self)
+        if self.given_up:  # too late for the client, but it tells that the transaction ran
+            self.transport.abortConnection()
+        else:
+            self.owner.ready(self)
         waiting.callback(answer)
 
     def drop(self, reason):
@@ -88,11 +93,15 @@
         self._broken(reason)
 
     def give_up(self):
-        """Ends the connection because its delivery is not waited for any more."""
-        self.waiting = None
-        self.transport.loseConnection()
+        """Ends the delivery at once, for another may be written next: one is out while its connection is open
+        for sending. What is on its way back is still read, for as long as the owner lets it."""
+        self.given_up = True
         if not self.written:
-            self.transport.abortConnection()
+            return self.drop("given up")
+        try:
+            self.transport.getHandle().shutdown(socket.SHUT_WR)
+        except OSError:
+            self.drop("given up")
 
     def _broken(self, reason):
         waiting, self.waiting = self.waiting, None
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -15,6 +15,7 @@
 
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, platform, the loop's own, standard streams
 FOR_PODS = 0.5              # of the others: connections to pods; the rest is for clients
+LATE = 5_000                # a delivery given up is listened to for so long: what is on its way still comes
 IDLE_PART = 0.8             # of the told idle time: then a connection is retired, before the pod does it
 OVERDUE = 50                # after its client's end a transaction without an answer gets one (5 ms)
 BUSY = "BUSY"
@@ -50,7 +51,7 @@
         self.pools, self.most_clients = Pools(int(spare * FOR_PODS)), spare - int(spare * FOR_PODS)
         self.listed, self.addresses, self.version = {}, {}, start.known.version
         self.news, self.calls, self.inbox, self.deciding, self.paused = None, 0, [], False, None
-        self.clients, self.stopping, self.emptied = set(), False, None
+        self.clients, self.stopping, self.emptied = {}, False, None
         self.balancer = Balancer(self.terms, start.seed, self.clock())
 
     def begin(self):
@@ -112,16 +113,16 @@
     # Clients.
 
     def opened(self, connection):
-        connection.slot = self.connections.add(connection)
-        self.clients.add(connection)
+        connection.slot, connection.used_at = self.connections.add(connection), self.clock()
+        self.clients[connection] = True
         if len(self.clients) >= self.most_clients:
             self._make_room()
 
     def _make_room(self):
         """Between transactions a connection may be closed; else no more are accepted for now."""
-        for connection in self.clients:
-            if connection.idle() and not connection.closing:
-                return connection.finish()
+        idle = [connection for connection in self.clients if connection.idle() and not connection.closing]
+        if idle:
+            return min(idle, key=lambda connection: connection.used_at).finish()
         if self.paused is None and self.port is not None:
             self.paused = self.port
             self.port.stopReading()
@@ -129,12 +130,12 @@
 
     def left(self, connection):
         self.connections.remove(connection.slot)
-        self.clients.discard(connection)
+        self.clients.pop(connection, None)
         if self.paused is not None and len(self.clients) < self.most_clients:
             if not self.stopping:
                 self.paused.startReading()
             self.paused = None
-        for held in [held for held in self.transactions if held.connection is connection]:
+        for held in [held for held in self.transactions if held.connection is connection and connection.places]:
             if not held.over:
                 held.over = True
                 self.tell(i.ClientLeft(held.id))
@@ -150,7 +151,7 @@
             return connection.answer(place, resp.failure("ERR this id is in hand already"))
         if len(self.transactions) >= self.reach.most_open:
             return connection.answer(place, resp.failure(BUSY))
-        left = command.left * 10
+        connection.used_at, left = self.clock(), command.left * 10
         held = Held(name, command, connection, place, self.clock() + left)
         held.slot = self.by_id[name] = self.transactions.add(held)
         held.deadline = self.deadlines.add(held.ends + OVERDUE, self._overdue, held)
@@ -222,12 +223,7 @@
         factory = PodConnector(self, pool)
         factory.failed.addCallback(self._not_connected, factory)
         connector = self.reactor.connectTCP(pool.host, pool.port, factory, timeout=None)
-        factory.deadline = self.deadlines.add(self.clock() + self.reach.connect_within, self._connect_late,
-                                              connector)
-
-    def _connect_late(self, connector):
-        if connector.state == "connecting":
-            connector.stopConnecting()
+        factory.deadline = self.deadlines.add(self.clock() + self.reach.connect_within, connector.stopConnecting)
 
     def _not_connected(self, broken, factory):
         pool = factory.pool
@@ -289,6 +285,8 @@
     def _came_back(self, end, attempt):
         """A delivery's end from the network, as a value."""
         if attempt.state == ENDED:
+            if isinstance(end, Answer) and end.failure is None:
+                logs.log("late answer", id=attempt.held.id, pod=attempt.pod, after=self.clock() - attempt.at)
             return
         attempt.connection = None
         if isinstance(end, Broken):
@@ -317,6 +315,7 @@
         """Takes an attempt off the network, before anything else is sent for its transaction."""
         if attempt.connection is not None:
             attempt.connection.give_up()
+            self.deadlines.add(self.clock() + LATE, attempt.connection.drop, "given up")
             attempt.connection = None
         else:
             waiting = self.pools.by_pod[attempt.pod].waiting
@@ -354,10 +353,12 @@
         if listing.pods.kind != i.CHANGES:
             self.listed = {}
         for pod in listing.pods.pods:
-            if pod.condition == i.GONE:
-                self.listed.pop(pod.address, None)
-            else:
+            known, pool = self.listed.pop(pod.address, None), self.pools.by_pod.get(pod.address)
+            if pod.condition != i.GONE:
                 self.listed[pod.address] = pod
+            # What stands open to an earlier process may be silent: it is another pod under the same id.
+            if known and pool and (known.started, known.build) != (pod.started, pod.build):
+                self._retire(pool.idle)
         self.addresses.update(listing.addresses)
         self.inbox.append(listing.pods)
         self._retire(self.pools.drop_gone(self.listed))
@@ -389,8 +390,8 @@
                     return self.watch.restart("unreadable")
 
     def _subscribe(self, action):
-        if action.on:
-            self.watch.restart("asked for")
+        if action.on:  # the watch always stands; the answer that is due is the list
+            self._fetch(action)
 
     def _fetch(self, action):
         self._call(self.start.discovery, discovery.fetch("%s:%d" % self.start.discovery), self.terms.vote_wait,
@@ -453,7 +454,7 @@
                 answered(end)
 
         def late():
-            if connector.state == "connecting":
+            if call.transport is None:
                 connector.stopConnecting()
             else:
                 call.give_up("no answer in time")
@@ -500,6 +501,7 @@
     def finish(self, emptied):
         """Takes no more: closes each client's connection once it is owed nothing, then calls emptied."""
         self.stopping, self.emptied = True, emptied
+        self.port.doRead()  # what the machine has accepted already is taken, too
         self.port.stopListening()
         for connection in list(self.clients):
             connection.finish()
