--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -153,6 +153,16 @@
         judged(made, i.DONE, "old-1", 1, latency=5000)
         self.assertEqual(made._verdict(), i.NO_VOTE)
 
+    def test_an_earlier_build_that_errs_by_itself_is_nothing_to_stay_with(self):
+        for errors, trial, vote in ((9, -1.0, i.ON), (2, -1.0, i.NO_VOTE), (9, 1.0, i.NO_VOTE)):
+            made = judging()
+            judged(made, i.DONE, "old-1", 60, latency=5000)
+            judged(made, i.ERROR, "old-2", errors)
+            judged(made, i.DONE, "new-1", 20)
+            made.sums["failed"] = trial
+            made.now += 5 * SECOND
+            self.assertEqual(made._verdict(), vote)
+
     def test_more_traffic_excuses_slowness_of_all(self):
         made = judging(rate=10.0)
         made.arrivals.add(NOW, 100)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -211,6 +211,51 @@
         self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
 
 
+class Calls(unittest.TestCase):
+    def vote(self, network):
+        """What the decisions hear of a vote, once the connector of its call is there."""
+        heard = []
+        network.sidecar._vote(i.Vote(41, 1, i.BACK))
+        network.sidecar.balancer.handle = lambda now, events: heard.extend(events) or []
+        return heard
+
+    def pass_on(self, network, seconds):
+        network.reactor.advance(seconds)
+        network.reactor.advance(0)
+
+    def test_a_call_that_was_written_and_not_answered_may_count(self):
+        network = Network()
+        heard = self.vote(network)
+        call = network.connect()
+        call.resumeProducing()
+        self.pass_on(network, 1.3)
+        self.assertEqual([event.outcome for event in heard if type(event) is i.News], [i.EXPIRED])
+
+    def test_one_that_was_not_written_whole_or_never_connected_does_not(self):
+        network = Network()
+        heard = self.vote(network)
+        network.connect()
+        self.pass_on(network, 1.3)
+        network.sidecar._vote(i.Vote(41, 1, i.BACK))
+        self.pass_on(network, 1.3)
+        self.assertTrue(network.reactor.connectors[-1].stoppedConnecting)
+        network.refuse()
+        self.assertEqual([event.outcome for event in heard if type(event) is i.News], [i.ERROR, i.ERROR])
+
+    def test_a_stream_that_shows_no_sign_of_life_is_asked_for_again(self):
+        network = Network()
+        stream = network.connect(1)
+        stream.dataReceived(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(6):  # a sign each second
+            self.pass_on(network, 1)
+            stream.dataReceived(b"1\r\n:\r\n")
+        dialled = [port for _, port, *_ in network.reactor.tcpClients]
+        for _ in range(6):
+            self.pass_on(network, 1)
+        now = [port for _, port, *_ in network.reactor.tcpClients]
+        self.assertEqual((dialled.count(3), now.count(3)), (1, 2))
+
+
 class Memory(unittest.TestCase):
     def test_slots_are_numbered_and_used_again(self):
         slots = Slots()
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -152,11 +152,11 @@
 
     def start(self):
         self.again, self.last = None, self.deadlines.clock()
-        self.stream = Stream(self.ask(), self._heard, self._ended)
+        stream = self.stream = Stream(self.ask(), self._heard, self._ended)
         self.fresh()
-        connector = Connector(self.stream, self._failed)
+        connector = Connector(stream, lambda broken: self._ended(stream, broken.reason))
         self.connector = self.caller.reactor.connectTCP(*self.caller.address, connector, timeout=None)
-        self._watch(self.stream)
+        self._watch(stream)
 
     def restart(self, reason):
         """Ends the present stream and asks on a new connection."""
@@ -191,6 +191,3 @@
             self.log("stream ended", address=self.caller.host, reason=reason)
             self.stream = None
             self._ask_again()
-
-    def _failed(self, broken):
-        self._ended(self.stream, broken.reason)
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -47,6 +47,8 @@
     address = read("addr", str, "" if condition == i.GONE else None)
     if condition != i.GONE and not address.rpartition(":")[2].isdigit():
         raise Unreadable(f"{key}.addr is no address with a port")
+    if not read("weight", (int, float), 1.0) > 0:
+        raise Unreadable(f"{key}.weight is not above 0")
     started = read("started_ms", (int, float), 0)
     pod = i.Pod(read("id", str), read("zone", str, ""), float(read("weight", (int, float), 1.0)),
                 int(read("cell", int, 0)), condition, int(started * 10) - epoch if started else 0,
