--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -106,6 +106,12 @@
         for chunks in splits(STREAM + CALL):
             self.assertEqual(self.read(chunks), wanted)
 
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        parser = http.Parser()
+        parts = [*parser.feed(b"HTTP/1.1 200 OK\r\n\r\n<a>"), *parser.feed(b"1</a>"), *parser.closed()]
+        self.assertEqual([bytes(part.content) for part in parts[1:-1]], [b"<a>", b"1</a>"])
+        self.assertEqual((type(parts[-1]), http.Parser().closed()), (http.End, []))
+
     def test_events_come_whole_however_the_stream_is_split(self):
         data = b"event: progress\r\ndata: a=1\n\n:\n\n: sign\ndata:b=2\ndata: c\n\nevent: x\n\n"
         for chunks in splits(data):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -158,6 +158,16 @@
         self.assertEqual(network.sidecar.balancer.pins, {"key": 42})
 
 
+    def test_so_does_one_that_came_in_part(self):
+        network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+        network.ask()
+        connection = network.connect()
+        connection.resumeProducing()
+        connection.dataReceived(ANSWER[:9])
+        connection.connectionLost(Failure(ConnectionRefusedError()))
+        self.assertEqual(network.sidecar.balancer.pins, {"key": 42})
+
+
 class Bounds(unittest.TestCase):
     def test_without_descriptors_for_pods_it_defers(self):
         network = Network(entry("s-1"), sockets=64)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -82,7 +82,7 @@
         self.pressure, self.pressed_at, self.lost, self.warm_rate = 0.0, now, 0.0, 0.0
         self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
-        self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow")}
+        self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow", "error")}
         # All share the allowed error; where many must err together, each may err more (Poisson tail's bound).
         needed = terms.votes_to_revert
         together = needed * (FALSE_BACK if needed == 1 else 0.7 * FALSE_BACK ** (1 / needed))
@@ -103,8 +103,7 @@
         return self.actions if self.upkeep else self._tick(i.TimerDue(0)) or self.actions
 
     def _listed(self, event):
-        if event.kind == i.MISSED:
-            # The watch may have dropped; a call that fails at once must not become a storm of calls.
+        if event.kind == i.MISSED:  # the watch may have dropped; a call that fails at once must not storm
             self.watch_at = min(self.watch_at, self.now + int((1 + self.chance.draw()) * SECOND))
             return
         self.pods = merged(self.pods, event, self.terms.overload_for)
@@ -224,8 +223,8 @@
                 # The mark follows the latency that one answer in ten exceeds, quickly at first.
                 shift = (SLOW_QUANTILE if slow else SLOW_QUANTILE - 1) * max(0.05, 1 / (2 + 0.2 * settled))
                 self.marks[cell] = mark * (1 + shift), settled + 1
-            for what, amount in (("all", 1), ("failed", failed), ("slow", slow)):
-                self.earlier[what].add(self.now, amount)
+            for what, one in (("all", 1), ("failed", failed), ("slow", slow), ("error", outcome == i.ERROR)):
+                self.earlier[what].add(self.now, one)
         elif build == self.news.build:
             compared = self._compare() and self.news.phase == i.ON_TRIAL
             # A cold pod's time-outs prove nothing of the build, nor does a failure of the way to it with no
@@ -337,8 +336,10 @@
 
     def _verdict(self):
         news, part = self.news, self.doubt
-        if self.ill_since is not None:
-            # What slows all may pass by itself. Until it has passed, the build does not move on.
+        errs, seen = (self.earlier[what].total(self.now) for what in ("error", "all"))
+        worse = errs >= max(BASELINE, P1_OVER_P0["failed"] * P0_FLOOR["failed"] * seen)
+        if self.ill_since is not None and not (worse and self.sums["failed"] <= 0):
+            # What slows all may pass by itself: till then nothing moves on, but off a build that errs itself.
             blamed = self.now >= self.ill_since + ILL_FOR[self.terms.replaces]
             part = max(part, 1.1 if blamed and self.all_slow > self.back_at["slow"] else 1.0)
         self.saying_back = part > 1 or (self.saying_back and part > HOLD_PART)
@@ -542,10 +543,10 @@
         delivery.known.out -= 1
         self._learn(tx, delivery.known, event)
         if event.outcome == i.DONE:
-            self._pin(i.AnsweredLate(tx.key, delivery.pod.build))
+            self._pin(i.AnsweredUnheard(tx.key, delivery.pod.build))
         self._step(tx, "answered" if event.closed else proof)
 
-    def _pin(self, event):  # on sockets also by a good answer that comes after its delivery was given up
+    def _pin(self, event):  # on sockets also by a good answer that came too late or in part
         if self.terms.keys_stay:
             self.pins[event.key] = max(self.pins.get(event.key, 0), event.build)
 
@@ -583,8 +584,7 @@
             self._step(self.open[event.id], "left" if type(event) is i.ClientLeft else "streams")
 
     def _complain(self, event):  # a client found an answer wrong: what was booked as a success is a failure
-        known = self.pods.get(event.pod)
-        if known and known.side and self.build in (TRIAL, FREED):
+        if event.pod in self.pods and self.pods[event.pod].side and self.build in (TRIAL, FREED):
             self._add("failed", True)
 
     def _tick(self, event):
@@ -617,4 +617,4 @@
 
     EVENTS = {i.PodList: _listed, i.News: _told, i.Taken: _take, i.Ended: _end, i.ClientLeft: _follow,
               i.StreamBegan: _follow, i.TimerDue: _tick, i.Complaint: _complain, i.Tally: _tallied,
-              i.AnsweredLate: _pin}
+              i.AnsweredUnheard: _pin}
--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -117,8 +117,8 @@
     load: Optional[tuple]
 
 
-class AnsweredLate(NamedTuple):
-    """A good answer to a delivery whose end was told before: it counts for the key alone."""
+class AnsweredUnheard(NamedTuple):
+    """A pod's good answer that came too late or in part: it counts for the key alone, not for the delivery."""
     key: str
     build: int
 
@@ -224,7 +224,7 @@
     text: str
 
 
-Event = Union[PodList, Taken, StreamBegan, Ended, AnsweredLate, ClientLeft, TimerDue, Probed, Message,
+Event = Union[PodList, Taken, StreamBegan, Ended, AnsweredUnheard, ClientLeft, TimerDue, Probed, Message,
               News, Tally, Complaint]
 Action = Union[Deliver, Recall, Defer, Abandon, SetTimer, Probe, CloseIdle, Tell, Subscribe, FetchList, Vote,
                Note]
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from . import http
@@ -40,15 +41,18 @@
     def dataReceived(self, data):
         try:
             for part in self.parser.feed(data):
-                if isinstance(part, http.Head):
-                    self.status = part.status
-                elif isinstance(part, http.Body):
-                    self.body.append(bytes(part.content))
-                else:
-                    return self._finish(Reply(self.status, b"".join(self.body)))
+                self._part(part)
         except Exception as error:  # what can't be read ends this connection alone
             self._finish(self._how_far(f"unreadable: {error}"))
 
+    def _part(self, part):
+        if isinstance(part, http.Head):
+            self.status = part.status
+        elif isinstance(part, http.Body):
+            self.body.append(bytes(part.content))
+        else:
+            self._finish(Reply(self.status, b"".join(self.body)))
+
     def give_up(self, reason, connector):
         if self.transport is None:
             connector.stopConnecting()
@@ -68,6 +72,9 @@
             done.callback(end)
 
     def connectionLost(self, reason):
+        if reason.check(ConnectionDone):
+            for part in self.parser.closed():
+                self._part(part)
         self.broken(self._how_far(reason.getErrorMessage()))
 
 
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 from urllib.parse import urlencode
 
+NO_BODY = (204, 304)
 MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 1024 * 1024, 4 * 1024 * 1024
 
 
@@ -71,12 +72,22 @@
         if headers.get("transfer-encoding", "").lower() == "chunked":
             self.state = self._chunk
             return [head], after
-        length = headers.get("content-length", "0")
+        length = headers.get("content-length", "0" if int(words[1]) in NO_BODY else None)
+        if length is None:
+            self.state = self._until_closed
+            return [head], after
         if not length.isdigit() or int(length) > MOST_BODY:
             raise Malformed("a length that is no number, or too large")
         self.left, self.state = int(length), self._sized
         return [head], after
 
+    def closed(self):
+        """What the end of the connection tells: an End for an answer that has no other one."""
+        return [End()] if self.state == self._until_closed else []
+
+    def _until_closed(self, buffer, at):
+        return ([Body(buffer[at:])], len(buffer)) if at < len(buffer) else (None, at)
+
     def _sized(self, buffer, at):
         if self.left == 0:
             self.state = self._head
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -23,6 +23,7 @@
     """The way to the pod failed; how far the attempt had come decides whether it may have run."""
     reached: str
     reason: str
+    begun: bool = False         # a good answer had begun to come: the pod has written it
 
 
 def read_answer(message):
@@ -106,7 +107,8 @@
     def _broken(self, reason):
         waiting, self.waiting = self.waiting, None
         if waiting is not None:
-            waiting.callback(Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason))
+            begun = self.written and self.parser.begins_with(b"*")
+            waiting.callback(Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason, begun))
 
     def connectionLost(self, reason):
         self.owner.lost(self)
--- a/thymeknot/protocol/resp.py
+++ b/thymeknot/protocol/resp.py
@@ -47,6 +47,10 @@
         self.chunks = [bytes(buffer[at:])] if at < len(buffer) else []
         self.held = len(buffer) - at
 
+    def begins_with(self, kind):
+        """Whether a message of this kind has come in part."""
+        return bool(self.chunks) and self.chunks[0][:1] == kind
+
     def _line(self, buffer, at):
         found = bytes(buffer[at:at + MOST_LINE]).find(b"\r\n")
         if found < 0:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -18,6 +18,7 @@
 
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, the platform, the loop's own, standard streams
 FOR_PODS = 0.5              # of the others: connections to pods; the rest is for clients
+READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
@@ -51,10 +52,11 @@
     def _came_back(self, end):
         """What came of it, as a value."""
         good = isinstance(end, Answer) and end.failure is None
+        if (good and not self.out) or (isinstance(end, Broken) and end.begun):
+            self.sidecar.answered_unheard(self)
         if not self.out:
-            if good:
-                self.sidecar.answered_late(self)
-        elif isinstance(end, Broken):
+            return
+        if isinstance(end, Broken):
             self.sidecar.ended(self, i.RESET if end.reached == WRITTEN else i.UNCONNECTED)
         elif good:
             self.sidecar.ended(self, i.DONE, end)
@@ -107,9 +109,16 @@
         self.emptied = emptied
         self.port.doRead()  # what the machine has accepted already is taken, too
         self.port.stopListening()
+        self.deadlines.add(self.clock() + READ_FIRST, self._finish_clients)
+
+    def _finish_clients(self):
         for connection in self.clients:
             connection.finish()
-        if not self.clients:
+        self._if_emptied()
+
+    def _if_emptied(self):
+        if self.emptied and not self.clients:
+            emptied, self.emptied = self.emptied, lambda: None  # told once
             emptied()
 
     # Events into the decisions, their actions out.
@@ -186,8 +195,7 @@
                     held.over = True
                     self.tell(i.ClientLeft(held.id))
                     self._let_go(held)
-        if self.emptied and not self.clients:
-            self.emptied()
+        self._if_emptied()
 
     def take(self, connection, place, command):
         name = command.id.decode()
@@ -274,11 +282,11 @@
         self._let_go(held)
         self.tell(event)
 
-    def answered_late(self, attempt):
-        """A good answer after its delivery was given up: the transaction is over, but its key is answered."""
-        logs.log("late answer", id=attempt.held.id, pod=attempt.pod.address, after=self.clock() - attempt.at)
-        command = attempt.held.command
-        self.tell(i.AnsweredLate((command.key or command.id).decode(), attempt.pod.build))
+    def answered_unheard(self, attempt):
+        """A good answer that came too late, or in part: no use to the client, but the key is answered."""
+        command, after = attempt.held.command, self.clock() - attempt.at
+        logs.log("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after)
+        self.tell(i.AnsweredUnheard((command.key or command.id).decode(), attempt.pod.build))
 
     def _load(self, report):
         """The values of a report of names and values, in the order in which the terms name them."""
