--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -7,6 +7,7 @@
 from thymeknot import interface as i
 from thymeknot.protocol import client, discovery, http, platform, pod, resp
 from thymeknot.protocol.calls import Reply
+from thymeknot.protocol.reached import NOT_ALL_WRITTEN, NOT_CONNECTED, WRITTEN, Broken
 
 EVENTS = b"event: progress\ndata: a=1\n\n:\n\ndata:b=2\n\n"
 STREAM = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -139,9 +140,9 @@
         for end, outcome in ((Reply(400, error % b"throttled"), i.FULL), (Reply(400, error % b"conflict"), i.UNSENT),
                              (Reply(500, error % b"internal"), i.ERROR), (Reply(400, error % b"invalid"), i.ERROR),
                              (Reply(200, b"<Response/>"), i.EXPIRED), (Reply(302, b""), i.EXPIRED),
-                             (pod.Broken(pod.NOT_CONNECTED, ""), i.ERROR),
-                             (pod.Broken(pod.NOT_ALL_WRITTEN, ""), i.ERROR),
-                             (pod.Broken(pod.WRITTEN, ""), i.EXPIRED)):
+                             (Broken(NOT_CONNECTED, ""), i.ERROR),
+                             (Broken(NOT_ALL_WRITTEN, ""), i.ERROR),
+                             (Broken(WRITTEN, ""), i.EXPIRED)):
             self.assertEqual(platform.vote_news(42, end), i.News(42, None, None, True, outcome, None, None))
 
     def test_a_vote_is_a_form(self):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -181,6 +181,14 @@
         self.assertEqual([client.transport.disconnecting for client in clients],
                          [True] + [False] * (len(clients) - 1))
 
+    def test_a_connection_that_is_to_close_still_answers_a_command_that_has_begun(self):
+        client, ping = Network().client(), command("PING")
+        client.dataReceived(ping[:5])
+        client.finish()
+        self.assertFalse(client.transport.disconnecting)
+        client.dataReceived(ping[5:])
+        self.assertEqual((client.transport.value(), client.transport.disconnecting), (b"+PONG\r\n", True))
+
     def test_an_idle_connection_is_retired_before_the_pod_does_it(self):
         network = Network(entry("s-1"))
         network.ask()
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from . import http
-from .pod import NOT_ALL_WRITTEN, NOT_CONNECTED, WRITTEN, Broken
+from .reached import NOT_CONNECTED, Broken, WholeWriter
 
 
 class Reply(NamedTuple):
@@ -15,35 +15,23 @@
     body: bytes
 
 
-class Call(Protocol):
+class Call(WholeWriter, Protocol):
     """One call on a connection. done fires with a Reply or a Broken; then the connection ends."""
 
     def __init__(self, request):
-        self.request, self.done, self.written = request, Deferred(), False
+        self.request, self.done = request, Deferred()
         self.parser, self.status, self.body = http.Parser(), 0, []
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
-        # A pull producer is asked for more exactly when the last byte has gone to the network.
-        self.transport.registerProducer(self, False)
-
-    def resumeProducing(self):
-        if self.request:
-            request, self.request = self.request, None
-            self.transport.write(request)
-        else:
-            self.written = True
-            self.transport.unregisterProducer()
-
-    def stopProducing(self):
-        """The transport says so when it is lost; connectionLost follows."""
+        self.write_whole(self.request)
 
     def dataReceived(self, data):
         try:
             for part in self.parser.feed(data):
                 self._part(part)
         except Exception as error:  # what can't be read ends this connection alone
-            self._finish(self._how_far(f"unreadable: {error}"))
+            self._finish(self.how_far(f"unreadable: {error}"))
 
     def _part(self, part):
         if isinstance(part, http.Head):
@@ -57,10 +45,7 @@
         if self.transport is None:
             connector.stopConnecting()
         else:
-            self._finish(self._how_far(reason))
-
-    def _how_far(self, reason):
-        return Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason)
+            self._finish(self.how_far(reason))
 
     def _finish(self, end):
         self.transport.abortConnection()
@@ -75,7 +60,7 @@
         if reason.check(ConnectionDone):
             for part in self.parser.closed():
                 self._part(part)
-        self.broken(self._how_far(reason.getErrorMessage()))
+        self.broken(self.how_far(reason.getErrorMessage()))
 
 
 class Stream(Protocol):
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -84,6 +84,8 @@
         except Exception as error:  # a fault here must cost this connection alone
             self.owner.fault("client connection", error)
             self.transport.abortConnection()
+        if self.closing:
+            self.finish()
         if len(self.places) > MOST_WAITING and self.reading:
             self.reading = False
             self.transport.pauseProducing()
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -40,35 +40,33 @@
         self.rest, self.state, self.left = b"", self._head, 0
 
     def feed(self, data):
-        buffer = memoryview(self.rest + data if self.rest else data)
-        at = 0
+        buffer, at = self.rest + data if self.rest else data, 0
         while True:
             found, at = self.state(buffer, at)
             if found is None:
                 break
             yield from found
-        self.rest = bytes(buffer[at:])
+        self.rest = buffer[at:]
 
     def _line(self, buffer, at, most):
-        end = bytes(buffer[at:at + most]).find(b"\r\n")
+        end = buffer.find(b"\r\n", at, at + most)
         if end < 0 and len(buffer) - at >= most:
             raise Malformed("a line without an end")
-        return (None, at) if end < 0 else (bytes(buffer[at:at + end]), at + end + 2)
+        return (None, at) if end < 0 else (buffer[at:end], end + 2)
 
     def _head(self, buffer, at):
-        raw = bytes(buffer[at:at + MOST_HEAD])
-        end = raw.find(b"\r\n\r\n")
+        end = buffer.find(b"\r\n\r\n", at, at + MOST_HEAD)
         if end < 0:
-            if len(raw) >= MOST_HEAD:
+            if len(buffer) - at >= MOST_HEAD:
                 raise Malformed("a head without an end")
             return None, at
-        first, *lines = raw[:end].decode("latin-1").split("\r\n")
+        first, *lines = buffer[at:end].decode("latin-1").split("\r\n")
         words = first.split(" ", 2)
         if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
             raise Malformed("no status line")
         headers = {name.strip().lower(): text.strip()
                    for name, _, text in (line.partition(":") for line in lines)}
-        head, after = Head(int(words[1]), headers), at + end + 4
+        head, after = Head(int(words[1]), headers), end + 4
         if headers.get("transfer-encoding", "").lower() == "chunked":
             self.state = self._chunk
             return [head], after
@@ -86,13 +84,13 @@
         return [End()] if self.state == self._until_closed else []
 
     def _until_closed(self, buffer, at):
-        return ([Body(buffer[at:])], len(buffer)) if at < len(buffer) else (None, at)
+        return ([Body(memoryview(buffer)[at:])], len(buffer)) if at < len(buffer) else (None, at)
 
     def _sized(self, buffer, at):
         if self.left == 0:
             self.state = self._head
             return [End()], at
-        part = buffer[at:at + self.left]
+        part = memoryview(buffer)[at:at + self.left]
         if not part:
             return None, at
         self.left -= len(part)
@@ -119,7 +117,7 @@
                 raise Malformed("a chunk longer than it says")
             self.state = self._chunk
             return [], at + 2
-        part = buffer[at:at + self.left]
+        part = memoryview(buffer)[at:at + self.left]
         if not part:
             return None, at
         self.left -= len(part)
--- a/thymeknot/protocol/platform.py
+++ b/thymeknot/protocol/platform.py
@@ -7,7 +7,7 @@
 from .. import interface as i
 from . import http
 from .calls import Reply
-from .pod import WRITTEN
+from .reached import WRITTEN
 
 BASE = "/v2/projects/main/"
 SIGN_OF_LIFE = 10_000       # tenths of a millisecond
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -7,9 +7,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from . import resp
-
-# How far an attempt came.
-NOT_CONNECTED, NOT_ALL_WRITTEN, WRITTEN = "not connected", "not all written", "written"
+from .reached import NOT_CONNECTED, Broken, WholeWriter
 
 
 class Answer(NamedTuple):
@@ -19,13 +17,6 @@
     failure: Optional[str]
 
 
-class Broken(NamedTuple):
-    """The way to the pod failed; how far the attempt had come decides whether it may have run."""
-    reached: str
-    reason: str
-    begun: bool = False         # a good answer had begun to come: the pod has written it
-
-
 def read_answer(message):
     """An Answer, or None where the message is none that a pod gives."""
     if isinstance(message, resp.Failure):
@@ -36,13 +27,12 @@
     return None
 
 
-class PodConnection(Protocol):
+class PodConnection(WholeWriter, Protocol):
     """Its owner is told of made(connection), ready(connection) and lost(connection)."""
 
     def __init__(self, owner, connector):
         self.owner, self.connector, self.parser = owner, connector, resp.Parser()
-        self.waiting, self.written, self.given_up = None, False, False
-        self.slot, self.used_at = None, None
+        self.waiting, self.given_up, self.slot, self.used_at = None, False, None, None
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -50,22 +40,10 @@
 
     def deliver(self, words):
         """Sends a command. The Deferred fires with an Answer or a Broken."""
-        self.waiting, self.written, self._command = Deferred(), False, resp.command(words)
-        # A pull producer is asked for more exactly when the last byte has gone to the network.
-        self.transport.registerProducer(self, False)
+        self.waiting = Deferred()
+        self.write_whole(resp.command(words))
         return self.waiting
 
-    def resumeProducing(self):
-        if self._command:
-            command, self._command = self._command, None
-            self.transport.write(command)
-        else:
-            self.written = True
-            self.transport.unregisterProducer()
-
-    def stopProducing(self):
-        """The transport says so when it is lost; connectionLost follows."""
-
     def dataReceived(self, data):
         try:
             for message in self.parser.feed(data):
@@ -107,8 +85,7 @@
     def _broken(self, reason):
         waiting, self.waiting = self.waiting, None
         if waiting is not None:
-            begun = self.written and self.parser.begins_with(b"*")
-            waiting.callback(Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason, begun))
+            waiting.callback(self.how_far(reason, self.parser.begins_with(b"*")))
 
     def connectionLost(self, reason):
         self.owner.lost(self)
--- /dev/null
+++ b/thymeknot/protocol/reached.py
@@ -0,0 +1,38 @@
+"""How far an attempt came, as a value, and the writing that knows it."""
+
+from typing import NamedTuple
+
+NOT_CONNECTED, NOT_ALL_WRITTEN, WRITTEN = "not connected", "not all written", "written"
+
+
+class Broken(NamedTuple):
+    """The way to the peer failed; how far the attempt had come decides whether it may have been carried out."""
+    reached: str
+    reason: str
+    begun: bool = False         # a good answer had begun to come: the peer has written it
+
+
+class WholeWriter:
+    """For protocols that must know when the last byte of what they write has gone to the network.
+
+    It is a pull producer of its transport: one is asked for more exactly when nothing is left to write."""
+
+    written, _content = False, None
+
+    def write_whole(self, content):
+        self.written, self._content = False, content
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self):
+        if self._content:
+            content, self._content = self._content, None
+            self.transport.write(content)
+        else:
+            self.written = True
+            self.transport.unregisterProducer()
+
+    def stopProducing(self):
+        """The transport says so when it is lost; connectionLost follows."""
+
+    def how_far(self, reason, begun=False):
+        return Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason, begun and self.written)
--- a/thymeknot/protocol/resp.py
+++ b/thymeknot/protocol/resp.py
@@ -33,8 +33,7 @@
         self.held += len(data)
         if self.held < self.needed:  # a long value is not joined again with each piece of it
             return
-        buffer = memoryview(data if len(self.chunks) == 1 else b"".join(self.chunks))
-        at = 0
+        buffer, at = data if len(self.chunks) == 1 else b"".join(self.chunks), 0
         while at < len(buffer):
             message, end = self._message(buffer, at, 0)
             if message is INCOMPLETE:
@@ -44,7 +43,7 @@
             yield message
         else:
             self.needed = 0
-        self.chunks = [bytes(buffer[at:])] if at < len(buffer) else []
+        self.chunks = [buffer[at:]] if at < len(buffer) else []
         self.held = len(buffer) - at
 
     def begins_with(self, kind):
@@ -52,12 +51,12 @@
         return bool(self.chunks) and self.chunks[0][:1] == kind
 
     def _line(self, buffer, at):
-        found = bytes(buffer[at:at + MOST_LINE]).find(b"\r\n")
+        found = buffer.find(b"\r\n", at, at + MOST_LINE)
         if found < 0:
             if len(buffer) - at >= MOST_LINE:
                 raise Malformed("a line without an end")
             return None, len(buffer) + 1
-        return bytes(buffer[at + 1:at + found]), at + found + 2
+        return buffer[at + 1:found], found + 2
 
     def _message(self, buffer, at, depth):
         """The message that begins here and where it ends; or INCOMPLETE and how far it goes at least."""
@@ -98,7 +97,7 @@
             return INCOMPLETE, end
         if buffer[end - 2:end] != b"\r\n":
             raise Malformed("a value longer than it says")
-        return buffer[at:end - 2], end
+        return memoryview(buffer)[at:end - 2], end
 
     def _array(self, buffer, at, length, depth):
         if length > MOST_PARTS or depth >= MOST_DEPTH:
--- a/thymeknot/service/logs.py
+++ b/thymeknot/service/logs.py
@@ -9,10 +9,10 @@
 
 
 def seldom(event, **fields):
-    """What may come with every transaction is written once a second at most."""
-    now = time.monotonic()
-    if now - _last.get(event, -1.0) >= 1.0:
-        _last[event] = now
+    """What may come with every transaction, or again and again, is written once a second at most."""
+    now, what = time.monotonic(), (event, fields.get("address"))
+    if now - _last.get(what, -1.0) >= 1.0:
+        _last[what] = now
         log(event, **fields)
 
 
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -12,7 +12,8 @@
 from .protocol import discovery, http, platform, resp
 from .protocol.calls import Caller, KeptStream, Reply
 from .protocol.client import ClientConnection
-from .protocol.pod import WRITTEN, Answer, Broken
+from .protocol.pod import Answer
+from .protocol.reached import WRITTEN, Broken
 from .records import Chance
 from .service import logs
 
@@ -86,10 +87,10 @@
         self.platform = Caller(reactor, deadlines, start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
                                 lambda: discovery.watch(self.discovery.host, self.version),
-                                self._watch_fresh, self._watch_heard, logs.log)
+                                self._watch_fresh, self._watch_heard, logs.seldom)
         self.stream = KeptStream(self.platform, chance, platform.SILENCE,
                                  lambda: platform.stream(self.platform.host),
-                                 self._stream_fresh, self._stream_heard, logs.log)
+                                 self._stream_fresh, self._stream_heard, logs.seldom)
 
     def begin(self):
         """The first moment of the decisions: the list as last known, and the news."""
