Connecting to the platform has its own deadline; a silent stream is kept until another speaks

At fault: Caller.call, which gave connecting the whole wait for a vote, and KeptStream, which dropped a silent stream for one that then never came up.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -32,7 +32,10 @@
 
 
 class Transport(StringTransport):
-    ended = False
+    ended = disconnected = False
+
+    def abortConnection(self):
+        self.disconnected = True
 
     def getHandle(self):
         return self
@@ -274,6 +277,32 @@
         self.assertEqual((dialled.count(3), now.count(3)), (1, 2))
 
 
+    def test_a_silent_stream_is_kept_until_another_speaks(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for old_speaks in (True, False):
+            network = Network()
+            old = network.connect(1)
+            old.dataReceived(head)
+            for _ in range(9):
+                self.pass_on(network, 0.5)
+            new = network.connect()
+            self.assertEqual((old.transport.disconnected, network.reactor.tcpClients[-1][1]), (False, 3))
+            if old_speaks:
+                old.dataReceived(b"1\r\n:\r\n")
+            else:
+                new.dataReceived(head)
+            self.assertEqual((old.transport.disconnected, new.transport.disconnected),
+                             (not old_speaks, old_speaks))
+
+    def test_a_refused_stream_is_asked_for_again_without_a_fault(self):
+        network = Network()
+        network.refuse(1)
+        for _ in range(9):
+            self.pass_on(network, 0.1)
+        self.assertEqual([port for _, port, *_ in network.reactor.tcpClients].count(3), 2)
+        self.assertEqual(network.faults, [])
+
+
 class Memory(unittest.TestCase):
     def test_slots_are_numbered_and_used_again(self):
         slots = Slots()
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -19,7 +19,7 @@
     """One call on a connection. done fires with a Reply or a Broken; then the connection ends."""
 
     def __init__(self, request):
-        self.request, self.done = request, Deferred()
+        self.request, self.done, self.connector = request, Deferred(), None
         self.parser, self.status, self.body = http.Parser(), 0, []
 
     def connectionMade(self):
@@ -41,9 +41,13 @@
         else:
             self._finish(Reply(self.status, b"".join(self.body)))
 
-    def give_up(self, reason, connector):
+    def dial_late(self):
+        if self.transport is None and self.done is not None:
+            self.connector.stopConnecting()
+
+    def give_up(self, reason):
         if self.transport is None:
-            connector.stopConnecting()
+            self.connector.stopConnecting()
         else:
             self._finish(self.how_far(reason))
 
@@ -66,9 +70,9 @@
 class Stream(Protocol):
     """Asks once and hands on what comes until the connection ends; writes nothing more."""
 
-    def __init__(self, request, heard, ended):
-        self.request, self.heard, self.ended = request, heard, ended
-        self.parser, self.good = http.Parser(), False
+    def __init__(self, request, read, owner):
+        self.request, self.read, self.owner = request, read, owner
+        self.parser, self.good, self.over, self.connector = http.Parser(), False, False, None
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -80,14 +84,33 @@
                 if isinstance(part, http.Head):
                     self.good = part.status == 200
                 if not self.good or isinstance(part, http.End):
-                    return self.transport.abortConnection()
-                self.heard(self, part.content if isinstance(part, http.Body) else b"")
+                    return self.drop()
+                self.owner.heard(self)
+                if isinstance(part, http.Body):
+                    self.read(part.content)
         except Exception as error:  # what can't be read ends this connection alone
-            self.ended(self, f"unreadable: {type(error).__name__}: {error}")
-            self.transport.abortConnection()
+            self.owner.ended(self, f"unreadable: {error}")
+            self.drop()
 
     def connectionLost(self, reason):
-        self.ended(self, reason.getErrorMessage())
+        self.over = True
+        self.owner.ended(self, reason.getErrorMessage())
+
+    def not_connected(self, broken):
+        self.over = True
+        self.owner.ended(self, broken.reason)
+
+    def dial_late(self):
+        if self.transport is None:
+            self.drop()
+
+    def drop(self):
+        if self.over:
+            return
+        if self.transport is None:
+            self.connector.stopConnecting()
+        else:
+            self.transport.abortConnection()
 
 
 class Connector(ClientFactory):
@@ -109,9 +132,15 @@
 
     MOST = 16                   # at once; the platform holds 32 connections of a sidecar
 
-    def __init__(self, reactor, deadlines, address):
+    def __init__(self, reactor, deadlines, address, connect_within):
         self.reactor, self.deadlines, self.address, self.out = reactor, deadlines, address, 0
-        self.host = f"{address[0]}:{address[1]}"
+        self.connect_within, self.host = connect_within, f"{address[0]}:{address[1]}"
+
+    def dial(self, protocol, failed, late):
+        """Connects within the time that connections have; late() is to end what has not come up by then."""
+        connector = self.reactor.connectTCP(*self.address, Connector(protocol, failed), timeout=None)
+        self.deadlines.add(self.deadlines.clock() + self.connect_within, late)
+        return connector
 
     def call(self, request, within):
         """The Deferred fires with a Reply or a Broken, within the time."""
@@ -119,9 +148,8 @@
             return succeed(Broken(NOT_CONNECTED, "too many calls at once"))
         call = Call(request)
         self.out += 1
-        connector = self.reactor.connectTCP(*self.address, Connector(call, call.broken), timeout=None)
-        due = self.deadlines.clock() + within
-        late = self.deadlines.add(due, call.give_up, "no answer in time", connector)
+        call.connector = self.dial(call, call.broken, call.dial_late)
+        late = self.deadlines.add(self.deadlines.clock() + within, call.give_up, "no answer in time")
 
         def finished(end):
             self.out -= 1
@@ -133,53 +161,66 @@
 class KeptStream:
     """Keeps one stream standing: asks again, spread by chance, when it ends or falls silent.
 
-    ask() gives the bytes to ask with, fresh() is told of each new stream, heard(content) of what comes."""
+    A silent one is kept until the one that was asked for beside it speaks: a link that was cut may come back, and
+    what is told meanwhile may not be told again. ask() gives the bytes to ask with, reader() what reads a stream."""
 
     ASK_AGAIN = 2_000, 8_000    # tenths of a millisecond; by chance between them, so that a crowd spreads
 
-    def __init__(self, caller, chance, silence, ask, fresh, heard, log):
+    def __init__(self, caller, chance, silence, ask, reader, log):
         self.caller, self.deadlines, self.chance, self.silence = caller, caller.deadlines, chance, silence
-        self.ask, self.fresh, self.hand_on, self.log = ask, fresh, heard, log
-        self.stream, self.connector, self.last, self.again = None, None, 0, None
+        self.ask, self.reader, self.log = ask, reader, log
+        self.stream, self.asked, self.last, self.again = None, None, 0, None
 
     def start(self):
-        self.again, self.last = None, self.deadlines.clock()
-        stream = self.stream = Stream(self.ask(), self._heard, self._ended)
-        self.fresh()
-        connector = Connector(stream, lambda broken: self._ended(stream, broken.reason))
-        self.connector = self.caller.reactor.connectTCP(*self.caller.address, connector, timeout=None)
-        self._watch(stream)
-
-    def restart(self, reason):
-        """Ends the present stream and asks on a new connection."""
-        self.log("stream restarted", address=self.caller.host, reason=reason)
-        self.stream = None
-        self.connector.disconnect()
-        self._ask_again()
-
-    def _watch(self, stream):
-        if stream is not self.stream:
+        """Asks for a stream; until it speaks it is not the one that stands."""
+        self.again = None
+        asked = self.asked = Stream(self.ask(), self.reader(), self)
+        asked.connector = self.caller.dial(asked, asked.not_connected, asked.dial_late)
+        self.deadlines.add(self.deadlines.clock() + self.silence, self._still_asked, asked)
+
+    def heard(self, stream):
+        former, self.last = self.stream, self.deadlines.clock()
+        if stream is self.asked:
+            self.stream, self.asked = stream, None
+            self._watch(stream)
+            if former:
+                former.drop()
+        elif stream is former and self.asked:
+            asked, self.asked = self.asked, None
+            asked.drop()
+
+    def ended(self, stream, reason):
+        if stream is None or stream not in (self.stream, self.asked):
             return
-        due = self.last + self.silence
-        if self.deadlines.clock() >= due:
-            self.restart("silent")
+        self.log("stream ended", address=self.caller.host, reason=reason)
+        if stream is self.stream:
+            self.stream = None
         else:
-            self.deadlines.add(due, self._watch, stream)
+            self.asked = None
+        if not self.asked:
+            self._ask_again()
 
     def _ask_again(self):
         if self.again is None:
             least, most = self.ASK_AGAIN
             wait = least + int(self.chance.draw() * (most - least))
-            self.again = self.deadlines.add(self.deadlines.clock() + wait, self.start)
+            self.again = self.deadlines.add(self.deadlines.clock() + wait, self._ask)
 
-    def _heard(self, stream, content):
-        if stream is self.stream:
-            self.last = self.deadlines.clock()
-            if content:
-                self.hand_on(content)
+    def _ask(self):
+        self.again = None
+        if not self.asked and (self.stream is None or self.deadlines.clock() >= self.last + self.silence):
+            self.start()
 
-    def _ended(self, stream, reason):
-        if stream is self.stream:
-            self.log("stream ended", address=self.caller.host, reason=reason)
-            self.stream = None
-            self._ask_again()
+    def _watch(self, stream):
+        if stream is not self.stream:
+            return
+        now = self.deadlines.clock()
+        if now >= self.last + self.silence and not self.asked and self.again is None:
+            self.log("stream silent", address=self.caller.host)
+            self.start()
+        self.deadlines.add(max(self.last + self.silence, now + self.silence // 2), self._watch, stream)
+
+    def _still_asked(self, asked):
+        if asked is self.asked:
+            self.ended(asked, "says nothing")
+            asked.drop()
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -83,14 +83,15 @@
         self.inbox, self.deciding, self.port, self.emptied = [], False, None, None
         self.balancer = Balancer(self.terms, start.seed, self.clock())
         chance = Chance(~start.seed)
-        self.discovery = Caller(reactor, deadlines, start.discovery)
-        self.platform = Caller(reactor, deadlines, start.platform)
+        within = self.reach.connect_within
+        self.discovery = Caller(reactor, deadlines, start.discovery, within)
+        self.platform = Caller(reactor, deadlines, start.platform, within)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
                                 lambda: discovery.watch(self.discovery.host, self.version),
-                                self._watch_fresh, self._watch_heard, logs.seldom)
+                                self._watch_reader, logs.seldom)
         self.stream = KeptStream(self.platform, chance, platform.SILENCE,
                                  lambda: platform.stream(self.platform.host),
-                                 self._stream_fresh, self._stream_heard, logs.seldom)
+                                 self._stream_reader, logs.seldom)
 
     def begin(self):
         """The first moment of the decisions: the list as last known, and the news."""
@@ -336,17 +337,14 @@
         finally:
             self.deciding = deciding
 
-    def _watch_fresh(self):
-        self.lines = http.Lines()
+    def _watch_reader(self):
+        lines = http.Lines()
 
-    def _watch_heard(self, content):
-        for line in self.lines.feed(content):
-            if line.strip():
-                try:
+        def read(content):
+            for line in lines.feed(content):
+                if line.strip():
                     self._listing(discovery.read_json(line, self.epoch))
-                except discovery.Unreadable as error:
-                    logs.log("unreadable list", error=str(error))
-                    return self.watch.restart("unreadable")
+        return read
 
     def _subscribe(self, action):
         if action.on:  # the watch always stands; what is due as the answer is the list
@@ -375,18 +373,19 @@
         if old and old.build == news.build and (news.cap < old.cap or news.phase != old.phase):
             self._withdraw(lambda pod: pod.build >= news.build)
 
-    def _stream_fresh(self):
-        self.events = http.EventStream()
+    def _stream_reader(self):
+        events = http.EventStream()
 
-    def _stream_heard(self, content):
-        for event, data in self.events.feed(content):
-            try:
-                told = platform.read_event(event, data)
-            except platform.Unreadable as error:
-                logs.log("unreadable event", told=event, error=str(error))
-                continue
-            if told is not None and (type(told) is i.News or told.lane in self.terms.lanes):
-                self.tell(told)
+        def read(content):
+            for event, data in events.feed(content):
+                try:
+                    told = platform.read_event(event, data)
+                except platform.Unreadable as error:
+                    logs.log("unreadable event", told=event, error=str(error))
+                    continue
+                if told is not None and (type(told) is i.News or told.lane in self.terms.lanes):
+                    self.tell(told)
+        return read
 
     def _vote(self, action):
         def answered(end):
