--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import threading
+import time
 from urllib.parse import parse_qsl
 
 from thymeknot import interface as i
@@ -86,6 +87,15 @@
               "vote_life": 4_000_000_000, "vote_wait": 1_200_000_000, "calls_per_s": 150.0}}
 
 
+def until(done, act):
+    """Does it again until it is done; never for ever."""
+    end = time.monotonic() + PATIENCE
+    while not done():
+        if time.monotonic() > end:
+            raise AssertionError("it did not come about")
+        act()
+
+
 class Peer:
     """A listener on a free loopback port, a thread for each connection; serve(connection, source) is its part."""
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,11 +1,11 @@
 """The program over sockets, against stand-ins of pods, discovery and the platform."""
 
-import queue
+import itertools
 import signal
 import threading
 import unittest
 
-from tests.helpers import PATIENCE, PodPeer, Program, command
+from tests.helpers import PATIENCE, PodPeer, Program, command, until
 
 READ, MARK, PAY = "c=read,t=acme,d=15000", "c=mark,t=acme,d=15000,k=5c0f", "c=pay,t=acme,d=15000"
 
@@ -56,7 +56,11 @@
             self.assertEqual([client.answer() for _ in range(3)], [b"01", b"+PONG", b"02"])
 
     def test_frames_may_come_in_pieces(self):
-        pod = self.pod()
+        def piecemeal(words):
+            for byte in value(words[2])[:-1]:
+                pod.connections[0].send(bytes([byte]))
+            return b"\n"
+        pod = self.pod(piecemeal)
         with self.program(pod.entry("s-1")).client() as client:
             for byte in command("SVC.QUERY", "a", "01", READ):
                 client.connection.sendall(bytes([byte]))
@@ -137,8 +141,7 @@
             first.send("SVC.QUERY", "a", "01", READ)
             old.heard.get(timeout=PATIENCE)
             running.discovery.push_list(8, old.entry("s-1", state="Terminating"), new.entry("s-2"))
-            while second.ask("SVC.QUERY", "a", "r", READ) != b"r" or new.heard.empty():
-                pass
+            until(lambda: not new.heard.empty(), lambda: second.ask("SVC.QUERY", "a", "r", READ))
             self.assertEqual([second.ask("SVC.QUERY", "a", f"1{at}", READ) for at in range(9)],
                              [b"1%d" % at for at in range(9)])
             told.set()
@@ -155,16 +158,11 @@
                                news={"version": 42, "step": 0, "status": "trial", "maxWeight": 0.5,
                                      "observedAgoMs": 5})
         with running.client() as client:
-            votes, at = [], 0
-            while len(votes) < 2:
-                at += 1
-                client.ask("SVC.QUERY", f"key{at}", f"{at}", READ)
-                try:
-                    votes.append(running.platform.calls.get_nowait())
-                except queue.Empty:
-                    pass
+            number = itertools.count()
+            until(lambda: running.platform.calls.qsize() > 1,
+                  lambda: client.ask("SVC.QUERY", f"key{next(number)}", f"{next(number)}", READ))
             vote = {"Action": "PutApproval", "version": "42", "step": "0", "vote": "abort"}
-            self.assertEqual(votes, [vote] * 2)
+            self.assertEqual([running.platform.calls.get() for _ in range(2)], [vote] * 2)
             while not bad.heard.empty():
                 bad.heard.get()
             for at in range(50):
@@ -179,10 +177,10 @@
             peer.cut()
         self.assertEqual(running.platform.asked.get(timeout=PATIENCE), "/v2/projects/main/stream")
         self.assertRegex(running.discovery.asked.get(timeout=PATIENCE), r"stream=1&index=(7|9)$")
-        running.discovery.push_list(10, new.entry("s-3"), pod.entry("s-1", state="Gone"))
+        running.discovery.push_list(10, new.entry("s-3", 42), pod.entry("s-1", state="Gone"))
+        running.platform.push_news(version=42)  # before it is told, nothing goes to that build
         with running.client() as client:
-            while new.heard.empty():
-                client.ask("SVC.QUERY", "a", "01", READ)
+            until(lambda: not new.heard.empty(), lambda: client.ask("SVC.QUERY", "a", "01", READ))
 
     def test_what_discovery_says_unreadably_changes_nothing_and_is_asked_again(self):
         pod = self.pod()
