--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -128,6 +128,32 @@
             self.assertEqual(good.ask("SVC.QUERY", "a", "02", READ), b"02")
 
 
+class Crowded(WithPods):
+    def test_a_burst_of_connections_is_served_within_the_descriptors(self):
+        pod = self.pod()
+        running = self.program(pod.entry("s-1"), change=lambda told: told["limits"].update(sockets=64))
+        clients = [running.client() for _ in range(40)]  # 12 find room at once; the eldest idle ones give way
+        served = 0
+        for at, client in enumerate(clients):
+            with client:
+                try:
+                    served += client.ask("SVC.QUERY", "a", f"{at}", READ) == b"%d" % at
+                except ConnectionError:
+                    pass
+        self.assertGreaterEqual(served, 11)
+        with running.client() as late:
+            self.assertEqual(late.ask("SVC.QUERY", "a", "late", READ), b"late")
+
+    def test_a_slow_reader_holds_up_nobody_and_gets_all_its_answers(self):
+        pod = self.pod(lambda words: value(words[2] * 15000))
+        running = self.program(pod.entry("s-1"))
+        with running.client() as slow, running.client() as other:
+            for at in range(100, 160):
+                slow.send("SVC.QUERY", "a", f"{at}", READ)
+            self.assertEqual(other.ask("SVC.QUERY", "a", "999", READ), b"999" * 15000)
+            self.assertEqual([slow.answer() for _ in range(60)], [b"%d" % at * 15000 for at in range(100, 160)])
+
+
 class Told(WithPods):
     def test_a_drain_told_during_work_lets_it_end_and_sends_nothing_new(self):
         told = threading.Event()
