--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,6 +1,7 @@
 """Between network and decisions, without a network: deliveries that wait, bounds, faults, deadlines."""
 
 import copy
+import time
 import unittest
 
 from twisted.internet.error import ConnectionRefusedError
@@ -12,7 +13,7 @@
 from thymeknot.memory.deadlines import Deadlines
 from thymeknot.memory.slots import Slots
 from thymeknot.protocol.client import ClientConnection
-from thymeknot.service import configuration
+from thymeknot.service import configuration, life
 from thymeknot.sidecar import Sidecar
 
 ANSWER = b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
@@ -304,6 +305,9 @@
 
 
 class Memory(unittest.TestCase):
+    def test_the_loops_clock_only_goes_forward(self):
+        self.assertLess(abs(life.loop().seconds() - time.monotonic()), 60)
+
     def test_slots_are_numbered_and_used_again(self):
         slots = Slots()
         first, second = slots.add("a"), slots.add("b")
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -16,6 +16,13 @@
     return time.monotonic_ns() // 100_000
 
 
+def loop():
+    """The network's loop. Its own clock is Unix time, and a step back of that would hold up every deadline."""
+    from twisted.internet import reactor
+    reactor.seconds = time.monotonic
+    return reactor
+
+
 def main(environment):
     epoch = time.time_ns() // 100_000 - clock()
     try:
@@ -23,10 +30,9 @@
     except configuration.Faulty as error:
         print(f"thymeknot: {error}", file=sys.stderr)
         return 2
-    from twisted.internet import reactor
-
     from ..memory.deadlines import Deadlines
     from ..sidecar import Sidecar
+    reactor = loop()
     logs.take_over()
     sidecar = Sidecar(start, reactor, Deadlines(clock, reactor.callLater, logs.fault), epoch)
     sidecar.begin()
