A second SIGTERM changes nothing; an address that can't be listened on is named as a bad configuration

Seen in the code: two signals would have run the stop twice, and an address in use ended the program with a trace. Both have a case in the integration tests.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -230,7 +230,8 @@
         with running.client() as first, running.client() as second:
             first.send("SVC.QUERY", "a", "01", READ)
             pod.heard.get(timeout=PATIENCE)
-            running.process.send_signal(signal.SIGTERM)
+            for _ in range(2):
+                running.process.send_signal(signal.SIGTERM)
             with running.client() as late:
                 self.assertEqual(late.ask("SVC.QUERY", "a", "02", READ), b"02")
             self.assertEqual(second.answer(), b"")
@@ -248,6 +249,7 @@
         cases = {"deployer.address": without("deployer", "address"),
                  "extra.window": without("settings", "extra", "window"),
                  "known.servers.0.state": lambda told: told["known"]["servers"].append({"id": "x"}),
+                 "listen": lambda told: told.update(listen=told["discovery"]),
                  "limits.sockets": lambda told: told["limits"].update(sockets="many"),
                  "deployer.news.status": lambda told: told["deployer"]["news"].update(status="odd")}
         for key, change in cases.items():
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -7,6 +7,7 @@
 
 from . import configuration, logs
 
+STOPS = signal.SIGTERM, signal.SIGINT
 SERVES_ON = 0.5             # seconds after SIGTERM in which new connections still come
 LAST = 0.05                 # and for what the last answers need to go out
 
@@ -30,13 +31,19 @@
     except configuration.Faulty as error:
         print(f"thymeknot: {error}", file=sys.stderr)
         return 2
+    from twisted.internet.error import CannotListenError
+
     from ..memory.deadlines import Deadlines
     from ..sidecar import Sidecar
     reactor = loop()
     logs.take_over()
     sidecar = Sidecar(start, reactor, Deadlines(clock, reactor.callLater, logs.fault), epoch)
     sidecar.begin()
-    sidecar.serve()
+    try:
+        sidecar.serve()
+    except CannotListenError as error:
+        print(f"thymeknot: listen: {error}", file=sys.stderr)
+        return 2
 
     def emptied():
         logs.log("stopped")
@@ -46,8 +53,13 @@
         logs.log("stopping", clients=len(sidecar.clients), transactions=len(sidecar.transactions))
         reactor.callLater(SERVES_ON, sidecar.finish, emptied)
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(stop))
+    def told_to_stop(*_):
+        for number in STOPS:  # a second one must not stop it twice
+            signal.signal(number, signal.SIG_IGN)
+        reactor.callFromThread(stop)
+
+    for number in STOPS:
+        signal.signal(number, told_to_stop)
     logs.log("ready", name=start.name, listen=start.listen, pods=len(sidecar.listed))
     gc.collect()
     gc.freeze()  # what stands from the start is not looked through again
