--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -216,19 +216,31 @@
         if change:
             change(told)
         self.folder = tempfile.TemporaryDirectory()
-        path = os.path.join(self.folder.name, "config.json")
-        with open(path, "w", encoding="utf-8") as target:
-            json.dump(told, target)
+        path = self.path = os.path.join(self.folder.name, "config.json")
+        self.told, self.lines = told, queue.Queue()
+        self.write(told)
         self.process = subprocess.Popen([sys.executable, "-m", "thymeknot"], stdout=subprocess.PIPE,
                                         stderr=subprocess.PIPE, env={**os.environ, "NODE_CONFIG": path})
 
+    def write(self, told):
+        with open(self.path, "w", encoding="utf-8") as target:
+            json.dump(told, target)
+
+    def logged(self, event):
+        """The next line of this event."""
+        until(lambda: self.line["event"] == event,
+              lambda: setattr(self, "line", json.loads(self.lines.get(timeout=PATIENCE))))
+        line, self.line = self.line, {"event": None}
+        return line
+
     def __enter__(self):
-        line = b""
+        line, self.line = b"", {"event": None}
         while b'"ready"' not in line:
             line = self.process.stdout.readline()
             if not line:
                 raise AssertionError(self.process.stderr.read().decode())
-        threading.Thread(target=self.process.stdout.read, daemon=True).start()
+        threading.Thread(target=lambda: [self.lines.put(line) for line in self.process.stdout],
+                         daemon=True).start()
         self.discovery.asked.get(timeout=PATIENCE)
         self.platform.asked.get(timeout=PATIENCE)
         return self
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -283,7 +283,7 @@
         for old_speaks in (True, False):
             network = Network()
             old = network.connect(1)
-            old.dataReceived(head)
+            old.dataReceived(head + b"1\r\n:\r\n")
             for _ in range(9):
                 self.pass_on(network, 0.5)
             new = network.connect()
@@ -291,10 +291,37 @@
             if old_speaks:
                 old.dataReceived(b"1\r\n:\r\n")
             else:
-                new.dataReceived(head)
+                new.dataReceived(head + b"1\r\n:\r\n")
             self.assertEqual((old.transport.disconnected, new.transport.disconnected),
                              (not old_speaks, old_speaks))
 
+    def test_a_new_address_is_asked_beside_the_old_one_until_it_speaks(self):
+        network, life = Network(), b"1\r\n:\r\n"
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        old = network.connect(1)
+        old.dataReceived(head + life)
+        for port in (8, 9):  # twice in a row
+            changed = told()
+            changed["deployer"]["address"] = f"127.0.0.1:{port}"
+            self.assertEqual(network.sidecar.reconfigure(configuration.read(changed, 0)), [])
+        network.refuse()
+        old.dataReceived(life)  # does not end the asking, as it would at its own address
+        for _ in range(9):
+            self.pass_on(network, 0.1)
+        new = network.connect()
+        self.assertEqual([port for _, port, *_ in network.reactor.tcpClients], [2, 3, 8, 9, 9])
+        new.dataReceived(head)
+        self.assertFalse(old.transport.disconnected)
+        new.dataReceived(life)
+        self.assertEqual((old.transport.disconnected, network.sidecar.stream.stream), (True, new))
+        network.sidecar._vote(i.Vote(41, 1, i.BACK))
+        self.assertEqual(network.reactor.tcpClients[-1][1], 9)
+
+    def test_what_takes_a_new_start_is_named_by_its_key(self):
+        network = Network()
+        later = configuration.read({**told(), "listen": "127.0.0.1:7", "limits": {"sockets": 99}}, 0)
+        self.assertEqual(network.sidecar.reconfigure(later), ["limits.sockets", "listen"])
+
     def test_a_refused_stream_is_asked_for_again_without_a_fault(self):
         network = Network()
         network.refuse(1)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,7 +5,7 @@
 import threading
 import unittest
 
-from tests.helpers import PATIENCE, PodPeer, Program, command, until
+from tests.helpers import PATIENCE, HttpPeer, PodPeer, Program, command, until
 
 READ, MARK, PAY = "c=read,t=acme,d=15000", "c=mark,t=acme,d=15000,k=5c0f", "c=pay,t=acme,d=15000"
 
@@ -217,6 +217,41 @@
             self.assertEqual(client.ask("SVC.QUERY", "a", "01", READ), b"01")
 
 
+class Reconfigured(WithPods):
+    def test_sighup_moves_to_the_new_addresses_and_keeps_what_it_holds_where_the_file_is_bad(self):
+        release = threading.Event()
+
+        def answer(words):
+            if words[2] == b"01":
+                release.wait(PATIENCE)
+            return value(words[2])
+        pod, new = self.pod(answer), self.pod()
+        running = self.program(pod.entry("s-1"))
+        discovery, platform = HttpPeer(), HttpPeer()
+        self.addCleanup(discovery.close)
+        self.addCleanup(platform.close)
+        with running.client() as first, running.client() as second:
+            first.send("SVC.QUERY", "a", "01", READ)
+            pod.heard.get(timeout=PATIENCE)
+            running.write({**running.told, "discovery": "nowhere"})
+            running.process.send_signal(signal.SIGHUP)
+            self.assertRegex(running.logged("configuration kept")["error"], "^discovery: ")
+            running.write({**running.told, "discovery": discovery.address,
+                           "deployer": {**running.told["deployer"], "address": platform.address}})
+            for _ in range(2):
+                running.process.send_signal(signal.SIGHUP)
+            self.assertEqual(running.logged("configuration taken up")["only_at_a_start"], [])
+            discovery.asked.get(timeout=PATIENCE)
+            platform.asked.get(timeout=PATIENCE)
+            running.discovery.close()
+            running.platform.close()
+            discovery.push_list(8, new.entry("s-2", 42), pod.entry("s-1", state="Terminating"))
+            platform.push_news(version=42)
+            until(lambda: not new.heard.empty(), lambda: second.ask("SVC.QUERY", "a", "02", READ))
+            release.set()
+            self.assertEqual(first.answer(), b"01")
+
+
 class Stopping(WithPods):
     def test_sigterm_answers_what_is_in_hand_and_what_comes_meanwhile(self):
         stopped = threading.Event()
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -73,6 +73,7 @@
     def __init__(self, request, read, owner):
         self.request, self.read, self.owner = request, read, owner
         self.parser, self.good, self.over, self.connector = http.Parser(), False, False, None
+        self.caller = owner.caller
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -85,8 +86,8 @@
                     self.good = part.status == 200
                 if not self.good or isinstance(part, http.End):
                     return self.drop()
-                self.owner.heard(self)
                 if isinstance(part, http.Body):
+                    self.owner.heard(self)
                     self.read(part.content)
         except Exception as error:  # what can't be read ends this connection alone
             self.owner.ended(self, f"unreadable: {error}")
@@ -161,8 +162,9 @@
 class KeptStream:
     """Keeps one stream standing: asks again, spread by chance, when it ends or falls silent.
 
-    A silent one is kept until the one that was asked for beside it speaks: a link that was cut may come back, and
-    what is told meanwhile may not be told again. ask() gives the bytes to ask with, reader() what reads a stream."""
+    A silent one, or one at a former address, is kept until the one that was asked for beside it speaks: a link that
+    was cut may come back, and what is told meanwhile may not be told again. ask() gives the bytes to ask with,
+    reader() what reads a stream."""
 
     ASK_AGAIN = 2_000, 8_000    # tenths of a millisecond; by chance between them, so that a crowd spreads
 
@@ -178,6 +180,20 @@
         asked.connector = self.caller.dial(asked, asked.not_connected, asked.dial_late)
         self.deadlines.add(self.deadlines.clock() + self.silence, self._still_asked, asked)
 
+    def move(self, caller):
+        """Asks at another address, now and from now on."""
+        self.caller, asked, self.asked = caller, self.asked, None
+        if asked:
+            asked.drop()
+        if self.again is not None:
+            self.deadlines.cancel(self.again)
+        self.start()
+
+    def _stands(self):
+        """Whether nothing has to be asked for: the stream is at the present address and speaks."""
+        return (self.stream is not None and self.stream.caller is self.caller
+                and self.deadlines.clock() < self.last + self.silence)
+
     def heard(self, stream):
         former, self.last = self.stream, self.deadlines.clock()
         if stream is self.asked:
@@ -185,14 +201,14 @@
             self._watch(stream)
             if former:
                 former.drop()
-        elif stream is former and self.asked:
+        elif stream is former and self.asked and self._stands():
             asked, self.asked = self.asked, None
             asked.drop()
 
     def ended(self, stream, reason):
         if stream is None or stream not in (self.stream, self.asked):
             return
-        self.log("stream ended", address=self.caller.host, reason=reason)
+        self.log("stream ended", address=stream.caller.host, reason=reason)
         if stream is self.stream:
             self.stream = None
         else:
@@ -208,7 +224,7 @@
 
     def _ask(self):
         self.again = None
-        if not self.asked and (self.stream is None or self.deadlines.clock() >= self.last + self.silence):
+        if not self.asked and not self._stands():
             self.start()
 
     def _watch(self, stream):
@@ -216,7 +232,7 @@
             return
         now = self.deadlines.clock()
         if now >= self.last + self.silence and not self.asked and self.again is None:
-            self.log("stream silent", address=self.caller.host)
+            self.log("stream silent", address=stream.caller.host)
             self.start()
         self.deadlines.add(max(self.last + self.silence, now + self.silence // 2), self._watch, stream)
 
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -1,4 +1,4 @@
-"""Start, ready and stop of the one program."""
+"""Start, ready, a new configuration and stop of the one program."""
 
 import gc
 import signal
@@ -25,6 +25,7 @@
 
 
 def main(environment):
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is ready the file is read anyway
     epoch = time.time_ns() // 100_000 - clock()
     try:
         start = configuration.load(environment, epoch)
@@ -53,6 +54,17 @@
         logs.log("stopping", clients=len(sidecar.clients), transactions=len(sidecar.transactions))
         reactor.callLater(SERVES_ON, sidecar.finish, emptied)
 
+    def reconfigure():
+        try:
+            later = sidecar.reconfigure(configuration.load(environment, epoch))
+        except configuration.Faulty as error:
+            logs.log("configuration kept", error=str(error))
+        except Exception as error:  # a file must not end the program, whatever it holds
+            logs.fault("configuration", error)
+        else:
+            logs.log("configuration taken up", discovery=sidecar.discovery.host, platform=sidecar.platform.host,
+                     only_at_a_start=later)
+
     def told_to_stop(*_):
         for number in STOPS:  # a second one must not stop it twice
             signal.signal(number, signal.SIG_IGN)
@@ -60,6 +72,7 @@
 
     for number in STOPS:
         signal.signal(number, told_to_stop)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reconfigure))
     logs.log("ready", name=start.name, listen=start.listen, pods=len(sidecar.listed))
     gc.collect()
     gc.freeze()  # what stands from the start is not looked through again
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -83,9 +83,7 @@
         self.inbox, self.deciding, self.port, self.emptied = [], False, None, None
         self.balancer = Balancer(self.terms, start.seed, self.clock())
         chance = Chance(~start.seed)
-        within = self.reach.connect_within
-        self.discovery = Caller(reactor, deadlines, start.discovery, within)
-        self.platform = Caller(reactor, deadlines, start.platform, within)
+        self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
                                 lambda: discovery.watch(self.discovery.host, self.version),
                                 self._watch_reader, logs.seldom)
@@ -93,6 +91,23 @@
                                  lambda: platform.stream(self.platform.host),
                                  self._stream_reader, logs.seldom)
 
+    def _caller(self, address):
+        return Caller(self.reactor, self.deadlines, address, self.reach.connect_within)
+
+    def reconfigure(self, start):
+        """Takes up the addresses of a new configuration; calls that are out end at the former ones. What it knows
+        of pods and builds is older than what the streams have told. Gives the keys that take a new start."""
+        if start.discovery != self.discovery.address:
+            self.discovery = self._caller(start.discovery)
+            self.watch.move(self.discovery)
+        if start.platform != self.platform.address:
+            self.platform = self._caller(start.platform)
+            self.stream.move(self.platform)
+        keys = {"name": "name", "listen": "listen", "sockets": "limits.sockets", "terms": "settings",
+                "reach": "settings"}
+        return sorted({key for field, key in keys.items()
+                       if getattr(start, field) != getattr(self.start, field)})
+
     def begin(self):
         """The first moment of the decisions: the list as last known, and the news."""
         self._listing(self.start.known)
