Spoilt answers count for their key; what comes beside an answer ends its connection alone

By reading: PodConnection._message handed the connection on while bytes of the same read were left, a part of a message on an idle connection stayed for the next answer, and a load report that can't be read spoilt a whole value. Change: an answer that comes in part or can't be read is told as soon as it comes; a whole value counts although what is behind it can't be read; more than belongs to an answer ends the connection; before a connection is used again the machine is asked whether something has come on it, which also finds one that the pod has closed. The keys remembered are those of the newest build alone, 10,000 at most; beyond it all stay. Harm: a key whose answer was spoilt stays with the build on trial and is deferred where that has no room.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import unittest
 
 from thymeknot import interface as i
-from thymeknot.balance import SECOND
+from thymeknot.balance import PINS_MOST, SECOND
 
 from .helpers import NOW, balancer, ended, kinds, news, pod, sent, taken
 
@@ -141,7 +141,16 @@
 
     def test_a_key_that_the_new_build_answered_goes_to_no_earlier_one(self):
         made = balancer(told=news(cap=0.0))
-        made.pins["k"] = 2
+        made.pins.add("k")
         self.assertEqual(kinds(made.handle(NOW, [taken(key="k")])), [i.Defer])
         made.handle(NOW, [news(phase=i.GOING_BACK, cap=0.0)])
         self.assertIn(sent(made.handle(NOW, [taken("t2", key="k")]))[0], ("old-1", "old-2"))
+
+    def test_keys_that_stay_are_those_of_the_newest_build_and_bounded(self):
+        made = balancer(told=news(cap=0.0))
+        for key in range(PINS_MOST + 9):
+            made.handle(NOW, [i.AnsweredUnheard(str(key), 1), i.AnsweredUnheard(str(key), 2)])
+        self.assertEqual(len(made.pins), PINS_MOST)
+        self.assertEqual(kinds(made.handle(NOW, [taken(key="another")])), [i.Defer])
+        made.handle(NOW, [news(build=3)])
+        self.assertEqual(made.pins, set())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -33,7 +33,7 @@
 
 
 class Transport(StringTransport):
-    ended = disconnected = False
+    ended = disconnected = stale = False
 
     def abortConnection(self):
         self.disconnected = True
@@ -41,6 +41,11 @@
     def getHandle(self):
         return self
 
+    def recv(self, most, flags):
+        if not self.stale:
+            raise BlockingIOError
+        return b"*"
+
     def shutdown(self, how):
         self.ended = True
 
@@ -157,19 +162,57 @@
         network.reactor.advance(0.2)
         network.reactor.advance(0)
         self.assertTrue(connection.transport.ended)
-        self.assertEqual(network.sidecar.balancer.pins, {})
+        self.assertEqual(network.sidecar.balancer.pins, set())
         connection.dataReceived(ANSWER)
-        self.assertEqual(network.sidecar.balancer.pins, {"key": 42})
+        self.assertEqual(network.sidecar.balancer.pins, {"key"})
 
 
-    def test_so_does_one_that_came_in_part(self):
-        network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
-        network.ask()
+    def test_so_does_one_in_part_or_spoilt_as_soon_as_it_comes(self):
+        for answer in (ANSWER[:9], b"noise", b"*3\r\n$9\r\nv\r\n$-1\r\n$-1\r\n", b"*1\r\n$-1\r\n"):
+            network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+            network.ask()
+            connection = network.connect()
+            connection.resumeProducing()
+            connection.dataReceived(answer)
+            self.assertEqual(network.sidecar.balancer.pins, {"key"})
+            self.assertEqual(connection.transport.disconnected, answer != ANSWER[:9])
+
+
+class BesideAnAnswer(unittest.TestCase):
+    def answered(self, answer, stale=False):
+        """A network on which a first transaction was answered so, and a second one is asked then."""
+        network = Network(entry("s-1"))
+        client = network.ask("01", left=900)
         connection = network.connect()
         connection.resumeProducing()
-        connection.dataReceived(ANSWER[:9])
-        connection.connectionLost(Failure(ConnectionRefusedError()))
-        self.assertEqual(network.sidecar.balancer.pins, {"key": 42})
+        connection.transport.stale = stale
+        connection.dataReceived(answer)
+        self.assertEqual(client.transport.value(), b"$1\r\nv\r\n")
+        return network, connection
+
+    def test_more_than_belongs_to_it_ends_the_connection_and_answers_nothing_else(self):
+        for more in (ANSWER, b"noise", b"$5\r\n"):
+            network, connection = self.answered(ANSWER + more)
+            network.ask("02")
+            self.assertTrue(connection.transport.disconnected)
+            self.assertEqual(network.dialled(), [7001, 7001])
+
+    def test_what_is_wrong_behind_a_whole_value_spoils_the_connection_alone(self):
+        network, connection = self.answered(ANSWER[:-5] + b"$x1\r\n")
+        self.assertTrue(connection.transport.disconnected)
+
+    def test_what_has_come_unread_is_no_answer_to_the_next(self):
+        network, connection = self.answered(ANSWER, stale=True)
+        self.assertTrue(connection.transport.disconnected)
+        network, connection = self.answered(ANSWER)
+        connection.transport.stale = True
+        network.ask("02")
+        self.assertEqual((connection.transport.disconnected, network.dialled()), (True, [7001, 7001]))
+
+    def test_bytes_on_an_idle_connection_end_it_also_where_they_are_no_whole_message(self):
+        network, connection = self.answered(ANSWER)
+        connection.dataReceived(b"$5\r\nab")
+        self.assertTrue(connection.transport.disconnected)
 
 
 class Bounds(unittest.TestCase):
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -26,6 +26,7 @@
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
 BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
 LOUD, SETTLED, MATURE, USUAL_SHED = 15, 3 * SECOND, 20, 0.05  # rate, age, outcomes, deferrals: the usual
+PINS_MOST = 10_000              # keys that the newest build has answered are remembered
 HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND  # an unreachable pod is passed over: at first, at most
 UPKEEP, UPKEEP_MOST, EXCHANGE = SECOND // 20, SECOND // 4, 4 * SECOND  # the second with hardly any traffic
@@ -80,7 +81,7 @@
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
         self.arrivals, self.shed, self.served = (Ring(span * SECOND, 2 * span) for span in (8, 8, 4))
         self.pressure, self.pressed_at, self.lost, self.warm_rate = 0.0, now, 0.0, 0.0
-        self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, {}, 0
+        self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, set(), 0
         self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
         self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow", "error")}
         # All share the allowed error; where many must err together, each may err more (Poisson tail's bound).
@@ -161,6 +162,7 @@
             return
         old, self.news = self.news, news
         if old is None or old.build != news.build:
+            self.pins = set()
             self._sort()
             change = "offered" if news.phase == i.ON_TRIAL else "met"
         elif old.phase != news.phase:
@@ -172,8 +174,6 @@
             getattr(self, "_" + effect)()
 
     def _begin(self):
-        if self.build == FALLEN:
-            self.pins = {key: build for key, build in self.pins.items() if build != self.news.build}
         self.places, self.ramp, self.tried = len(self.sides[False]), float(self.build == USUAL), {}
         self.usual, self.all_slow, self.ill_since, self.sums, self.by_pod = None, 0.0, None, {}, {}
         self._go_on()
@@ -428,20 +428,21 @@
         news = self.news
         if news is None or len(tx.sent) >= self.terms.max_deliveries or self.now >= tx.ends:
             return False
-        pinned = self.pins.get(tx.key, 0) if self.terms.keys_stay else 0
+        stays = (news.phase in (i.ON_TRIAL, i.RELEASED)
+                 and (tx.key in self.pins or len(self.pins) >= PINS_MOST))  # more than it can tell apart: all
         below = position(tx.key) < self.ramp and news.phase in (i.ON_TRIAL, i.RELEASED)
         # Off the ordinary path: another try, a key that failed there, a hot one that would flood the trial.
         seen = self.keys.get(tx.key, 0)
         hot = seen >= HOT_LEAST and seen >= HOT_SHARE * sum(self.keys.values())
         astray = news.phase == i.ON_TRIAL and (tx.sent or tx.key in self.bad_keys or hot)
         order = (True, False) if below and not astray else (False, True)
-        for new in (True,) if pinned >= news.build else order:
-            known = self._choose(tx, new, pinned) if not new or self._may_try(tx.lane) else None
+        for new in (True,) if stays else order:
+            known = self._choose(tx, new) if not new or self._may_try(tx.lane) else None
             if known:
                 return self._deliver(tx, known, new)
         return False
 
-    def _choose(self, tx, new, pinned):
+    def _choose(self, tx, new):
         """Pods in use take turns; one that is busier, slower, colder or failing is passed over."""
         found, best, used = [], 1e6, {delivery.pod.address for delivery in tx.sent}
         for again in (False, True):
@@ -453,8 +454,7 @@
             start = self.turn % len(pool) if len(pool) > LOOK else 0
             for known in (pool[start:] + pool[:start])[:LOOK]:
                 share, pod = known.share(self.now, self.terms), known.listed
-                if ((new or pod.build >= pinned) and self._same_group(tx, pod)
-                        and (share == 1.0 or self._cold_room(known, share))):
+                if self._same_group(tx, pod) and (share == 1.0 or self._cold_room(known, share)):
                     cost, avoid = self._cost(known) * (known.out + 1) / share, self.now < known.shunned
                     found.append((cost + 1e6 * (avoid or pod.address in used), known))
             best = min((cost for cost, _ in found), default=1e6)
@@ -546,9 +546,9 @@
             self._pin(i.AnsweredUnheard(tx.key, delivery.pod.build))
         self._step(tx, "answered" if event.closed else proof)
 
-    def _pin(self, event):  # on sockets also by a good answer that came too late or in part
-        if self.terms.keys_stay:
-            self.pins[event.key] = max(self.pins.get(event.key, 0), event.build)
+    def _pin(self, event):  # on sockets also by an answer that came too late, in part or spoilt
+        if self.terms.keys_stay and event.build == self.news.build and len(self.pins) < PINS_MOST:
+            self.pins.add(event.key)
 
     def _learn(self, tx, known, event):
         self._judge(tx, known, event.outcome, event.latency)
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -35,9 +35,12 @@
         pool = self.by_pod.get(pod)
         if pool is None or pool.address != address:
             pool = self._move(pod, address)
-        if pool.idle:
-            delivery.write_to(pool.idle.pop())
-            return True
+        while pool.idle:
+            connection = pool.idle.pop()
+            if connection.clean():
+                delivery.write_to(connection)
+                return True
+            connection.drop("more came than was asked for, or the end")
         if len(self) >= self.most and not self._retire_eldest():
             return False
         pool.waiting.append(delivery)
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -9,6 +9,8 @@
 from . import resp
 from .reached import NOT_CONNECTED, Broken, WholeWriter
 
+PARTS = 3                   # of a good answer: the value, null, the load report or null
+
 
 class Answer(NamedTuple):
     """What a pod answered: its value and its load report, or the text of its failure."""
@@ -22,45 +24,71 @@
     if isinstance(message, resp.Failure):
         return Answer(None, None, message.text)
     if isinstance(message, list) and message and isinstance(message[0], memoryview):
-        report = message[-1] if len(message) > 1 else None
+        report = message[2] if len(message) == PARTS else None
         return Answer(message[0], bytes(report) if isinstance(report, memoryview) else None, None)
     return None
 
 
+def nothing(*_):
+    """For a delivery of which nobody asks to hear when its answer begins."""
+
+
 class PodConnection(WholeWriter, Protocol):
     """Its owner is told of made(connection), ready(connection) and lost(connection)."""
 
     def __init__(self, owner, connector):
         self.owner, self.connector, self.parser = owner, connector, resp.Parser()
         self.waiting, self.given_up, self.slot, self.used_at = None, False, None, None
+        self.begun = nothing
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self.owner.made(self)
 
-    def deliver(self, words):
-        """Sends a command. The Deferred fires with an Answer or a Broken."""
-        self.waiting = Deferred()
+    def clean(self):
+        """Whether nothing has come since the last answer: not its second copy, and not the end. The machine is
+        asked, since the loop may not have read it yet."""
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def deliver(self, words, begun=nothing):
+        """Sends a command. The Deferred fires with an Answer or a Broken; begun() is called before, where an answer
+        comes in part or can't be read: the pod has written it."""
+        self.waiting, self.begun = Deferred(), begun
         self.write_whole(resp.command(words))
         return self.waiting
 
     def dataReceived(self, data):
         try:
-            for message in self.parser.feed(data):
-                self._message(message)
-        except resp.Malformed as error:
-            self.drop(f"unreadable answer: {error}")
+            self._read(data)
         except Exception as error:  # a fault here must cost this connection alone
             self.owner.fault("pod connection", error)
             self.drop("fault")
 
-    def _message(self, message):
+    def _read(self, data):
+        messages, wrong = [], None
+        try:
+            messages += self.parser.feed(data)
+        except resp.Malformed as error:
+            wrong = f"unreadable answer: {error}"
+            # What is wrong behind a whole value does not make it another one.
+            messages = messages or [[value] for value in self.parser.first_part()]
+        if self.waiting is None or not self.written:
+            return self.drop("an answer that nothing asked for")
+        answer = read_answer(messages[0]) if messages else None
+        if answer is None:
+            if not self.parser.begins_with(b"-"):
+                begun, self.begun = self.begun, nothing
+                begun()
+            return self.drop(wrong or "unreadable answer") if wrong or messages else None
         waiting, self.waiting = self.waiting, None
-        answer = read_answer(message)
-        if waiting is None or not self.written or answer is None:
-            self.waiting = waiting
-            return self.drop("an answer that nothing asked for" if waiting is None else "unreadable answer")
-        if self.given_up:  # too late for the client, but it tells that the transaction ran
+        # Too late for the client, but it tells that the transaction ran; or with more than belongs to it.
+        if self.given_up or wrong or len(messages) > 1 or self.parser.held or not self.clean():
             self.transport.abortConnection()
         else:
             self.owner.ready(self)
@@ -85,7 +113,7 @@
     def _broken(self, reason):
         waiting, self.waiting = self.waiting, None
         if waiting is not None:
-            waiting.callback(self.how_far(reason, self.parser.begins_with(b"*")))
+            waiting.callback(self.how_far(reason))
 
     def connectionLost(self, reason):
         self.owner.lost(self)
--- a/thymeknot/protocol/reached.py
+++ b/thymeknot/protocol/reached.py
@@ -9,7 +9,6 @@
     """The way to the peer failed; how far the attempt had come decides whether it may have been carried out."""
     reached: str
     reason: str
-    begun: bool = False         # a good answer had begun to come: the peer has written it
 
 
 class WholeWriter:
@@ -34,5 +33,5 @@
     def stopProducing(self):
         """The transport says so when it is lost; connectionLost follows."""
 
-    def how_far(self, reason, begun=False):
-        return Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason, begun and self.written)
+    def how_far(self, reason):
+        return Broken(WRITTEN if self.written else NOT_ALL_WRITTEN, reason)
--- a/thymeknot/protocol/resp.py
+++ b/thymeknot/protocol/resp.py
@@ -50,6 +50,17 @@
         """Whether a message of this kind has come in part."""
         return bool(self.chunks) and self.chunks[0][:1] == kind
 
+    def first_part(self):
+        """The first string of an array that is wrong behind it; none where it is not whole."""
+        buffer = b"".join(self.chunks)
+        if buffer[:1] == b"*":
+            try:
+                part, _ = self._message(buffer, self._line(buffer, 0)[1], 1)
+            except Malformed:
+                return
+            if isinstance(part, memoryview):
+                yield part
+
     def _line(self, buffer, at):
         found = buffer.find(b"\r\n", at, at + MOST_LINE)
         if found < 0:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -45,15 +45,19 @@
     def write_to(self, connection):
         self.connection = connection
         left = max(1, (self.ends - self.sidecar.clock()) // 10)
-        connection.deliver(self.held.command.words(left)).addCallback(self._came_back)
+        delivered = connection.deliver(self.held.command.words(left), self._begun)
+        delivered.addCallback(self._came_back)
 
     def not_connected(self, broken):
         self.sidecar.ended(self, i.UNCONNECTED)
 
+    def _begun(self):
+        self.sidecar.answered_unheard(self)
+
     def _came_back(self, end):
         """What came of it, as a value."""
         good = isinstance(end, Answer) and end.failure is None
-        if (good and not self.out) or (isinstance(end, Broken) and end.begun):
+        if good and not self.out:
             self.sidecar.answered_unheard(self)
         if not self.out:
             return
@@ -300,9 +304,9 @@
         self.tell(event)
 
     def answered_unheard(self, attempt):
-        """A good answer that came too late, or in part: no use to the client, but the key is answered."""
+        """An answer that came too late, in part or spoilt: the pod has written it, so its key counts as answered."""
         command, after = attempt.held.command, self.clock() - attempt.at
-        logs.log("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after)
+        logs.seldom("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after)
         self.tell(i.AnsweredUnheard((command.key or command.id).decode(), attempt.pod.build))
 
     def _load(self, report):
