--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -91,6 +91,25 @@
         judged(made, i.DONE, "new-1", 60, latency=5000)
         self.assertNotEqual(made._verdict(), i.BACK)
 
+    def test_resets_and_spoilt_answers_that_the_earlier_build_has_too_are_not_held_against_the_new_one(self):
+        for earlier, verdict in ((0, i.BACK), (3, i.ON)):
+            made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
+            judged(made, i.DONE, "old-1", 50)
+            judged(made, i.RESET, "old-1", earlier)
+            for address in ("new-0", "new-1", "new-2"):
+                judged(made, i.DONE, address, 9)
+                judged(made, i.RESET, address, 5, key=address)
+                judged(made, i.RESET, address, 5)
+            self.assertEqual(made._verdict(), verdict)
+
+    def test_errors_still_send_it_back_where_the_way_is_unsound(self):
+        made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
+        judged(made, i.DONE, "old-1", 50)
+        judged(made, i.RESET, "old-1", 5)
+        judged(made, i.ERROR, "new-0", 9)
+        judged(made, i.ERROR, "new-1", 9)
+        self.assertEqual(made._verdict(), i.BACK)
+
     def test_one_pod_of_many_that_errs_does_not_send_a_build_back_but_two_do(self):
         made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
         judged(made, i.ERROR, "new-0", 9)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -26,8 +26,8 @@
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
 BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
 LOUD, SETTLED, MATURE, USUAL_SHED = 15, 3 * SECOND, 20, 0.05  # rate, age, outcomes, deferrals: the usual
-PINS_MOST = 10_000              # keys that the newest build has answered are remembered
-HOT_SHARE, HOT_LEAST = 0.03, 8  # of all transactions with keys; and so many, lately
+EARLIER, WAY_FAILS = ("all", "failed", "slow", "error", "way"), 0.02  # of its outcomes: an unsound way
+HOT_SHARE, HOT_LEAST, KEYS_MOST = 0.03, 8, 10_000  # of all with keys; lately; answered or failed, remembered
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND  # an unreachable pod is passed over: at first, at most
 UPKEEP, UPKEEP_MOST, EXCHANGE = SECOND // 20, SECOND // 4, 4 * SECOND  # the second with hardly any traffic
 DRAWN, LOOK, CROWD = 6, 24, 0.75  # pods in use at least; looked at; sidecars a pod that make a crowd
@@ -50,6 +50,7 @@
 # What an outcome proves for rule 2.
 PROOF = {i.DONE: "answered", i.ERROR: "perhaps run", i.EXPIRED: "perhaps run", i.RESET: "perhaps run",
          i.RECALLED: "perhaps run", i.FULL: "unrun", i.UNCONNECTED: "unrun", i.UNSENT: "unrun"}
+WAY = i.RESET, i.UNCONNECTED    # on the way to a pod, or back: also an answer that can't be read
 
 
 ANY, USUAL, TRIAL, FREED, FALLEN = "any", "usual", "trial", "freed", "fallen"
@@ -75,15 +76,13 @@
         self.pods, self.turn, self.watch_at, self.upkeep = {}, 0, now, 0
         self.sides, self.drawn, self.exchange_at = {True: [], False: []}, {True: [], False: []}, now
         self.room, self.warm, self.warm_at = {True: 0.0, False: 0.0}, 0.0, 0
-        self.open, self.due, self.tokens = {}, {}, 0
-        self.means, self.marks, self.keys, self.keys_at = {}, {}, {}, now
+        self.open, self.due, self.tokens, self.keys, self.keys_at = {}, {}, 0, {}, now
         self.most = [min(most, 1 + most * FEW / terms.balancers) for most in (20.0, 5.0)]  # it adds up
         self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
         self.arrivals, self.shed, self.served = (Ring(span * SECOND, 2 * span) for span in (8, 8, 4))
         self.pressure, self.pressed_at, self.lost, self.warm_rate = 0.0, now, 0.0, 0.0
-        self.news, self.build, self.ramp, self.ramped, self.pins, self.places = None, USUAL, 0.0, now, set(), 0
-        self.taken, self.tried, self.p0 = {}, {}, dict(P0_FLOOR)
-        self.earlier = {what: Ring(8 * SECOND, 16) for what in ("all", "failed", "slow", "error")}
+        self.means, self.marks, self.taken, self.p0, self.pins = {}, {}, {}, dict(P0_FLOOR), set()
+        self.earlier = {what: Ring(8 * SECOND, 16) for what in EARLIER}
         # All share the allowed error; where many must err together, each may err more (Poisson tail's bound).
         needed = terms.votes_to_revert
         together = needed * (FALSE_BACK if needed == 1 else 0.7 * FALSE_BACK ** (1 / needed))
@@ -92,9 +91,9 @@
         # Each keeps to its part of the calls that the platform takes from all.
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
-        self.usual, self.all_slow, self.ill_since, self.sums, self.by_pod = None, 0.0, None, {}, {}
         self.vote, self.vote_at, self.asked, self.ask_at, self.rows, self.rows_at = None, 0, None, now, [], 0
-        self._go_on()
+        self.news, self.build = None, USUAL
+        self._begin()
 
     def handle(self, now, events):
         self.now, self.actions = now, []
@@ -214,7 +213,7 @@
         share, build = known.share(self.now, self.terms), known.listed.build
         cell = tx.lane.name, known.listed.machine
         mark, settled = self.marks.get(cell, (2.0 * latency, 0))
-        failed, judging = outcome != i.DONE, self.build in (TRIAL, FREED)
+        failed, way, judging = outcome != i.DONE, outcome in WAY, self.build in (TRIAL, FREED)
         slow = outcome == i.EXPIRED or (not failed and latency * share > mark)
         if judging and share == 1.0:
             self._judge_all(cell, outcome, latency)
@@ -223,16 +222,18 @@
                 # The mark follows the latency that one answer in ten exceeds, quickly at first.
                 shift = (SLOW_QUANTILE if slow else SLOW_QUANTILE - 1) * max(0.05, 1 / (2 + 0.2 * settled))
                 self.marks[cell] = mark * (1 + shift), settled + 1
-            for what, one in (("all", 1), ("failed", failed), ("slow", slow), ("error", outcome == i.ERROR)):
+            for what, one in zip(EARLIER, (1, failed and not way, slow, outcome == i.ERROR, way)):
                 self.earlier[what].add(self.now, one)
         elif build == self.news.build:
             compared = self._compare() and self.news.phase == i.ON_TRIAL
-            # A cold pod's time-outs prove nothing of the build, nor does a failure of the way to it with no
-            # earlier pod to show that the way is sound. One key that fails again and again is one failure.
-            if ((outcome == i.EXPIRED and share < 1.0) or (failed and tx.key in self.bad_keys)
-                    or (outcome not in (i.DONE, i.ERROR) and not compared)):
+            # A cold pod's time-outs prove nothing of the build, nor does a reset or a spoilt answer where the
+            # earlier build does not show the way sound. One key that fails again and again is one failure.
+            seen, lost = (self.earlier[what].total(self.now) for what in ("all", "way"))
+            sound = compared and lost < max(2, WAY_FAILS * seen)
+            if ((outcome == i.EXPIRED and (share < 1.0 or not compared)) or (way and not sound)
+                    or (failed and tx.key in self.bad_keys)):
                 return
-            self.bad_keys.update([tx.key] if failed else [])
+            self.bad_keys.update([tx.key] if failed and len(self.bad_keys) < KEYS_MOST else [])
             self.seen += 1
             alone = outcome in (i.DONE, i.ERROR) and len(self.sides[True]) <= FEW_PODS
             self._add("failed", failed, None if alone else known.listed.address)
@@ -411,8 +412,8 @@
             self._step(tx, "given up")
 
     def _limit_for(self, lane):
-        """Open work may be what answers come for within part of the goal (Little's law), so that a queue ends
-        before the goal does; lanes that earn least go first. No answers yet are no sign of overload."""
+        """Open work may be what answers come for within part of the goal (Little's law), so no queue lasts.
+        Lanes that earn least go first. No answers yet are no sign of overload."""
         since = min(2 * SECOND, self.now - self.born)
         least = max(3.0, LIMIT_LEAST * min(1.0, FEW / self.terms.balancers))  # it adds up, too
         limit = max(least, self.answers.total(self.now) / since) if since > SECOND else 1000.0
@@ -429,7 +430,7 @@
         if news is None or len(tx.sent) >= self.terms.max_deliveries or self.now >= tx.ends:
             return False
         stays = (news.phase in (i.ON_TRIAL, i.RELEASED)
-                 and (tx.key in self.pins or len(self.pins) >= PINS_MOST))  # more than it can tell apart: all
+                 and (tx.key in self.pins or len(self.pins) >= KEYS_MOST))  # more than it can tell apart: all
         below = position(tx.key) < self.ramp and news.phase in (i.ON_TRIAL, i.RELEASED)
         # Off the ordinary path: another try, a key that failed there, a hot one that would flood the trial.
         seen = self.keys.get(tx.key, 0)
@@ -479,8 +480,7 @@
         return pod.zone == suspect.pod.zone and (group != i.GROUP_CELL or pod.cell == suspect.pod.cell)
 
     def _deliver(self, tx, known, new):
-        if new:
-            self._ring(self.tried, tx.lane).add(self.now)
+        self._ring(self.tried, tx.lane).add(self.now, int(new))
         known.out += 1
         known.sent.add(self.now)
         tx.sent.append(Delivery(known, self.now))
@@ -547,7 +547,7 @@
         self._step(tx, "answered" if event.closed else proof)
 
     def _pin(self, event):  # on sockets also by an answer that came too late, in part or spoilt
-        if self.terms.keys_stay and event.build == self.news.build and len(self.pins) < PINS_MOST:
+        if self.terms.keys_stay and event.build == self.news.build and len(self.pins) < KEYS_MOST:
             self.pins.add(event.key)
 
     def _learn(self, tx, known, event):
@@ -563,7 +563,7 @@
             gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
             self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
         known.fails += 0.1 * ((event.outcome != i.DONE) - known.fails)
-        self.lost += 0.05 * ((event.outcome in (i.UNCONNECTED, i.RESET)) - self.lost)  # on the way
+        self.lost += 0.05 * ((event.outcome in WAY) - self.lost)  # on the way
         if event.outcome == i.UNCONNECTED:
             known.shun = min(SHUN_MOST, max(SHUN, 2 * known.shun))
             known.shunned = self.now + known.shun
