--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -117,6 +117,19 @@
         judged(made, i.ERROR, "new-1", 9)
         self.assertEqual(made._verdict(), i.BACK)
 
+    def test_who_sees_enough_of_few_pods_waits_for_a_second_one(self):
+        for arrivals, back in ((0, True), (900, False)):
+            made = balancer(pod("old-1"), pod("new-0", 2), pod("new-1", 2), pod("new-2", 2), told=news())
+            made.arrivals.add(NOW, arrivals)
+            judged(made, i.ERROR, "new-0", 30)
+            judged(made, i.ERROR, "new-1", 1)
+            made.rows = [i.Tally(2, "read", 20, 9, 100, 0), i.Tally(1, "read", 90, 0, 100, 0)]
+            made._weigh_tallies()
+            self.assertEqual(made._verdict() == i.BACK, back)
+            judged(made, i.ERROR, "new-1", 9)
+            judged(made, i.ERROR, "new-2", 9)
+            self.assertEqual(made._verdict(), i.BACK)
+
     def test_slow_pods_together_do_but_not_within_one_second(self):
         made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
         made.marks["read", "std"] = (500, 100)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -1,8 +1,7 @@
 """All decisions of thymeknot: where a transaction goes, when it is answered, how the new build is voted on.
 
-Make one Balancer(terms, seed, now) per sidecar and call handle(now, events) with the events of one moment,
-in order; it returns the actions to carry out, in order. Their types stand in interface.py, the records in
-records.py; nothing else reaches the module, and nothing is shared. docs/design.md tells the sources."""
+Make one Balancer(terms, seed, now) per sidecar and call handle(now, events) with the events of one moment, in
+order; it returns the actions. Types: interface.py; records: records.py; sources: docs/design.md."""
 
 from math import log
 
@@ -11,19 +10,17 @@
 
 SECOND = 10_000
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
-RAMP_TIME, RAMP_SHARE = 2 * SECOND, 0.8
+RAMP_TIME, RAMP_SHARE, LISTED = 2 * SECOND, 0.8, 0.75  # of a stage's pods: listed, for a vote for on
 P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0, "all": 3.0}, {"failed": 0.01, "slow": 0.1}
 FALSE_BACK, FALSE_ON, SLOW_STRICTER = 0.05, 0.2, 10
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
-LISTED = 0.75                   # of a stage's pods: as long as fewer are listed, no vote for on
 HOLD_PART, ONE_SECOND, ONE_PERIOD = 0.5, 0.5, 0.6  # of the back bound: holds; what slowness, tallies add
-ONE_POD, FEW_PODS = {"failed": 0.55, "slow": 0.45}, 3  # one pod adds so much; of so few, its errors in full
+ONE_POD, FEW_PODS = {"failed": 0.55, "slow": 0.45}, (3, 5)  # one pod adds so much; few to the quiet, the loud
 COLD_FAILS, FREED_FAILS = 0.3, 0.1  # what tallies may show failing: at a pod without warmth, by a release
 TIMES, TIMES_MOST = 1.5, 3.0    # the earlier build's mean time: evidence from the first to the second
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
-# Slowness of all builds may pass by itself: so long before one is blamed; longer with machines replaced.
-ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}
+ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}  # slowness of all may pass; True: machines replaced
 BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
 LOUD, SETTLED, MATURE, USUAL_SHED = 15, 3 * SECOND, 20, 0.05  # rate, age, outcomes, deferrals: the usual
 EARLIER, WAY_FAILS = ("all", "failed", "slow", "error", "way"), 0.02  # of its outcomes: an unsound way
@@ -41,24 +38,21 @@
 NEW, OUT, OVER = "new", "out", "over"
 # A transaction's life: (state, input) -> next state, effect. What is missing changes nothing.
 LIFE = {
-    (NEW, "taken"): (OUT, "place"), (OUT, "given up"): (OVER, "turn_away"),
+    (NEW, "taken"): (OUT, "place"), (OUT, "given up"): (OVER, "turn_away"), (OUT, "left"): (OVER, "close"),
+    (OUT, "unrun"): (OUT, "again"), (OUT, "perhaps run"): (OUT, "again"), (OUT, "slow"): (OUT, "second"),
     (OUT, "answered"): (OVER, "close"), (OVER, "answered"): (OVER, "forget"),
-    (OUT, "unrun"): (OUT, "again"), (OVER, "unrun"): (OVER, "forget"),
-    (OUT, "perhaps run"): (OUT, "again"), (OVER, "perhaps run"): (OVER, "forget"),
-    (OUT, "slow"): (OUT, "second"), (OUT, "left"): (OVER, "close"),
+    (OVER, "unrun"): (OVER, "forget"), (OVER, "perhaps run"): (OVER, "forget"),
 }
 # What an outcome proves for rule 2.
 PROOF = {i.DONE: "answered", i.ERROR: "perhaps run", i.EXPIRED: "perhaps run", i.RESET: "perhaps run",
          i.RECALLED: "perhaps run", i.FULL: "unrun", i.UNCONNECTED: "unrun", i.UNSENT: "unrun"}
-WAY = i.RESET, i.UNCONNECTED    # on the way to a pod, or back: also an answer that can't be read
 
 
 ANY, USUAL, TRIAL, FREED, FALLEN = "any", "usual", "trial", "freed", "fallen"
 # The newest build's life here: (state, input) -> next state, effect. A build not met on trial is usual.
 BUILD = {
-    (ANY, "offered"): (TRIAL, "begin"), (ANY, "met"): (USUAL, "begin"), (ANY, "fell"): (FALLEN, "begin"),
-    (FALLEN, "fell"): (FALLEN, None),
-    (TRIAL, "moved"): (TRIAL, "go_on"), (TRIAL, "released"): (FREED, "go_on"),
+    (ANY, "offered"): (TRIAL, "begin"), (ANY, "met"): (USUAL, "begin"), (TRIAL, "moved"): (TRIAL, "go_on"),
+    (ANY, "fell"): (FALLEN, "begin"), (FALLEN, "fell"): (FALLEN, None), (TRIAL, "released"): (FREED, "go_on"),
 }
 
 
@@ -143,9 +137,8 @@
         self.drawn[new] = drawn
 
     def _cold_room(self, known, share):
-        """Rule 4. Each instance keeps to its part of what warm pods are seen to take, so no sum goes over;
-        the fewer pods it uses, the fewer others use this one. One delivery each, of hundreds, would push it
-        over: an instance whose part is less draws anew, for each pod and span, whether it has it."""
+        """Rule 4. Each keeps to its part of what warm pods are seen to take; the fewer pods it uses, the fewer
+        others use this one. With a part of less than a delivery each pod and span is drawn for."""
         rate, span = self.warm_rate * known.listed.size, self.terms.overload_for
         part = max(COLD_PART * self.terms.fall_multiple * share * rate * span / SECOND,
                    COLD_LEAST / self.terms.balancers)
@@ -180,7 +173,7 @@
     def _go_on(self):  # failures are kept, or the quiet never have enough; each stage's cold pods are slow
         self.ramped, self.clear_since = self.now, self.now
         self.offset = (self.chance.draw() - 0.5) * self.turn_of_all
-        self.sums = {"failed": max(0.0, self.sums.get("failed", 0.0)), "slow": 0.0}
+        self.sums = self.left = {"failed": max(0.0, self.sums.get("failed", 0.0)), "slow": 0.0}
         self.by_pod = {key: had for key, had in self.by_pod.items() if key[0] == "failed"}
         self.seen, self.doubt, self.swarm, self.bad_keys, self.saying_back = 0, 0.0, (0, 0.0), set(), False
 
@@ -213,7 +206,7 @@
         share, build = known.share(self.now, self.terms), known.listed.build
         cell = tx.lane.name, known.listed.machine
         mark, settled = self.marks.get(cell, (2.0 * latency, 0))
-        failed, way, judging = outcome != i.DONE, outcome in WAY, self.build in (TRIAL, FREED)
+        failed, way, judging = outcome != i.DONE, outcome == i.RESET, self.build in (TRIAL, FREED)
         slow = outcome == i.EXPIRED or (not failed and latency * share > mark)
         if judging and share == 1.0:
             self._judge_all(cell, outcome, latency)
@@ -235,7 +228,8 @@
                 return
             self.bad_keys.update([tx.key] if failed and len(self.bad_keys) < KEYS_MOST else [])
             self.seen += 1
-            alone = outcome in (i.DONE, i.ERROR) and len(self.sides[True]) <= FEW_PODS
+            few = 1 if self._few() else FEW_PODS[0]
+            alone = outcome in (i.DONE, i.ERROR) and len(self.sides[True]) <= few
             self._add("failed", failed, None if alone else known.listed.address)
             # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on it.
             if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
@@ -271,7 +265,10 @@
     def _book(self, what, step):
         # The sum rests near the bound for 'on': a build that turns bad late must not have to eat up its past.
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
-        self.doubt = max(self.sums[what] / self.back_at[what] for what in self.sums)
+        # Of few an ill pod would be taken for its build: who sees enough waits for a second, where all wait.
+        worst = max([had for (of, _), had in self.by_pod.items() if of == "failed" and self._few()] + [0.0])
+        self.left = {"failed": self.sums["failed"] - worst, "slow": self.sums["slow"]}
+        self.doubt = max(self.left[what] / self.back_at[what] for what in self.left)
         if self.doubt > HOLD_PART:
             self.clear_since = self.now
 
@@ -306,7 +303,7 @@
                     times = min(TIMES_MOST, row.latency * warmth / base.latency)
                     steps["slow"] += count * (times - TIMES) / 2
         for what, step in steps.items():
-            self._book(what, min(step, ONE_PERIOD * self.back_at[what]))
+            self._book(what, min(step, ONE_PERIOD * self.back_at[what] * (not self._few())))  # of one ill pod
 
     def _judge_all(self, cell, outcome, latency):
         """A build can slow the earlier one in step with itself: all outcomes are tested against those before
@@ -323,6 +320,10 @@
         elif self.all_slow > bound and (self.ill_since is None or self.ramp < BLAMED_FROM):
             self.ill_since = self.now
 
+    def _few(self):
+        by_votes, pods = self.terms.decided_by != i.BY_CLOCK, len(self.sides[True])
+        return by_votes and 1 < pods <= FEW_PODS[1] and self.arrivals.total(self.now) >= 8 * LOUD
+
     def _busier(self):  # the traffic of the last two seconds against the usual, chance allowed for
         span = 4 * self.arrivals.width + self.now % self.arrivals.width
         usual = self.usual[1] * span / SECOND if self.usual else 0
@@ -354,8 +355,8 @@
         if not listed or self.now < max(started) + AFTER_START + self.offset:
             return i.NO_VOTE
         # A quiet instance never sees enough: with too little to hold the build it says on after a while.
-        wait = self.offset + QUIET_FOR * (1 if self.sums["failed"] <= 0 else 2)
-        enough = max(self.sums.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES
+        wait = self.offset + QUIET_FOR * (1 if self.left["failed"] <= 0 else 2)
+        enough = max(self.left.values()) < ON_BOUND and self.seen >= ENOUGH_OUTCOMES
         return i.ON if enough or self.now >= self.clear_since + wait else i.NO_VOTE
 
     def _cast(self):
@@ -531,8 +532,7 @@
         self._forget(tx)
 
     def _forget(self, tx):
-        if not tx.out():
-            self.open.pop(tx.id, None)
+        return tx.out() or self.open.pop(tx.id, None)
 
     def _end(self, event):
         tx = self.open.get(event.id)
@@ -563,7 +563,7 @@
             gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
             self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
         known.fails += 0.1 * ((event.outcome != i.DONE) - known.fails)
-        self.lost += 0.05 * ((event.outcome in WAY) - self.lost)  # on the way
+        self.lost += 0.05 * ((event.outcome in (i.UNCONNECTED, i.RESET)) - self.lost)  # on the way
         if event.outcome == i.UNCONNECTED:
             known.shun = min(SHUN_MOST, max(SHUN, 2 * known.shun))
             known.shunned = self.now + known.shun
