Bad clients end in time, written deliveries count for their key, nothing of ended connections stays

Probe (why each delivery broke): 7,788 answers were refused as values over 64 KiB (128,109 to 399,893 bytes), and 2,600 given-up deliveries ended unread. At fault: resp.Parser's one limit for commands and answers; Pools._look, whose deadline keeps an ended connection, with the 64 KiB it had read, for 12 s; Attempt, which told nothing of a written delivery that was given up or reset, although the pod may have answered it. Change: pods' values up to 512 KiB; deadlines of a connection are cancelled with it and its parser is emptied; what was written and is given up or reset counts for its key; 2.5 s for a command, 10 s for a reader, 64 commands in hand; a transaction is held for its lane's outer limit at most; never-spoken connections make room first; a new pool for a pod that is another process or build. Harm: keys of time-outs on trial stay there.

--- a/thymeknot/memory/deadlines.py
+++ b/thymeknot/memory/deadlines.py
@@ -22,6 +22,7 @@
         return self.number
 
     def cancel(self, number):
+        """Nothing happens where there is none, or none any more."""
         if self.live.pop(number, None) and len(self.heap) > SWEEP + 2 * len(self.live):
             self.heap = [entry for entry in self.heap if entry[1] in self.live]
             heapify(self.heap)
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -98,6 +98,8 @@
 
     def lost(self, connection):
         self.connections.remove(connection.slot)
+        for deadline in connection.deadlines:
+            self.deadlines.cancel(deadline)
         if connection in connection.connector.pool.idle:
             connection.connector.pool.idle.remove(connection)
 
@@ -108,13 +110,13 @@
         if connection.waiting is None and now >= due:
             self._close([connection])
         else:
-            self.deadlines.add(max(due, now + AGAIN), self._look, connection)
+            connection.deadlines[:1] = [self.deadlines.add(max(due, now + AGAIN), self._look, connection)]
 
     def give_up(self, delivery, connection):
         """Ends a delivery at once, whether it waits or is out on a connection."""
         if connection is not None:
             connection.give_up()
-            self.deadlines.add(self.deadlines.clock() + LATE, connection.drop, "given up")
+            connection.deadlines.append(self.deadlines.add(self.deadlines.clock() + LATE, connection.drop, "given up"))
             return
         for pool in self.by_pod.values():
             if delivery in pool.waiting:
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -8,7 +8,9 @@
 from . import resp
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
-MOST_WAITING = 256          # commands in hand on one connection; beyond it, it is not read on
+MOST_WAITING = 64           # commands in hand on one connection; beyond it, it is not read on
+SPEAKS_WITHIN = 25_000      # tenths of a millisecond: for a first command, and for one that has begun
+READS_WITHIN = 100_000      # for a client that has stopped reading its answers, or does not read the last ones
 
 
 class Command(NamedTuple):
@@ -53,21 +55,66 @@
 
 
 class ClientConnection(Protocol):
-    """Its owner is asked to take(connection, place, command) and told of left(connection)."""
+    """Its owner is asked to take(connection, place, command) and told of left(connection).
+
+    It is a producer of its transport: a client that does not read its answers is not read from either."""
 
     def __init__(self, owner):
-        self.owner, self.parser = owner, resp.Parser()
+        self.owner, self.parser, self.deadlines = owner, resp.Parser(), owner.deadlines
         self.slot, self.first, self.places = None, 0, deque()
         self.sound, self.closing, self.reading, self.used_at = True, False, True, 0
+        self.spoke, self.blocked, self.ended, self.due, self.last = False, False, False, None, None
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._expect(SPEAKS_WITHIN)
         self.owner.opened(self)
 
     def connectionLost(self, reason):
         self.sound = False
+        for deadline in (self.due, self.last):
+            self.deadlines.cancel(deadline)
         self.owner.left(self)
 
+    def _expect(self, within):
+        """A whole command within this time, or the connection is closed; one that stands idle later is not."""
+        self.due = self.deadlines.add(self.deadlines.clock() + within, self._says_nothing)
+
+    def _says_nothing(self):
+        self.due = None
+        if self.sound and (self.parser.held or not self.spoke):
+            self.sound = False
+            self.answer(self._place(), resp.failure("ERR no whole command in time"))
+            self.finish()
+
+    def pauseProducing(self):
+        """The client does not read what is written."""
+        self.blocked = True
+        self._read_on()
+        self._end_within(READS_WITHIN)
+
+    def resumeProducing(self):
+        self.blocked = False
+        self._read_on()
+        if not self.closing:
+            self.deadlines.cancel(self.last)
+            self.last = None
+
+    def stopProducing(self):
+        """The transport says so when it is lost; connectionLost follows."""
+
+    def _end_within(self, within):
+        if self.last is None:
+            self.last = self.deadlines.add(self.deadlines.clock() + within, self.transport.abortConnection)
+
+    def _read_on(self):
+        """Reads as long as what is in hand and what is not read are within bounds."""
+        reading = not self.blocked and len(self.places) <= (MOST_WAITING if self.reading else MOST_WAITING // 2)
+        if reading != self.reading:
+            self.reading = reading
+            (self.transport.resumeProducing if reading else self.transport.pauseProducing)()
+
     def idle(self):
         return not self.places and not self.parser.held
 
@@ -84,18 +131,20 @@
         except Exception as error:  # a fault here must cost this connection alone
             self.owner.fault("client connection", error)
             self.transport.abortConnection()
+        if self.parser.held and self.sound and self.due is None:
+            self._expect(SPEAKS_WITHIN)
         if self.closing:
             self.finish()
-        if len(self.places) > MOST_WAITING and self.reading:
-            self.reading = False
-            self.transport.pauseProducing()
+        self._read_on()
 
     def _place(self):
         self.places.append(None)
         return self.first + len(self.places) - 1
 
     def _command(self, parts):
-        place = self._place()
+        place, self.spoke = self._place(), True
+        self.deadlines.cancel(self.due)
+        self.due = None
         if not (isinstance(parts, list) and parts and all(isinstance(part, memoryview) for part in parts)):
             return self.answer(place, resp.failure("ERR a command is an array of strings"))
         name = bytes(parts[0]).upper()
@@ -117,14 +166,15 @@
         while self.places and self.places[0] is not None:
             self.transport.write(self.places.popleft())
             self.first += 1
-        if not self.reading and len(self.places) < MOST_WAITING // 2:
-            self.reading = True
-            self.transport.resumeProducing()
+        self._read_on()
         if self.closing:
             self.finish()
 
     def finish(self):
         """Closes once everything owed is answered; a command that has begun to come is waited for."""
         self.closing = True
-        if self.idle() or (not self.sound and not self.places):
+        if not self.ended and (self.idle() or (not self.sound and not self.places)):
+            self.ended = True
+            self.transport.unregisterProducer()  # else a transport that waits for more never closes
             self.transport.loseConnection()
+            self._end_within(READS_WITHIN)
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -9,6 +9,7 @@
 from . import resp
 from .reached import NOT_CONNECTED, Broken, WholeWriter
 
+MOST_VALUE = 512 * 1024     # a value is 64 KiB at most, by the protocol; pods were seen to send up to 400,000 bytes
 PARTS = 3                   # of a good answer: the value, null, the load report or null
 
 
@@ -37,9 +38,9 @@
     """Its owner is told of made(connection), ready(connection) and lost(connection)."""
 
     def __init__(self, owner, connector):
-        self.owner, self.connector, self.parser = owner, connector, resp.Parser()
+        self.owner, self.connector, self.parser = owner, connector, resp.Parser(MOST_VALUE)
         self.waiting, self.given_up, self.slot, self.used_at = None, False, None, None
-        self.begun = nothing
+        self.begun, self.deadlines = nothing, []
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -98,6 +99,7 @@
         """Ends the connection; a delivery still waiting on it has failed."""
         self.transport.abortConnection()
         self._broken(reason)
+        self.parser = resp.Parser(0)  # what was read is not kept for as long as a closed connection is known
 
     def give_up(self):
         """Ends the delivery at once, for another may be written next: one is out while its connection is open
--- a/thymeknot/protocol/resp.py
+++ b/thymeknot/protocol/resp.py
@@ -24,8 +24,8 @@
     """Takes what was read and gives whole messages: a memoryview for a bulk string, None for a null, an int,
     a Status, a Failure, or a list of these. Each slice keeps the chunk that it lies in."""
 
-    def __init__(self):
-        self.chunks, self.held, self.needed = [], 0, 0
+    def __init__(self, most=MOST_BULK):
+        self.chunks, self.held, self.needed, self.most = [], 0, 0, most
 
     def feed(self, data):
         """The whole messages up to and with this chunk. A generator: Malformed comes after what was sound."""
@@ -101,8 +101,8 @@
         return int(line)
 
     def _bulk(self, buffer, at, length):
-        if length > MOST_BULK:
-            raise Malformed(f"a value of {length} bytes, over {MOST_BULK}")
+        if length > self.most:
+            raise Malformed(f"a value of {length} bytes, over {self.most}")
         end = at + length + 2
         if len(buffer) < end:
             return INCOMPLETE, end
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -20,6 +20,7 @@
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, the platform, the loop's own, standard streams
 FOR_PODS = 0.5              # of the others: connections to pods; the rest is for clients
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
+FIRST_WORD = 3_000          # so long a new connection is not closed for want of places before others
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
@@ -57,7 +58,7 @@
     def _came_back(self, end):
         """What came of it, as a value."""
         good = isinstance(end, Answer) and end.failure is None
-        if good and not self.out:
+        if (good and not self.out) or (self.out and isinstance(end, Broken) and end.reached == WRITTEN):
             self.sidecar.answered_unheard(self)
         if not self.out:
             return
@@ -68,10 +69,13 @@
         else:
             self.sidecar.ended(self, i.FULL if end.failure.split(" ")[0] == BUSY else i.ERROR)
 
-    def time_out(self):
+    def give_up(self, outcome=None):
+        """Ends it, as a time-out where nothing else is said. What was written may be answered yet, unread."""
         written = self.connection is not None and self.connection.written
         self.sidecar.pools.give_up(self, self.connection)
-        self.sidecar.ended(self, i.EXPIRED if written else i.UNCONNECTED)
+        if written:
+            self.sidecar.answered_unheard(self)
+        self.sidecar.ended(self, outcome or (i.EXPIRED if written else i.UNCONNECTED))
 
 
 class Sidecar:
@@ -196,10 +200,13 @@
         connection.slot, connection.used_at = self.clients.add(connection), self.clock()
         if len(self.clients) < self.most_clients:
             return
-        # Between transactions a connection may be closed; where none can be, no more are accepted for now.
-        idle = [one for one in self.clients if one.idle() and not one.closing]
+        # Between transactions a connection may be closed, first one that has had its time and never said anything
+        # whole; where none can be, no more are accepted for now.
+        idle = [one for one in self.clients if not one.closing and (one.idle() or not one.spoke)]
         if idle:
-            min(idle, key=lambda one: one.used_at).finish()
+            patience = self.clock() - FIRST_WORD
+            eldest = min(idle, key=lambda one: (one.spoke or one.used_at > patience, one.used_at))
+            eldest.finish() if eldest.idle() else eldest.transport.abortConnection()
         elif not self.held_off:
             self.held_off = True
             self.port.stopReading()
@@ -226,7 +233,9 @@
             return connection.answer(place, resp.failure("ERR this id is in hand already"))
         if len(self.transactions) >= self.reach.most_open:
             return connection.answer(place, resp.failure(BUSY))
-        connection.used_at, left = self.clock(), command.left * 10
+        # Nothing is earned after the lane's outer limit: no client has a transaction held for longer.
+        connection.used_at = self.clock()
+        left = min(command.left * 10, self.terms.lanes[command.lane].outer_limit)
         held = Held(name, command, connection, place, connection.used_at + left)
         held.slot = self.by_id[name] = self.transactions.add(held)
         held.deadline = self.deadlines.add(held.ends + OVERDUE, self._overdue, held)
@@ -275,7 +284,7 @@
         if (held.over or attempt.pod is None or now >= attempt.ends
                 or attempt.number >= self.terms.max_deliveries):
             return self.ended(attempt, i.UNSENT)
-        attempt.deadline = self.deadlines.add(attempt.ends, attempt.time_out)
+        attempt.deadline = self.deadlines.add(attempt.ends, attempt.give_up)
         if not self.pools.send(action.pod, self.addresses[action.pod], attempt):
             logs.seldom("no descriptor for a pod", connections=len(self.pools))
             return self.ended(attempt, i.UNSENT)
@@ -284,8 +293,7 @@
         held = self._held(action.id)
         attempt = held.attempts[action.number] if held and action.number < len(held.attempts) else None
         if attempt and attempt.out:
-            self.pools.give_up(attempt, attempt.connection)
-            self.ended(attempt, i.RECALLED)
+            attempt.give_up(i.RECALLED)
 
     def ended(self, attempt, outcome, answer=None):
         """The one end of an attempt. The first good answer goes to the client by itself."""
@@ -304,7 +312,7 @@
         self.tell(event)
 
     def answered_unheard(self, attempt):
-        """An answer that came too late, in part or spoilt: the pod has written it, so its key counts as answered."""
+        """An answer that came too late, in part, spoilt, or may yet come: its key counts as answered."""
         command, after = attempt.held.command, self.clock() - attempt.at
         logs.seldom("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after)
         self.tell(i.AnsweredUnheard((command.key or command.id).decode(), attempt.pod.build))
@@ -325,19 +333,21 @@
     def _listing(self, listing):
         self.version = listing.version
         before, self.listed = self.listed, dict(self.listed) if listing.pods.kind == i.CHANGES else {}
+        changed = set()
         for pod in listing.pods.pods:
             known = before.get(pod.address)
             # What stands open to an earlier process may be silent: it is another pod under the same id.
             if known and (known.started, known.build) != (pod.started, pod.build):
-                self.pools.retire(pod.address)
+                changed.add(pod.address)
             if pod.condition == i.GONE:
                 self.listed.pop(pod.address, None)
             else:
                 self.listed[pod.address] = pod
-        self.addresses.update(listing.addresses)
+        self.addresses = {pod: address for pod, address in {**self.addresses, **listing.addresses}.items()
+                          if pod in self.listed}
         self.inbox.append(listing.pods)
         self._withdraw(lambda pod: not self._stands(pod))
-        self.pools.keep_only(self.listed)
+        self.pools.keep_only(self.listed.keys() - changed)
         self.tell()
 
     def _stands(self, pod):
