--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -130,6 +130,18 @@
             judged(made, i.ERROR, "new-2", 9)
             self.assertEqual(made._verdict(), i.BACK)
 
+    def test_after_many_chance_failures_a_cluster_is_no_proof_but_a_bad_build_is(self):
+        made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(20)), told=news())
+        made.p0["failed"] = 0.05
+        made.arrivals.add(NOW, 600)
+        made._compare = lambda: True
+        for n in range(3):
+            judged(made, i.EXPIRED, f"new-{n}")
+        self.assertNotEqual(made._verdict(), i.BACK)
+        for n in range(3, 9):
+            judged(made, i.EXPIRED, f"new-{n}")
+        self.assertEqual(made._verdict(), i.BACK)
+
     def test_slow_pods_together_do_but_not_within_one_second(self):
         made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
         made.marks["read", "std"] = (500, 100)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -17,8 +17,7 @@
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
 HOLD_PART, ONE_SECOND, ONE_PERIOD = 0.5, 0.5, 0.6  # of the back bound: holds; what slowness, tallies add
 ONE_POD, FEW_PODS = {"failed": 0.55, "slow": 0.45}, (3, 5)  # one pod adds so much; few to the quiet, the loud
-COLD_FAILS, FREED_FAILS = 0.3, 0.1  # what tallies may show failing: at a pod without warmth, by a release
-TIMES, TIMES_MOST = 1.5, 3.0    # the earlier build's mean time: evidence from the first to the second
+COLD_FAILS, FREED_FAILS, TIMES, TIMES_MOST = 0.3, 0.1, 1.5, 3.0  # in tallies: may fail cold, freed; slow
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}  # slowness of all may pass; True: machines replaced
 BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
@@ -86,7 +85,7 @@
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         self.vote, self.vote_at, self.asked, self.ask_at, self.rows, self.rows_at = None, 0, None, now, [], 0
-        self.news, self.build = None, USUAL
+        self.news, self.build, self.by_votes = None, USUAL, terms.decided_by != i.BY_CLOCK
         self._begin()
 
     def handle(self, now, events):
@@ -137,7 +136,7 @@
         self.drawn[new] = drawn
 
     def _cold_room(self, known, share):
-        """Rule 4. Each keeps to its part of what warm pods are seen to take; the fewer pods it uses, the fewer
+        """Rule 4. Each keeps to its part of what warm pods are seen to take; the fewer pods it uses, the less
         others use this one. With a part of less than a delivery each pod and span is drawn for."""
         rate, span = self.warm_rate * known.listed.size, self.terms.overload_for
         part = max(COLD_PART * self.terms.fall_multiple * share * rate * span / SECOND,
@@ -228,8 +227,7 @@
                 return
             self.bad_keys.update([tx.key] if failed and len(self.bad_keys) < KEYS_MOST else [])
             self.seen += 1
-            few = 1 if self._few() else FEW_PODS[0]
-            alone = outcome in (i.DONE, i.ERROR) and len(self.sides[True]) <= few
+            alone = outcome in (i.DONE, i.ERROR) and len(self.sides[True]) <= FEW_PODS[0] and not self._few()
             self._add("failed", failed, None if alone else known.listed.address)
             # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on it.
             if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
@@ -267,8 +265,11 @@
         self.sums[what] = max(ON_BOUND * (3 if what == "slow" else 1), self.sums[what] + step)
         # Of few an ill pod would be taken for its build: who sees enough waits for a second, where all wait.
         worst = max([had for (of, _), had in self.by_pod.items() if of == "failed" and self._few()] + [0.0])
-        self.left = {"failed": self.sums["failed"] - worst, "slow": self.sums["slow"]}
-        self.doubt = max(self.left[what] / self.back_at[what] for what in self.left)
+        self.left = {**self.sums, "failed": self.sums["failed"] - worst}
+        # A sum that rests tries anew with each chance failure: the more of them, the higher the bound.
+        many = self.by_votes and len(self.sides[True]) > FEW_PODS[1]
+        bound = self.back_at["failed"] + log(max(1, many * self.p0["failed"] * self.arrivals.total(self.now)))
+        self.doubt = max(self.left["failed"] / bound, self.left["slow"] / self.back_at["slow"])
         if self.doubt > HOLD_PART:
             self.clear_since = self.now
 
@@ -321,8 +322,8 @@
             self.ill_since = self.now
 
     def _few(self):
-        by_votes, pods = self.terms.decided_by != i.BY_CLOCK, len(self.sides[True])
-        return by_votes and 1 < pods <= FEW_PODS[1] and self.arrivals.total(self.now) >= 8 * LOUD
+        few = self.by_votes and 1 < len(self.sides[True]) <= FEW_PODS[1]
+        return few and self.arrivals.total(self.now) >= 8 * LOUD
 
     def _busier(self):  # the traffic of the last two seconds against the usual, chance allowed for
         span = 4 * self.arrivals.width + self.now % self.arrivals.width
