--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -38,6 +38,8 @@
             self.status = part.status
         elif isinstance(part, http.Body):
             self.body.append(bytes(part.content))
+            if sum(map(len, self.body)) > http.MOST_BODY:
+                raise http.Malformed("an answer that is too large")
         else:
             self._finish(Reply(self.status, b"".join(self.body)))
 
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -166,10 +166,17 @@
         while self.places and self.places[0] is not None:
             self.transport.write(self.places.popleft())
             self.first += 1
+        self.used_at = self.deadlines.clock()
         self._read_on()
         if self.closing:
             self.finish()
 
+    def give_way(self):
+        """Closes for want of places: half a first command is not waited for."""
+        self.finish()
+        if not self.ended:
+            self.transport.abortConnection()
+
     def finish(self):
         """Closes once everything owed is answered; a command that has begun to come is waited for."""
         self.closing = True
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -4,6 +4,7 @@
 from urllib.parse import urlencode
 
 NO_BODY = (204, 304)
+FIELDS = ("", "event", "data", "id", "retry")  # of an event; the nameless one is a comment
 MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 1024 * 1024, 4 * 1024 * 1024
 
 
@@ -160,6 +161,8 @@
                 self.event, self.data = "message", []
                 continue
             name, _, text = line.decode("utf-8", "replace").partition(":")
+            if name not in FIELDS:
+                raise Malformed("a line that is no field of an event")
             text = text[1:] if text.startswith(" ") else text
             if name == "event":
                 self.event = text
--- a/thymeknot/protocol/platform.py
+++ b/thymeknot/protocol/platform.py
@@ -38,7 +38,7 @@
         return decode(told[name])
     except KeyError:
         raise Unreadable(f"{name} is missing or not known: {told.get(name)!r}") from None
-    except (TypeError, ValueError):
+    except (TypeError, ValueError, OverflowError):
         raise Unreadable(f"{name} makes no sense: {told[name]!r}") from None
 
 
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from . import resp
-from .reached import NOT_CONNECTED, Broken, WholeWriter
+from .reached import NOT_CONNECTED, Broken, WholeWriter, nothing_waits
 
 MOST_VALUE = 512 * 1024     # a value is 64 KiB at most, by the protocol; pods were seen to send up to 400,000 bytes
 PARTS = 3                   # of a good answer: the value, null, the load report or null
@@ -47,15 +47,8 @@
         self.owner.made(self)
 
     def clean(self):
-        """Whether nothing has come since the last answer: not its second copy, and not the end. The machine is
-        asked, since the loop may not have read it yet."""
-        try:
-            self.transport.getHandle().recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        """Whether nothing has come since the last answer: not its second copy, and not the end."""
+        return nothing_waits(self.transport)
 
     def deliver(self, words, begun=nothing):
         """Sends a command. The Deferred fires with an Answer or a Broken; begun() is called before, where an answer
--- a/thymeknot/protocol/reached.py
+++ b/thymeknot/protocol/reached.py
@@ -1,5 +1,6 @@
 """How far an attempt came, as a value, and the writing that knows it."""
 
+import socket
 from typing import NamedTuple
 
 NOT_CONNECTED, NOT_ALL_WRITTEN, WRITTEN = "not connected", "not all written", "written"
@@ -11,6 +12,18 @@
     reason: str
 
 
+def nothing_waits(transport):
+    """Whether nothing has come that was not read: no byte, and not the end. The machine is asked, since the loop may
+    not have got to it yet."""
+    try:
+        transport.getHandle().recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
 class WholeWriter:
     """For protocols that must know when the last byte of what they write has gone to the network.
 
--- a/thymeknot/service/logs.py
+++ b/thymeknot/service/logs.py
@@ -5,12 +5,15 @@
 
 import orjson
 
+MOST_KINDS = 100
 _last = {}
 
 
 def seldom(event, **fields):
     """What may come with every transaction, or again and again, is written once a second at most."""
     now, what = time.monotonic(), (event, fields.get("address"))
+    if len(_last) > MOST_KINDS:  # addresses come and go with the configuration
+        _last.clear()
     if now - _last.get(what, -1.0) >= 1.0:
         _last[what] = now
         log(event, **fields)
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -13,14 +13,15 @@
 from .protocol.calls import Caller, KeptStream, Reply
 from .protocol.client import ClientConnection
 from .protocol.pod import Answer
-from .protocol.reached import WRITTEN, Broken
+from .protocol.reached import WRITTEN, Broken, nothing_waits
 from .records import Chance
 from .service import logs
 
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, the platform, the loop's own, standard streams
-FOR_PODS = 0.5              # of the others: connections to pods; the rest is for clients
+FOR_PODS = 0.4              # of the others: connections to pods; the rest is for clients
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
-FIRST_WORD = 3_000          # so long a new connection is not closed for want of places before others
+LOOKED_AT = 16              # connections that may make room for another: the eldest
+CROWDED, IDLE_LEAST = 1 / 3, 3_000  # of the places for clients; tenths of a millisecond
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
@@ -198,16 +199,19 @@
 
     def opened(self, connection):
         connection.slot, connection.used_at = self.clients.add(connection), self.clock()
-        if len(self.clients) < self.most_clients:
+        # Between transactions a connection may be closed, first one that never said anything whole, but none for
+        # which something waits unread. A crowd of clients that ask once and stay would hold the places that those
+        # to come need: from a third of the places on, one that has been idle for a while goes for each that comes.
+        full, now = len(self.clients) >= self.most_clients, self.clock()
+        if not full and len(self.clients) < self.most_clients * CROWDED:
             return
-        # Between transactions a connection may be closed, first one that has had its time and never said anything
-        # whole; where none can be, no more are accepted for now.
-        idle = [one for one in self.clients if not one.closing and (one.idle() or not one.spoke)]
-        if idle:
-            patience = self.clock() - FIRST_WORD
-            eldest = min(idle, key=lambda one: (one.spoke or one.used_at > patience, one.used_at))
-            eldest.finish() if eldest.idle() else eldest.transport.abortConnection()
-        elif not self.held_off:
+        idle = sorted((one for one in self.clients if one is not connection and not one.closing
+                       and ((one.idle() and now >= one.used_at + IDLE_LEAST) or (full and not one.places))),
+                      key=lambda one: (one.spoke, one.used_at))[:LOOKED_AT]
+        eldest = next((one for one in idle if nothing_waits(one.transport)), None)
+        if eldest:
+            eldest.give_way()
+        elif full and not self.held_off:
             self.held_off = True
             self.port.stopReading()
             logs.seldom("clients held off", connections=len(self.clients))
@@ -407,11 +411,7 @@
 
         def read(content):
             for event, data in events.feed(content):
-                try:
-                    told = platform.read_event(event, data)
-                except platform.Unreadable as error:
-                    logs.log("unreadable event", told=event, error=str(error))
-                    continue
+                told = platform.read_event(event, data)  # what can't be read ends the stream: it is asked for anew
                 if told is not None and (type(told) is i.News or told.lane in self.terms.lanes):
                     self.tell(told)
         return read
