--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -21,7 +21,7 @@
 FOR_PODS = 0.4              # of the others: connections to pods; the rest is for clients
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
 LOOKED_AT = 16              # connections that may make room for another: the eldest
-CROWDED, IDLE_LEAST = 1 / 3, 3_000  # of the places for clients; tenths of a millisecond
+CROWDED, IDLE_LEAST = 1 / 3, 2_000  # of the places for clients; tenths of a millisecond
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
@@ -201,17 +201,17 @@
         connection.slot, connection.used_at = self.clients.add(connection), self.clock()
         # Between transactions a connection may be closed, first one that never said anything whole, but none for
         # which something waits unread. A crowd of clients that ask once and stay would hold the places that those
-        # to come need: from a third of the places on, one that has been idle for a while goes for each that comes.
+        # to come need: from a third of the places on, those that have been idle for a while go when one comes.
         full, now = len(self.clients) >= self.most_clients, self.clock()
         if not full and len(self.clients) < self.most_clients * CROWDED:
             return
-        idle = sorted((one for one in self.clients if one is not connection and not one.closing
-                       and ((one.idle() and now >= one.used_at + IDLE_LEAST) or (full and not one.places))),
+        idle = sorted((one for one in self.clients if one is not connection and not one.closing and not one.places),
                       key=lambda one: (one.spoke, one.used_at))[:LOOKED_AT]
-        eldest = next((one for one in idle if nothing_waits(one.transport)), None)
-        if eldest:
-            eldest.give_way()
-        elif full and not self.held_off:
+        idle = [one for one in idle if nothing_waits(one.transport)]
+        rested = [one for one in idle if one.idle() and now >= one.used_at + IDLE_LEAST]
+        for one in rested[:int(len(self.clients) - self.most_clients * CROWDED)] or (idle[:1] if full else ()):
+            one.give_way()
+        if full and not idle and not self.held_off:
             self.held_off = True
             self.port.stopReading()
             logs.seldom("clients held off", connections=len(self.clients))
