--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -267,8 +267,9 @@
         worst = max([had for (of, _), had in self.by_pod.items() if of == "failed" and self._few()] + [0.0])
         self.left = {**self.sums, "failed": self.sums["failed"] - worst}
         # A sum that rests tries anew with each chance failure: the more of them, the higher the bound.
-        many = self.by_votes and len(self.sides[True]) > FEW_PODS[1]
-        bound = self.back_at["failed"] + log(max(1, many * self.p0["failed"] * self.arrivals.total(self.now)))
+        seen, pods = self.arrivals.total(self.now), len(self.sides[True])
+        many = self.by_votes and pods > FEW_PODS[1] and seen >= 8 * LOUD
+        bound = self.back_at["failed"] + log(max(1, many * self.p0["failed"] * seen))
         self.doubt = max(self.left["failed"] / bound, self.left["slow"] / self.back_at["slow"])
         if self.doubt > HOLD_PART:
             self.clear_since = self.now
@@ -378,8 +379,7 @@
         self.asked, self.ask_at = wanted, self.now + self.terms.vote_wait + SECOND // 10
         self.actions.append(i.Vote(*wanted))
 
-    def _vote_answered(self, news):
-        # What was turned away or got no answer is asked again, not in step with the others.
+    def _vote_answered(self, news):  # what was turned away, or unanswered, is asked again, not in step
         pause = SECOND // 5 + int(self.chance.draw() * self.turn_of_all)
         self.ask_at = self.now + (UPKEEP if news.outcome == i.DONE else max(pause, SECOND))
         if news.outcome == i.DONE and self.asked:
