Gossip among instances: operator file, signed codec, membership and hearsay as pure cores

Need: each sidecar learns alone, so quiet ones meet every ill pod themselves. Installations that let instances talk get gossip; the deck deployment forbids it and nothing of it is imported there (a test compares the modules).

Change: `thymeknot/operator/` reads CUE-like typed records on lark, all faults at once with line, key and constraint; `thymeknot/gossip/` has Ed25519 ring with rotation and revocation, a codec of at most 1,400 bytes, SWIM probes in which others' words only make an instance look for itself, hearsay that leaves out the words most against a pod, ceilings out and in, and the datagram endpoint. One event `Doubted` reaches the decisions: a doubted pod is turned to later, nothing else.

--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,12 @@
 	$(PYTHON) -m compileall -q thymeknot .venv/lib
 
 test: build
+	.venv/bin/pip -q install -r requirements-dev.txt
 	$(PYTHON) -m unittest discover -s tests -t . -v
 
 lint:
 	(test -d .venv || python3 -m venv .venv) && .venv/bin/pip -q install -r requirements-dev.txt
-	.venv/bin/ruff check thymeknot tests
+	.venv/bin/ruff check thymeknot tests measure
 
 run:
 	exec $(PYTHON) -m thymeknot
--- a/thymeknot/__main__.py
+++ b/thymeknot/__main__.py
@@ -6,4 +6,4 @@
 from .service.life import main
 
 if __name__ == "__main__":
-    sys.exit(main(os.environ))
+    sys.exit(main(os.environ, sys.argv[1:]))
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -458,7 +458,8 @@
             for known in (pool[start:] + pool[:start])[:LOOK]:
                 share, pod = known.share(self.now, self.terms), known.listed
                 if self._same_group(tx, pod) and (share == 1.0 or self._cold_room(known, share)):
-                    cost, avoid = self._cost(known) * (known.out + 1) / share, self.now < known.shunned
+                    cost = self._cost(known) * (known.out + 1) / share
+                    avoid = self.now < max(known.shunned, known.doubted)
                     found.append((cost + 1e6 * (avoid or pod.address in used), known))
             best = min((cost for cost, _ in found), default=1e6)
             if best < 1e6 or len(pool) == len(self.sides[new]):
@@ -588,6 +589,11 @@
         if event.pod in self.pods and self.pods[event.pod].side and self.build in (TRIAL, FREED):
             self._add("failed", True)
 
+    def _doubt(self, event):  # hearsay delays a turn and proves nothing: no vote, limit or rule looks at it
+        known = self.pods.get(event.pod)
+        if known and (known.listed.build, known.listed.started) == (event.build, event.started):
+            known.doubted = event.until
+
     def _tick(self, event):
         if event.token:
             tx = self.open.get(self.due.pop(event.token, None))
@@ -618,4 +624,4 @@
 
     EVENTS = {i.PodList: _listed, i.News: _told, i.Taken: _take, i.Ended: _end, i.ClientLeft: _follow,
               i.StreamBegan: _follow, i.TimerDue: _tick, i.Complaint: _complain, i.Tally: _tallied,
-              i.AnsweredUnheard: _pin}
+              i.AnsweredUnheard: _pin, i.Doubted: _doubt}
--- /dev/null
+++ b/thymeknot/gossip/endpoint.py
@@ -0,0 +1,146 @@
+"""The gossip's socket, and its way to and from the sidecar. Reads a bounded number of datagrams in a round of the
+loop, so that a flood delays no transaction; what the socket can't send at once is lost, as the network may lose it."""
+
+import os
+import secrets
+import socket
+import time
+
+from twisted.internet.interfaces import IReadDescriptor
+from zope.interface import implementer
+
+from .. import interface as i
+from ..records import Chance
+from ..service import logs
+from . import identity as identities
+from . import terms as t
+from .node import TICK, Node
+
+READ_AT_ONCE = 48               # datagrams a round; what stays comes in the next one
+READ_BUFFER = 1 << 20           # asked of the system, so that a flood leaves room between two rounds
+TELL_EVERY = 100_000            # of counts of what was dropped
+FAILED = {i.ERROR, i.RESET, i.UNCONNECTED}
+
+
+def built(terms, folder):
+    """(identity, ring, sources) of the settings. Raises identity.Unusable, whose text begins with the faulty key."""
+    try:
+        with open(os.path.join(folder, terms.key), "rb") as source:
+            mine = identities.read_identity(terms.name, source.read())
+        ring = identities.Ring(terms.peers, terms.revoked)
+        sources = identities.Sources(terms.from_)
+    except OSError as error:
+        raise identities.Unusable(f"gossip.key: can't be read: {os.strerror(error.errno)}") from None
+    if ring.owner(mine.key_id, time.time()) not in (None, terms.name):
+        raise identities.Unusable("gossip.key: belongs to another name in the ring")
+    return mine, ring, sources
+
+
+@implementer(IReadDescriptor)
+class Endpoint:
+    """Joins a Node to a socket and a Sidecar. The sidecar calls `ended` and `listed`; doubts come to it as events."""
+
+    def __init__(self, sidecar, terms, folder):
+        self.sidecar, self.reactor, self.terms = sidecar, sidecar.reactor, terms
+        self.clock, self.deadlines = sidecar.clock, sidecar.deadlines
+        mine, ring, sources = built(terms, folder)
+        announced = t.address(terms.announce or terms.listen)
+        start = time.time_ns() // 1_000_000
+        self.node = Node(terms, mine, ring, sources, announced, [t.address(one) for one in terms.seeds], self.clock(),
+                         Chance(secrets.randbits(64)), start, lambda: secrets.token_bytes(8), time.time)
+        host, port = t.address(terms.listen)
+        self.socket = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BUFFER)
+        try:
+            self.socket.bind((host, port))
+        except OSError as error:
+            self.socket.close()
+            raise identities.Unusable(f"gossip.listen: {os.strerror(error.errno)}: {terms.listen}") from None
+        self.buffer = bytearray(2048)
+        self.view = memoryview(self.buffer)
+        self.told_at, self.told, self.ticking = self.clock(), {}, None
+        self.listed()
+        self.reactor.addReader(self)
+        self._tick()
+
+    # The reactor's reader.
+
+    def fileno(self):
+        return self.socket.fileno()
+
+    def logPrefix(self):
+        return "gossip"
+
+    def connectionLost(self, reason):
+        self.close()
+
+    def doRead(self):
+        now, received = self.clock(), self.node.received
+        for _ in range(READ_AT_ONCE):
+            try:
+                length, source = self.socket.recvfrom_into(self.buffer)
+            except OSError:  # nothing more, or an earlier datagram of ours met nobody
+                break
+            received(now, source[:2], bytes(self.view[:length]))
+        self._flush()
+
+    def _flush(self):
+        out, self.node.out = self.node.out, []
+        for address, content in out:
+            try:
+                self.socket.sendto(content, address)
+            except OSError:
+                pass  # as lost on the way
+        doubts, self.node.doubts = self.node.doubts, []
+        if doubts:
+            for doubt in doubts:
+                logs.log("doubt", pod=doubt.pod.pod, build=doubt.pod.build, span=(doubt.until - self.clock()) / 10_000)
+            self.sidecar.tell(*(i.Doubted(one.pod.pod, one.pod.build, one.pod.started, one.until) for one in doubts))
+        said, self.node.said = self.node.said, []
+        for event, fields in said:
+            logs.log(event, **fields)
+
+    def _tick(self):
+        self.ticking = self.deadlines.add(self.clock() + TICK, self._tick)
+        now = self.clock()
+        self.node.tick(now)
+        self._flush()
+        if now - self.told_at >= TELL_EVERY:
+            self.told_at = now
+            dropped = {kind: count for kind, count in self.node.dropped.items() if count != self.told.get(kind, 0)}
+            if dropped:
+                self.told = dict(self.node.dropped)
+                logs.log("gossip dropped", **dropped)
+
+    # From the sidecar.
+
+    def ended(self, attempt, outcome):
+        """An end of an attempt, where it says something of the pod: not what was recalled or turned away, nor a
+        time-out that only the client's short patience made."""
+        if outcome == i.DONE or outcome in FAILED:
+            self.node.belief.ended(self.clock(), attempt.pod.address, outcome != i.DONE)
+        elif outcome == i.EXPIRED:
+            lane = self.sidecar.terms.lanes[attempt.held.command.lane]
+            if attempt.ends - attempt.at >= 0.99 * lane.latency_goal:
+                self.node.belief.ended(self.clock(), attempt.pod.address, True)
+
+    def listed(self):
+        ready = [pod for pod in self.sidecar.listed.values() if pod.condition == i.READY]
+        places = self.sidecar.addresses if self.terms.hearsay.match_address else {}
+        self.node.listed([(pod, "%s:%d" % places[pod.address] if places else "") for pod in ready])
+
+    def reconfigure(self, terms, folder):
+        """Takes up another ring; other settings take a new start. Raises identity.Unusable, and keeps what it has."""
+        _, ring, sources = built(terms, folder)
+        self.node.sources = sources
+        self.node.rekey(ring, self.clock())
+
+    def leave(self):
+        self.node.leave(self.clock())
+        self._flush()
+
+    def close(self):
+        self.reactor.removeReader(self)
+        self.deadlines.cancel(self.ticking)
+        self.socket.close()
--- a/thymeknot/interface.py
+++ b/thymeknot/interface.py
@@ -123,6 +123,14 @@
     build: int
 
 
+class Doubted(NamedTuple):
+    """Others saw this very pod fail: until then it is turned to later; an earlier moment takes that back."""
+    pod: str
+    build: int
+    started: int
+    until: int
+
+
 class ClientLeft(NamedTuple):
     id: str
 
@@ -224,7 +232,7 @@
     text: str
 
 
-Event = Union[PodList, Taken, StreamBegan, Ended, AnsweredUnheard, ClientLeft, TimerDue, Probed, Message,
+Event = Union[PodList, Taken, StreamBegan, Ended, AnsweredUnheard, Doubted, ClientLeft, TimerDue, Probed, Message,
               News, Tally, Complaint]
 Action = Union[Deliver, Recall, Defer, Abandon, SetTimer, Probe, CloseIdle, Tell, Subscribe, FetchList, Vote,
                Note]
--- /dev/null
+++ b/thymeknot/service/features.py
@@ -0,0 +1,73 @@
+"""What an operator's file switches on beside the platform's own. Nothing of it is imported where there is none."""
+
+import os
+from importlib import import_module
+
+from . import logs
+
+VARIABLE = "THYMEKNOT_OPERATOR"
+
+
+class Faulty(ValueError):
+    """An operator's file that can't be used: a line for each fault."""
+
+
+def _gossip(settings, folder):
+    """What makes the endpoint, once there is a sidecar."""
+    files, terms, endpoint = (import_module(f"..{name}", __package__) for name in (
+        "operator.files", "gossip.terms", "gossip.endpoint"))
+    told = files.record(terms.GossipTerms, settings)
+    endpoint.built(told, folder)
+    return lambda sidecar: endpoint.Endpoint(sidecar, told, folder), told
+
+
+MAKERS = {"gossip": _gossip}
+
+
+class Features:
+    """The features of one file, by name: checked at once, begun with the sidecar."""
+
+    def __init__(self, path):
+        self.path, self.running = path, {}
+        self.made = self._read() if path else {}
+
+    def _read(self):
+        files = import_module("..operator.files", __package__)
+        try:
+            settings = files.load(self.path)
+        except files.Faulty as error:
+            raise Faulty("\n".join(str(fault) for fault in error.faults)) from None
+        folder, made = os.path.dirname(os.path.abspath(self.path)), {}
+        for name, told in settings.items():
+            try:
+                made[name] = MAKERS[name](told, folder)
+            except ValueError as error:
+                raise Faulty(f"{self.path}: {error}") from None
+        return made
+
+    def begin(self, sidecar):
+        for name, (make, _) in self.made.items():
+            try:
+                self.running[name] = make(sidecar)
+            except ValueError as error:
+                raise Faulty(f"{self.path}: {error}") from None
+            setattr(sidecar, name, self.running[name])
+            logs.log("switched on", feature=name)
+
+    def reconfigure(self):
+        """Takes up another file: what runs is given its new settings, what doesn't waits for the next start."""
+        if not self.path:
+            return
+        made = self._read()
+        folder = os.path.dirname(os.path.abspath(self.path))
+        for name, one in self.running.items():
+            if name in made:
+                try:
+                    one.reconfigure(made[name][1], folder)
+                except ValueError as error:
+                    raise Faulty(f"{self.path}: {error}") from None
+        logs.log("operator file taken up", only_at_a_start=sorted(made.keys() ^ self.running.keys()))
+
+    def leave(self):
+        for one in self.running.values():
+            one.leave()
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from . import configuration, logs
+from . import configuration, features, logs
 
 STOPS = signal.SIGTERM, signal.SIGINT
 SERVES_ON = 0.5             # seconds after SIGTERM in which new connections still come
@@ -24,12 +24,25 @@
     return reactor
 
 
-def main(environment):
+def operator_file(environment, arguments):
+    """The path of the operator's file, or None: told by a word, or else by the environment."""
+    if not arguments:
+        return environment.get(features.VARIABLE) or None
+    import argparse
+    parser = argparse.ArgumentParser(prog="thymeknot", description="Serves by the configuration at NODE_CONFIG.")
+    parser.add_argument("--operator", metavar="FILE", default=environment.get(features.VARIABLE),
+                        help=f"what is switched on beside it (or {features.VARIABLE} in the environment)")
+    return parser.parse_args(arguments).operator
+
+
+def main(environment, arguments=()):
+    operator = operator_file(environment, arguments)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is ready the file is read anyway
     epoch = time.time_ns() // 100_000 - clock()
     try:
         start = configuration.load(environment, epoch)
-    except configuration.Faulty as error:
+        extra = features.Features(operator)
+    except (configuration.Faulty, features.Faulty) as error:
         print(f"thymeknot: {error}", file=sys.stderr)
         return 2
     from twisted.internet.error import CannotListenError
@@ -42,19 +55,30 @@
     sidecar.begin()
     try:
         sidecar.serve()
+        extra.begin(sidecar)
     except CannotListenError as error:
         print(f"thymeknot: listen: {error}", file=sys.stderr)
         return 2
+    except features.Faulty as error:
+        print(f"thymeknot: {error}", file=sys.stderr)
+        return 2
 
     def emptied():
         logs.log("stopped")
         reactor.callLater(LAST, reactor.stop)
 
     def stop():
+        extra.leave()
         logs.log("stopping", clients=len(sidecar.clients), transactions=len(sidecar.transactions))
         reactor.callLater(SERVES_ON, sidecar.finish, emptied)
 
     def reconfigure():
+        try:
+            extra.reconfigure()
+        except features.Faulty as error:
+            logs.log("operator file kept", error=str(error))
+        except Exception as error:
+            logs.fault("operator file", error)
         try:
             later = sidecar.reconfigure(configuration.load(environment, epoch))
         except configuration.Faulty as error:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -90,6 +90,7 @@
         self.transactions, self.by_id = Slots(), {}
         self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
         self.inbox, self.deciding, self.port, self.emptied = [], False, None, None
+        self.gossip = None          # hears of ends and lists, where an operator's file has it
         self.balancer = Balancer(self.terms, start.seed, self.clock())
         chance = Chance(~start.seed)
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
@@ -312,6 +313,8 @@
         load = self._load(answer.report) if answer and answer.report else None
         pod = attempt.pod.address if attempt.pod else ""
         event = i.Ended(held.id, outcome, held.over, self.clock() - attempt.at, pod, attempt.number, load)
+        if self.gossip is not None and attempt.pod:
+            self.gossip.ended(attempt, outcome)
         self._let_go(held)
         self.tell(event)
 
@@ -350,6 +353,8 @@
         self.addresses = {pod: address for pod, address in {**self.addresses, **listing.addresses}.items()
                           if pod in self.listed}
         self.inbox.append(listing.pods)
+        if self.gossip is not None:
+            self.gossip.listed()
         self._withdraw(lambda pod: not self._stands(pod))
         self.pools.keep_only(self.listed.keys() - changed)
         self.tell()
