Gossip: looks at an accused peer are spread, a ping goes twice; measurement in simulated time

Cause: with 512 instances at 30% loss, simulated, 455 live ones were buried in 39 s: each accusation made all 511 look at once, more than the accused may answer, and so it was accused by more. Change: 16 look in a period, each at a random one; an accusation is said after three own misses; a second ping goes along with the relays' ones; newcomers say nothing of themselves.

--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,12 @@
 
 run:
 	exec $(PYTHON) -m thymeknot
+
+# Measurements: the last line is JSON. SEED=n where chance plays.
+SEED = 1
+MEASURES = gossip
+
+.PHONY: $(MEASURES:%=measure-%)
+$(MEASURES:%=measure-%): build
+	.venv/bin/pip -q install -r requirements-dev.txt
+	$(PYTHON) -m measure.$(@:measure-%=%) --seed $(SEED)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -204,7 +204,7 @@
 class Program:
     """The program, started on a configuration beside stand-ins of all that it speaks to."""
 
-    def __init__(self, *entries, answer=None, news=None, change=None):
+    def __init__(self, *entries, answer=None, news=None, change=None, operator=None):
         self.discovery, self.platform = HttpPeer(), HttpPeer(answer)
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
@@ -219,7 +219,13 @@
         path = self.path = os.path.join(self.folder.name, "config.json")
         self.told, self.lines = told, queue.Queue()
         self.write(told)
-        self.process = subprocess.Popen([sys.executable, "-m", "thymeknot"], stdout=subprocess.PIPE,
+        words = [sys.executable, "-m", "thymeknot"]
+        if operator:  # the text of an operator's file, its folder given
+            self.operator = os.path.join(self.folder.name, "operator.cue")
+            with open(self.operator, "w", encoding="utf-8") as target:
+                target.write(operator(self.folder.name))
+            words += ["--operator", self.operator]
+        self.process = subprocess.Popen(words, stdout=subprocess.PIPE,
                                         stderr=subprocess.PIPE, env={**os.environ, "NODE_CONFIG": path})
 
     def write(self, told):
--- a/thymeknot/gossip/endpoint.py
+++ b/thymeknot/gossip/endpoint.py
@@ -60,6 +60,7 @@
         self.buffer = bytearray(2048)
         self.view = memoryview(self.buffer)
         self.told_at, self.told, self.ticking = self.clock(), {}, None
+        self.second, self.sent, self.most, self.verified = 0, [0, 0], [0, 0], 0
         self.listed()
         self.reactor.addReader(self)
         self._tick()
@@ -87,6 +88,8 @@
 
     def _flush(self):
         out, self.node.out = self.node.out, []
+        if out:
+            self._count(out)
         for address, content in out:
             try:
                 self.socket.sendto(content, address)
@@ -101,13 +104,27 @@
         for event, fields in said:
             logs.log(event, **fields)
 
+    def _count(self, out):
+        """What went out in the busiest second, for the log."""
+        second = self.clock() // 10_000
+        if second != self.second:
+            self.second, self.sent = second, [0, 0]
+        self.sent[0] += sum(len(content) for _, content in out)
+        self.sent[1] += len(out)
+        self.most = [max(pair) for pair in zip(self.most, self.sent)]
+
     def _tick(self):
         self.ticking = self.deadlines.add(self.clock() + TICK, self._tick)
         now = self.clock()
         self.node.tick(now)
         self._flush()
         if now - self.told_at >= TELL_EVERY:
-            self.told_at = now
+            span, self.told_at = (now - self.told_at) / 10_000, now
+            node = self.node
+            logs.log("gossip", span=span, live=len(node.members.live), health=node.members.health,
+                     bytes_most=self.most[0], datagrams_most=self.most[1], refused=node.sending.refused,
+                     verified=node.verified - self.verified, rumours=len(node.rumours))
+            self.most, self.verified = [0, 0], node.verified
             dropped = {kind: count for kind, count in self.node.dropped.items() if count != self.told.get(kind, 0)}
             if dropped:
                 self.told = dict(self.node.dropped)
--- a/thymeknot/gossip/membership.py
+++ b/thymeknot/gossip/membership.py
@@ -10,7 +10,9 @@
 
 SECOND = 10_000
 UNPROVED, ALIVE, SUSPECT, DEAD, LEFT = "unproved", "alive", "suspect", "dead", "left"
+LOOKERS = 16                    # of all instances, in a period, that look at one who was accused: it must answer them
 LOOKS_LEAST = 4                 # own probes that must fail before one is dead, however long that takes
+LOOKS_MOST = 64                 # accused at once that are looked at out of turn
 HEALTH_MOST = 8                 # Lifeguard's multiplier goes up to this plus one
 FRAMES, ITEMS, DIGESTS = 128, 1024, 64  # windows of numbers; items remembered by their bytes
 # (state, input) -> next state, effect. What is missing changes nothing.
@@ -54,7 +56,7 @@
     def __init__(self, names, terms, chance):
         self.terms, self.chance, self.health = terms, chance, 0
         self.all = {name: Member(name) for name in names}
-        self.live, self.order, self.looks, self.events = [], [], [], []
+        self.live, self.order, self.looks, self.events = [], [], {}, []
 
     def rekey(self, names):
         """Another ring: names that left it are gone, new ones wait to be met."""
@@ -63,7 +65,7 @@
         for name in names:
             self.all.setdefault(name, Member(name))
         self._count()
-        self.order, self.looks = [], [name for name in self.looks if name in self.all]
+        self.order, self.looks = [], {name: at for name, at in self.looks.items() if name in self.all}
 
     def _count(self):
         self.live = [one for one in self.all.values() if one.state in (ALIVE, SUSPECT)]
@@ -95,8 +97,12 @@
         member.rested = min(member.rested + 1, 6)
 
     def _look(self, member, now):
-        if member.name not in self.looks and now - member.looked >= self.terms.probe_every:
-            self.looks.append(member.name)
+        if member.name in self.looks or now - member.looked < self.terms.probe_every:
+            return
+        # Hundreds that looked at once would be more than it can answer, and be told so by each other.
+        periods = int(self.chance.draw() * len(self.live) / LOOKERS)
+        if len(self.looks) < LOOKS_MOST:
+            self.looks[member.name] = now + periods * self.terms.probe_every
 
     def _parted(self, member, now):
         member.accusers = {}
@@ -141,8 +147,10 @@
                 chosen.append(member)
         suspects = [one for one in self.live if one.state == SUSPECT]
         suspects.sort(key=lambda one: one.looked)
-        looks = [self.all[name] for name in self.looks[:2] if name in self.all]
-        self.looks = self.looks[2:]
+        due = [name for name, at in self.looks.items() if at <= now or name not in self.all][:2]
+        looks = [self.all[name] for name in due if name in self.all]
+        for name in due:
+            del self.looks[name]
         for member in looks + suspects[:2]:
             if member not in chosen and member.state in (ALIVE, SUSPECT):
                 chosen.append(member)
--- a/thymeknot/gossip/node.py
+++ b/thymeknot/gossip/node.py
@@ -23,6 +23,7 @@
 STALLED = SECOND // 2           # late by so much, it is this instance that stood still
 ASIDE_MOST, ASIDE_OF_ONE, ASIDE_FOR = 256, 8, 5 * SECOND
 OUT_MOST = 512                  # nonces that are out
+ACCUSED_AFTER = 3               # own probes that failed: with loss, each first one would be told to all, and by all
 FUTURE = SECOND                 # an item may seem to come from so much later than its origin's clock allows
 COUNTED = ("size", "version", "network", "key", "budget", "form", "sender", "recipient", "replay", "signature",
            "unproved", "lapsed", "lie")
@@ -61,8 +62,9 @@
         self.dropped = dict.fromkeys(COUNTED, 0)
         self.due, self.push_at, self.probe_at, self.hints_at, self.decide_at = now, now, now, now, now
         self.sent_bytes = self.sent_datagrams = self.verified = 0
+        # A newcomer says nothing of itself: it asks, and proof comes by nonces. Hundreds that start at once would
+        # otherwise each tell all others what only a ping can prove.
         self.gone = self.learnt = False
-        self._say(now, Alive(*announced, 0), "alive")
 
     # What goes out.
 
@@ -386,10 +388,12 @@
                 if asker and asker.address:
                     self._send(now, asker.address, asker.name, Passed(probe.nonce, None), "answer")
             elif probe.period and member and probe.asked == 0:
+                # Asked once more by itself, too: of lost datagrams most are lost on their own.
                 relays = self.members.some(self.terms.relays, (member.name,))
+                self._send(now, probe.address, member.name, Ping(probe.nonce, b""), "probe")
                 for relay in relays:
                     self._send(now, relay.address, relay.name,
-                               Ask(probe.nonce, member.name, *member.address), "probe")
+                               Ask(probe.nonce, member.name, *probe.address), "probe")
                 probe.asked, probe.ends = len(relays) + 1, self._second_end(now, probe)
                 continue
             del self.probes[probe.nonce]
@@ -398,9 +402,8 @@
             if probe.period:
                 # Relays that say neither yes nor no: it is rather this instance that is cut off or slow.
                 self.members.heal(1 if probe.asked > 1 else 0)
-                before = member.state
                 self.members.step(member, "missed", now)
-                if before == ALIVE and member.state == SUSPECT:
+                if member.state == SUSPECT and member.misses == ACCUSED_AFTER:
                     self._say(now, Accuse(member.name, member.start, member.incarnation), ("Accuse", member.name))
             elif member.state not in (ALIVE, SUSPECT):
                 self.members.step(member, "missed", now)
