--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -51,6 +51,8 @@
                 ("{b: int, ...}", "{b: 1, c: 2}", {"b": 1, "c": 2}), ("int & >1 & <3", "2", 2),
                 ('string & =~"^x" & !="xy"', '"xz"', "xz"), ('duration & <"1s"', '"999ms"', 9990),
                 ('duration | *"2s"', "_", 20_000), ("(int | string)", '"s"', "s"), ("{b?: int}", "{}", {}),
+                ('duration | *"2s"', '"2s"', 20_000), ('duration | *"2s"', '"2000ms"', 20_000),
+                ("int | *3", "3", 3),
                 ("int", "1 & >0", 1)):
             self.assertEqual(unified(schema, text), result, (schema, text))
 
--- a/thymeknot/gossip/endpoint.py
+++ b/thymeknot/gossip/endpoint.py
@@ -14,6 +14,7 @@
 from ..service import logs
 from . import identity as identities
 from . import terms as t
+from .hearsay import Pod
 from .node import TICK, Node
 
 READ_AT_ONCE = 48               # datagrams a round; what stays comes in the next one
@@ -99,7 +100,10 @@
         if doubts:
             for doubt in doubts:
                 logs.log("doubt", pod=doubt.pod.pod, build=doubt.pod.build, span=(doubt.until - self.clock()) / 10_000)
-            self.sidecar.tell(*(i.Doubted(one.pod.pod, one.pod.build, one.pod.started, one.until) for one in doubts))
+            epoch = self.sidecar.epoch
+            self.sidecar.tell(*(i.Doubted(one.pod.pod, one.pod.build,
+                                          one.pod.started - epoch if one.pod.started else 0, one.until)
+                                for one in doubts))
         said, self.node.said = self.node.said, []
         for event, fields in said:
             logs.log(event, **fields)
@@ -145,7 +149,9 @@
     def listed(self):
         ready = [pod for pod in self.sidecar.listed.values() if pod.condition == i.READY]
         places = self.sidecar.addresses if self.terms.hearsay.match_address else {}
-        self.node.listed([(pod, "%s:%d" % places[pod.address] if places else "") for pod in ready])
+        # A pod's start is told in Unix time: each instance counts from a start of its own.
+        self.node.belief.listed([Pod(pod.address, str(places.get(pod.address, "")), max(0, pod.build),
+                                     pod.started + self.sidecar.epoch if pod.started else 0) for pod in ready])
 
     def reconfigure(self, terms, folder):
         """Takes up another ring; other settings take a new start. Raises identity.Unusable, and keeps what it has."""
--- a/thymeknot/gossip/node.py
+++ b/thymeknot/gossip/node.py
@@ -11,7 +11,7 @@
 from . import codec
 from .budget import SECOND, Checking, Sending
 from .codec import Accuse, Ack, Alive, Ask, Claim, Frame, Hints, Item, Left, Passed, Ping, Push
-from .hearsay import Belief, Pod
+from .hearsay import Belief
 from .membership import ALIVE, DEAD, SUSPECT, UNPROVED, Members
 from .rumours import Rumours
 
@@ -456,11 +456,6 @@
 
     # From the sidecar.
 
-    def listed(self, pods):
-        """The ready pods: interface.Pod and the network address it is reached at."""
-        self.belief.listed([Pod(pod.address, address, max(0, pod.build), max(0, pod.started))
-                            for pod, address in pods])
-
     def rekey(self, ring, now):
         """Another ring: words signed with keys that no longer count are forgotten, and so are those who said them."""
         unix = self.unix()
--- a/thymeknot/operator/values.py
+++ b/thymeknot/operator/values.py
@@ -248,7 +248,12 @@
         elements = value.elements and tuple(resolved(one, definitions, within) for one in value.elements)
         return ListOf(resolved(value.element, definitions, within), elements, value.at)
     if isinstance(value, Either):
-        return Either(tuple((resolved(one, definitions, within), mark) for one, mark in value.options), value.at)
+        options = [(resolved(one, definitions, within), mark) for one, mark in value.options]
+        if any(isinstance(one, Basic) and one.kind == "duration" for one, _ in options):
+            # A default beside durations is one itself, though it is written as a string.
+            options = [(_check(Basic("duration", (), one.at), one, (), []) if isinstance(one, Atom) else one, mark)
+                       for one, mark in options]
+        return Either(tuple(options), value.at)
     return value
 
 
@@ -266,11 +271,7 @@
         return value.value
     if isinstance(value, Either):
         marked = [one for one, mark in value.options if mark]
-        if len(marked) == 1:
-            # A default given as a string where the other alternatives are durations is one itself.
-            lengths = any(isinstance(one, Basic) and one.kind == "duration" for one, _ in value.options)
-            if lengths and isinstance(marked[0], Atom) and marked[0].kind == "string":
-                return duration(marked[0].value)
+        if marked and all(one == marked[0] or not isinstance(one, Atom) for one in marked):
             return concrete(marked[0], path, faults, at)
     elif isinstance(value, Struct):
         here = value.at
