--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -6,6 +6,7 @@
 from math import log
 
 from . import interface as i
+from .reasons import Reason as R
 from .records import Chance, Delivery, Ring, Transaction, merged
 
 SECOND = 10_000
@@ -64,7 +65,10 @@
 
 
 class Balancer:
-    def __init__(self, terms, seed, now):
+    """say(id, reason, *operands): is told why, where and when it is decided; id is None for votes."""
+
+    def __init__(self, terms, seed, now, say=None):
+        self.say, self.subject = say, None
         self.terms, self.now, self.chance, self.actions, self.born = terms, now, Chance(seed), [], None
         self.pods, self.turn, self.watch_at, self.upkeep = {}, 0, now, 0
         self.sides, self.drawn, self.exchange_at = {True: [], False: []}, {True: [], False: []}, now
@@ -91,10 +95,15 @@
     def handle(self, now, events):
         self.now, self.actions = now, []
         for event in events:
+            self.subject = getattr(event, "id", None)
             if type(event) in self.EVENTS:
                 self.EVENTS[type(event)](self, event)
         return self.actions if self.upkeep else self._tick(i.TimerDue(0)) or self.actions
 
+    def _why(self, reason, *operands):
+        if self.say:
+            self.say(self.subject, reason, *operands)
+
     def _listed(self, event):
         if event.kind == i.MISSED:  # the watch may have dropped; a call that fails at once must not storm
             self.watch_at = min(self.watch_at, self.now + int((1 + self.chance.draw()) * SECOND))
@@ -192,12 +201,19 @@
         """Rule 5, also for windows still to come: the later parts of this one must carry themselves."""
         news = self.news
         guarded = news.phase == i.ON_TRIAL and news.stage < self.terms.guarded_stages
-        if news.phase == i.RELEASED or (guarded and lane.effect != i.RETRIABLE):
-            return news.phase == i.RELEASED
+        if news.phase == i.RELEASED:
+            return True
+        if guarded and lane.effect != i.RETRIABLE:
+            return self._why(R.GUARDED, news.stage, self.terms.guarded_stages) or False
         taken, tried, free = self._ring(self.taken, lane), self._ring(self.tried, lane), self.terms.allowance
-        return news.cap > 0 and all(tried.total(self.now, False, back) + 1
-                                    <= free + news.cap * taken.total(self.now, True, back)
-                                    for back in (120, 90, 60, 30))
+        if news.cap <= 0:
+            return self._why(R.CLOSED, news.phase, news.cap) or False
+        may = all(tried.total(self.now, False, back) + 1
+                  <= free + news.cap * taken.total(self.now, True, back)
+                  for back in (120, 90, 60, 30))
+        if not may:
+            self._why(R.EXPOSURE, tried.total(self.now), taken.total(self.now, True), news.cap, free)
+        return may
 
     def _judge(self, tx, known, outcome, latency):
         if self.news is None or outcome in (i.FULL, i.RECALLED, i.UNSENT):
@@ -376,6 +392,7 @@
             self.actions.append(i.Note("vote {2} on build {0} stage {1}: ".format(*wanted) + "".join(
                 f"{what} {self.sums[what]:+.1f} over {self.p0[what]:.2f}, " for what in self.sums)
                 + f"all slow {self.all_slow:+.1f}, {self.seen} seen"))
+        self._why(R.VOTED, *wanted, self.doubt, self.seen)
         self.asked, self.ask_at = wanted, self.now + self.terms.vote_wait + SECOND // 10
         self.actions.append(i.Vote(*wanted))
 
@@ -408,6 +425,10 @@
         chance = (GOAL_PART * self._lane_part(tx.lane) / self.pressure) ** 2 if quiet else 1.0
         taken = len(self.open) <= self._limit_for(tx.lane) and self.chance.draw() <= max(LEAST_TAKEN, chance)
         if not taken:
+            if len(self.open) > self._limit_for(tx.lane):
+                self._why(R.OVER_LIMIT, len(self.open), self._limit_for(tx.lane))
+            else:
+                self._why(R.BY_LOT, self.pressure, chance)
             self.shed.add(self.now)
             self._judge_all(None, i.EXPIRED, 0)  # limits would hide slowness of all
         if not taken or not self._send(tx):
@@ -430,7 +451,9 @@
     def _send(self, tx):
         news = self.news
         if news is None or len(tx.sent) >= self.terms.max_deliveries or self.now >= tx.ends:
-            return False
+            most = (R.MOST_DELIVERIES, len(tx.sent), self.terms.max_deliveries)
+            late = (R.TIME_OVER, tx.ends - self.now, 0)
+            return self._why(*((R.NO_NEWS,) if news is None else late if self.now >= tx.ends else most)) or False
         stays = (news.phase in (i.ON_TRIAL, i.RELEASED)
                  and (tx.key in self.pins or len(self.pins) >= KEYS_MOST))  # more than it can tell apart: all
         below = position(tx.key) < self.ramp and news.phase in (i.ON_TRIAL, i.RELEASED)
@@ -439,6 +462,12 @@
         hot = seen >= HOT_LEAST and seen >= HOT_SHARE * sum(self.keys.values())
         astray = news.phase == i.ON_TRIAL and (tx.sent or tx.key in self.bad_keys or hot)
         order = (True, False) if below and not astray else (False, True)
+        if stays:
+            self._why(R.STAYS, len(self.pins))
+        elif news.phase in (i.ON_TRIAL, i.RELEASED):
+            self._why(R.POSITION, position(tx.key), self.ramp, news.cap)
+            if astray and below:
+                self._why(R.ASTRAY, len(tx.sent), tx.key in self.bad_keys, hot)
         for new in (True,) if stays else order:
             known = self._choose(tx, new) if not new or self._may_try(tx.lane) else None
             if known:
@@ -447,7 +476,7 @@
 
     def _choose(self, tx, new):
         """Pods in use take turns; one that is busier, slower, colder or failing is passed over."""
-        found, best, used = [], 1e6, {delivery.pod.address for delivery in tx.sent}
+        found, best, used, why = [], 1e6, {delivery.pod.address for delivery in tx.sent}, {}
         for again in (False, True):
             if again:  # None of the pods in use will do: others are drawn, once.
                 self.drawn[new] = []
@@ -458,14 +487,21 @@
             for known in (pool[start:] + pool[:start])[:LOOK]:
                 share, pod = known.share(self.now, self.terms), known.listed
                 if self._same_group(tx, pod) and (share == 1.0 or self._cold_room(known, share)):
+                    avoid = (R.UNREACHABLE if self.now < known.shunned else
+                             R.DOUBTED if self.now < known.doubted else R.USED if pod.address in used else None)
                     cost = self._cost(known) * (known.out + 1) / share
-                    avoid = self.now < max(known.shunned, known.doubted)
-                    found.append((cost + 1e6 * (avoid or pod.address in used), known))
+                    found.append((cost + 1e6 * (avoid is not None), known))
+                else:
+                    avoid = R.COLD if self._same_group(tx, pod) else R.OUTSIDE
+                if avoid is not None:
+                    why[avoid] = why.get(avoid, 0) + 1
             best = min((cost for cost, _ in found), default=1e6)
             if best < 1e6 or len(pool) == len(self.sides[new]):
                 break
+        for reason, pods in why.items():
+            self._why(reason, pods)
         if not found:
-            return None
+            return self._why(R.NO_POD, len(self.sides[new]), new)
         if self.terms.balancers < CROWD * len(self.sides[new]):
             near = [known for cost, known in found if cost <= best * 1.15]
             return near[self.turn % len(near)]
@@ -488,6 +524,9 @@
         known.sent.add(self.now)
         tx.sent.append(Delivery(known, self.now))
         ends = tx.ends if tx.lane.late_earnings > 0 or self.now >= tx.goal else min(tx.ends, tx.goal)
+        if self.say:
+            pod, cost = known.listed, self._cost(known)
+            self._why(R.SENT, pod.address, pod.build, new, ends - self.now, cost)
         self.actions.append(i.Deliver(tx.id, known.listed.address, max(1, ends - self.now)))
         if len(tx.sent) == 1 and self.terms.second_copies and tx.lane.effect == i.RETRIABLE:
             goal, self.tokens = tx.lane.latency_goal, self.tokens + 1
@@ -511,6 +550,12 @@
         if tx.out():
             return
         cost = 0 if tx.suspect() is None else 1
+        if not self._in_time(tx):
+            self._why(R.TIME_OVER, min(tx.goal, tx.ends) - self.now, self.means.get(tx.lane.name, 0))
+        elif self.retries < cost:
+            self._why(R.NO_BUDGET, self.retries)
+        elif not self._may(tx, False):
+            self._why(R.MAY_HAVE_RUN, tx.suspect().pod.address, self.now - tx.suspect().at)
         if self._in_time(tx) and self.retries >= cost and self._may(tx, False) and self._send(tx):
             self.retries -= cost
         else:
@@ -520,12 +565,15 @@
         """A second copy for one much later than its lane, as long as few need it and there is room."""
         room = self.copies >= 1 and 2 * len(self.open) <= self._limit_for(tx.lane)
         if room and not tx.streams and tx.out() == 1 and self._in_time(tx) and self._may(tx, False):
+            self._why(R.SECOND_COPY, self.now - tx.sent[0].at)
             self.copies -= self._send(tx)
 
     def _turn_away(self, tx):
         """The final answer, at once: sitting on it would only keep the client from trying again."""
         wait = min(self.terms.max_retry_after, tx.lane.latency_goal // 2) if self.terms.retry_after else 0
-        self.actions.append(i.Defer(tx.id, wait) if self._may(tx, True) else i.Abandon(tx.id))
+        may = self._may(tx, True)
+        self._why(*((R.DEFERRED, wait) if may else (R.ABANDONED, tx.suspect().pod.address)))
+        self.actions.append(i.Defer(tx.id, wait) if may else i.Abandon(tx.id))
         self._close(tx)
 
     def _close(self, tx):
@@ -543,6 +591,7 @@
         delivery, proof = tx.sent[event.number], PROOF[event.outcome]
         delivery.out, delivery.perhaps = False, proof != "unrun"
         delivery.known.out -= 1
+        self._why(R.ENDED, delivery.pod.address, event.number, event.outcome, event.latency, proof == "unrun")
         self._learn(tx, delivery.known, event)
         if event.outcome == i.DONE:
             self._pin(i.AnsweredUnheard(tx.key, delivery.pod.build))
@@ -597,6 +646,7 @@
     def _tick(self, event):
         if event.token:
             tx = self.open.get(self.due.pop(event.token, None))
+            self.subject = tx and tx.id
             return tx and self._step(tx, "slow")
         passed, often = self.upkeep, self.arrivals.span // (self.arrivals.total(self.now) + 1)
         self.upkeep = max(UPKEEP, min(UPKEEP_MOST, often))  # once for a transaction
