Why It Went There: a bounded record of decisions, a query, and the command line

Need: nobody can say why one transaction was deferred, which pod was passed over and for what. Change: `thymeknot/why/` keeps reasons as the decisions name them in slots of fixed size, in memory or a mapped file that a SIGKILL leaves whole; regions by lane and by what was unusual, in a region who holds most gives way first, an even sample of the usual; indexes by id, key and pod, tallies by sketch. `thymeknot why ID|find|tally|kept|watch`, `check`, `serve`, `keys`. Without words and without an operator's file nothing of it is imported. Failed first: pipelined questions were answered in a recursion that heeded no back-pressure, and an asker that read to the end of the connection waited ten seconds; the next question now waits until the last answer was taken.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 # Measurements: the last line is JSON. SEED=n where chance plays.
 SEED = 1
-MEASURES = gossip
+MEASURES = gossip why
 
 .PHONY: $(MEASURES:%=measure-%)
 $(MEASURES:%=measure-%): build
--- /dev/null
+++ b/measure/why_cases.py
@@ -0,0 +1,290 @@
+"""A known mix of transactions: each is brought about by a state built for it, and what explains it is known from that.
+Every reason of the table occurs. Figures from it are simulated."""
+
+from tests.helpers import LANES, TERMS, balancer, ended, news, pod, taken
+from thymeknot import interface as i
+from thymeknot.balance import SECOND, Balancer
+from thymeknot.reasons import Reason as R
+from thymeknot.records import Chance
+from thymeknot.why.arena import Arena
+from thymeknot.why.record import Record
+from thymeknot.why.terms import WhyTerms
+
+NOW = 1000 * SECOND
+WHY = WhyTerms(8, None, "", 0.4, 0.2, 15 * 60 * SECOND, 200)
+LOW, HIGH = "k-9", "a"          # placed by the ramp that the case sets: 0 is above no key, 1 below none
+
+
+class Case:
+    """A balancer in a state of its own with a record that listens; ids and what each must be explained by."""
+
+    def __init__(self, *pods, told=None, bare=False, record=None, **changes):
+        self.now = NOW
+        self.balancer = Balancer(TERMS, 7, NOW) if bare else balancer(*pods, told=told, **changes)
+        self.record = record or Record(WHY, LANES, Arena(10_000), 0, lambda: self.now, Chance(3))
+        self.record.clock = lambda: self.now
+        self.balancer.say = self.record.say
+        self.expected = {}
+
+    def take(self, name, lane="read", key=None, left=3 * SECOND, tenant="t"):
+        self.record.taken(name, key, tenant, lane, False)
+        return self.balancer.handle(self.now, [taken(name, lane, key, left)])
+
+    def end(self, name, outcome=i.ERROR, address="old-1", number=0, latency=100):
+        if outcome == i.DONE:
+            self.record.ended(name, R.DONE)
+        return self.balancer.handle(self.now, [ended(name, outcome, address, number, outcome == i.DONE, latency)])
+
+    def expect(self, name, end, *reasons):
+        self.expected[name] = end, {*reasons, *((end,) if end else ())}
+        self.record.over(name)
+
+    def right(self):
+        """How many are explained by just what was expected, how many there are, and the wrong ones."""
+        self.record.flush(self.now + SECOND)
+        wrong = []
+        for name, (end, reasons) in self.expected.items():
+            found = list(self.record.by_name(name))
+            if not found or found[-1].end != (end or 0) or {note[0] for note in found[-1].notes} != set(reasons):
+                wrong.append((name, end, sorted(R(one).name for one in reasons),
+                              sorted(R(note[0]).name for one in found for note in one.notes)))
+        return len(self.expected) - len(wrong), len(self.expected), wrong
+
+
+def sent_to(actions):
+    return [action.pod for action in actions if isinstance(action, i.Deliver)][-1]
+
+
+def usual(case, name, **more):
+    where = sent_to(case.take(name, **more))
+    case.end(name, i.DONE, where)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.POSITION)
+
+
+def by_position(case, name):
+    case.balancer.ramp, case.balancer.ramped = 1.0, NOW + 10 ** 9
+    usual(case, name, key=LOW)
+
+
+def staying(case, name):
+    case.balancer.pins = {name}
+    where = sent_to(case.take(name, key=name))
+    case.end(name, i.DONE, where)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.STAYS)
+
+
+def astray(case, name):
+    case.balancer.ramp, case.balancer.bad_keys = 1.0, {name}
+    where = sent_to(case.take(name, key=name))
+    case.end(name, i.DONE, where)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.POSITION, R.ASTRAY)
+
+
+def guarded(case, name):
+    case.balancer.ramp = 1.0
+    where = sent_to(case.take(name, "pay", key=HIGH))
+    case.end(name, i.DONE, where)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.POSITION, R.GUARDED)
+
+
+def exposed(case, name):
+    case.balancer.ramp = 1.0
+    where = sent_to(case.take(name, key=HIGH))
+    case.end(name, i.DONE, where)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.POSITION, R.EXPOSURE)
+
+
+def closed(case, name):
+    case.balancer.pins = {name}
+    case.take(name, key=name)
+    case.expect(name, R.DEFERRED, R.STAYS, R.CLOSED)
+
+
+def unreachable(case, name):
+    case.balancer.pods["old-1"].shunned = NOW + SECOND
+    where = sent_to(case.take(name))
+    case.end(name, i.DONE, where)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.UNREACHABLE, R.POSITION)
+
+
+def doubted(case, name):
+    case.balancer.handle(NOW, [i.Doubted("old-1", 1, 0, NOW + SECOND)])
+    where = sent_to(case.take(name))
+    case.end(name, i.DONE, where)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.DOUBTED, R.POSITION)
+
+
+def again(case, name):
+    where = sent_to(case.take(name))
+    case.balancer.retries = 2.0
+    other = sent_to(case.end(name, i.ERROR, where))
+    case.end(name, i.DONE, other, 1)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.USED, R.POSITION)
+
+
+def cold(case, name):
+    case.take(name)
+    case.expect(name, R.DEFERRED, R.COLD, R.NO_POD, R.POSITION)
+
+
+def outside(case, name):
+    where = sent_to(case.take(name, "zoned"))
+    case.balancer.pods[where].listed = case.balancer.pods[where].listed._replace(zone="a")
+    case.balancer.retries = 2.0
+    del case.balancer.pods[where]
+    case.balancer._sort()
+    case.end(name, i.ERROR, where)
+    case.expect(name, R.ABANDONED, R.SENT, R.ENDED, R.OUTSIDE, R.NO_POD, R.POSITION)
+
+
+def no_pod(case, name):
+    case.take(name)
+    case.expect(name, R.DEFERRED, R.NO_POD, R.POSITION)
+
+
+def over_limit(case, name):
+    case.take(name)
+    case.expect(name, R.DEFERRED, R.OVER_LIMIT)
+
+
+def by_lot(case, name):
+    actions = case.take(name)
+    if any(isinstance(action, i.Deliver) for action in actions):  # one in ten is let in all the same
+        case.end(name, i.DONE, sent_to(actions))
+        case.expect(name, R.DONE, R.SENT, R.ENDED, R.POSITION)
+    else:
+        case.expect(name, R.DEFERRED, R.BY_LOT)
+    case.balancer.pressure = 100.0
+
+
+def no_news(case, name):
+    case.take(name)
+    case.expect(name, R.DEFERRED, R.NO_NEWS)
+
+
+def most(case, name):
+    where = sent_to(case.take(name))
+    case.balancer.retries = 2.0
+    case.end(name, i.ERROR, where)
+    case.expect(name, R.DEFERRED, R.SENT, R.ENDED, R.MOST_DELIVERIES, R.POSITION)
+
+
+def too_late(case, name):
+    where = sent_to(case.take(name))
+    case.now += 2 * SECOND
+    case.end(name, i.ERROR, where, latency=2 * SECOND)
+    case.expect(name, R.DEFERRED, R.SENT, R.ENDED, R.TIME_OVER, R.POSITION)
+    case.now -= 2 * SECOND
+
+
+def no_budget(case, name):
+    where = sent_to(case.take(name))
+    case.balancer.retries = 0.0
+    case.end(name, i.ERROR, where)
+    case.expect(name, R.DEFERRED, R.SENT, R.ENDED, R.NO_BUDGET, R.POSITION)
+
+
+def may_have_run(case, name):
+    where = sent_to(case.take(name, "pay"))
+    case.balancer.retries = 2.0
+    case.end(name, i.RESET, where)
+    case.expect(name, R.ABANDONED, R.SENT, R.ENDED, R.MAY_HAVE_RUN, R.POSITION)
+
+
+def went_away(case, name):
+    case.take(name)
+    case.record.ended(name, R.LEFT)
+    case.balancer.handle(case.now, [i.ClientLeft(name)])
+    case.expect(name, R.LEFT, R.SENT, R.POSITION)
+
+
+def second_copy(case, name):
+    balancer_ = case.balancer
+    balancer_.copies = 2.0
+    where = sent_to(case.take(name))
+    token = next(token for token, one in balancer_.due.items() if one == name)
+    case.now += SECOND // 2
+    other = sent_to(balancer_.handle(case.now, [i.TimerDue(token)]))
+    case.end(name, i.DONE, other, 1)
+    case.end(name, i.EXPIRED, where, 0)
+    case.expect(name, R.DONE, R.SENT, R.ENDED, R.SECOND_COPY, R.USED, R.POSITION)
+    case.now -= SECOND // 2
+
+
+OLD = pod("old-1"), pod("old-2")
+TRIAL = OLD + (pod("new-1", 2),)
+# What makes the state, what is done to each transaction; "each": every transaction has a state of its own.
+CASES = {
+    "as usual": (lambda **more: Case(*OLD, **more), usual, True),
+    "position": (lambda **more: Case(*TRIAL, told=news(2, cap=1.0), allowance=1000.0, **more), by_position, True),
+    "stays": (lambda **more: Case(*TRIAL, told=news(2, cap=1.0), allowance=1000.0, **more), staying, True),
+    "astray": (lambda **more: Case(*TRIAL, told=news(2, cap=1.0), allowance=1000.0, **more), astray, True),
+    "guarded": (lambda **more: Case(*TRIAL, told=news(0, cap=1.0), allowance=1000.0, **more), guarded, True),
+    "exposed": (lambda **more: Case(*TRIAL, told=news(2, cap=0.01), allowance=0.0, **more), exposed, True),
+    "closed": (lambda **more: Case(*TRIAL, told=news(2, cap=0.0), **more), closed, True),
+    "unreachable": (lambda **more: Case(*OLD, **more), unreachable, True),
+    "doubted": (lambda **more: Case(*OLD, **more), doubted, True),
+    "again": (lambda **more: Case(*OLD, **more), again, True),
+    "cold": (lambda **more: Case(pod("c-1", started=NOW - 1), pod("c-2", started=NOW - 1), balancers=10 ** 6, **more),
+             cold, True),
+    "outside": (lambda **more: Case(pod("z-1", zone="a"), pod("z-2", zone="b")._replace(size=1e-6), **more), outside,
+                True),
+    "no pod": (lambda **more: Case(pod("old-1", condition=i.DRAINING), **more), no_pod, True),
+    "no news": (lambda **more: Case(bare=True, **more), no_news, True),
+    "most": (lambda **more: Case(*OLD, max_deliveries=1, **more), most, True),
+    "too late": (lambda **more: Case(*OLD, **more), too_late, True),
+    "no budget": (lambda **more: Case(*OLD, **more), no_budget, True),
+    "may have run": (lambda **more: Case(*OLD, **more), may_have_run, True),
+    "went away": (lambda **more: Case(*OLD, **more), went_away, True),
+    "second copy": (lambda **more: Case(*OLD, **more), second_copy, True),
+}
+
+
+def filled(**more):
+    """A sidecar with as much open as its limit lets in."""
+    case = Case(*OLD, **more)
+    for at in range(60):
+        case.take(f"fill-{at}")
+    return case
+
+
+def pressed(**more):
+    case = Case(*OLD, **more)
+    case.balancer.pressure = 100.0
+    return case
+
+
+def voting():
+    """A bad build on trial, and the votes that the record holds of it."""
+    case = Case(*TRIAL, told=news(2, cap=1.0), allowance=1000.0)
+    for _ in range(40):
+        case.balancer._add("failed", True)
+    case.balancer.handle(NOW + SECOND, [i.TimerDue(0)])
+    return [entry for entry in case.record.find(reason=int(R.VOTED)) if entry]
+
+
+def mix(count):
+    """(right, all, reasons met, wrong) over so many transactions of each case."""
+    right = total = 0
+    met, wrong = set(), []
+    for name, (make, act, _) in CASES.items():
+        record = Record(WHY, LANES, Arena(10_000), 0, lambda: NOW, Chance(3))
+        record.terms = WHY._replace(span=1)  # of what goes as usual all is kept here
+        for at in range(count):
+            case = make(record=record)
+            act(case, f"{name}-{at}")
+            good, all_, bad = case.right()
+            right, total, wrong = right + good, total + all_, wrong + bad
+            met |= {reason for _, reasons in case.expected.values() for reason in reasons}
+    for make, act in ((filled, over_limit), (pressed, by_lot)):
+        case = make()
+        case.record.terms = WHY._replace(span=1)
+        for at in range(count):
+            act(case, f"{act.__name__}-{at}")
+        good, all_, bad = case.right()
+        right, total, wrong = right + good, total + all_, wrong + bad
+        met |= {reason for _, reasons in case.expected.values() for reason in reasons}
+    votes = voting()
+    right, total = right + bool(votes and votes[0].notes[0][4] == i.BACK), total + 1
+    met |= {R.VOTED} if votes else set()
+    return right, total, met, wrong
--- /dev/null
+++ b/tests/test_why.py
@@ -0,0 +1,281 @@
+"""The record of decisions: reasons, what is kept, what a kill leaves, who asks."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from measure.why import Clocked, flood, kills
+from measure.why_cases import NOW, WHY, mix
+from tests.helpers import LANES, PATIENCE, SETTINGS, PodPeer, Program, until
+from thymeknot.command.ask import lines_of
+from thymeknot.reasons import Reason as R
+from thymeknot.why.arena import HEAD, Arena, left_over
+from thymeknot.why.asking import Watch, answer
+from thymeknot.why.entries import SLOT, Entry, packed, unpacked
+from thymeknot.why.heavy import Heavy
+from thymeknot.why.record import laid_out
+from thymeknot.why.sentences import SAID, explained
+from thymeknot.why.shares import Shares
+
+OK = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"
+READ, PAY = "c=read,t=acme,d=15000", "c=pay,t=acme,d=15000"
+
+
+class Explains(unittest.TestCase):
+    def test_each_case_by_just_its_reasons_and_every_reason_occurs(self):
+        right, total, met, wrong = mix(4)
+        self.assertEqual(wrong, [])
+        self.assertEqual((right, met), (total, set(R)))
+
+    def test_each_reason_has_a_sentence(self):
+        self.assertEqual(set(SAID), set(R))
+        entry = Entry(NOW, "a", "k", "t", "pay", True, int(R.ABANDONED), 900, [
+            [int(R.POSITION), 0, 0.1, 0.5, 0.2], [int(R.SENT), 0, "s-1", 2, True, 9000, 1.0],
+            [int(R.ENDED), 900, "s-1", 0, "reset", 900, False], [int(R.MAY_HAVE_RUN), 900, "s-1", 900],
+            [int(R.ABANDONED), 900, "s-1"]])
+        text = "\n".join(explained(entry))
+        for part in ("below the ramp at 0.5000", "sent to s-1, build 2 (the newest)", "it may have run",
+                     "must not run twice", "answered: abandoned", "a lane that may run again"):
+            self.assertIn(part, text)
+
+
+class Keeps(unittest.TestCase):
+    def test_a_flood_of_cheap_ones_pushes_out_no_costly_one(self):
+        kept = flood(5)
+        self.assertEqual(kept["costly_kept"], kept["costly_within"])
+        self.assertGreater(kept["costly_within"], 30)
+
+    def test_a_loud_tenant_takes_its_own_slots(self):
+        rig = Clocked(1, 1)
+        for at in range(20):
+            rig.one(f"quiet-{at}", tenant=f"q{at % 4}", end=R.DEFERRED)
+        for at in range(20_000):
+            rig.now += 1
+            rig.one(f"loud-{at}", tenant="loud", key=f"k-{at}", end=R.DEFERRED)
+        rig.record.flush(rig.now + SLOT)
+        self.assertEqual(sum(any(rig.record.by_name(f"quiet-{at}")) for at in range(20)), 20)
+        self.assertLessEqual(len(rig.record.by_key), rig.record.arena.slots)
+
+    def test_what_goes_as_usual_is_sampled_evenly(self):
+        rig = Clocked(2, 1, span=60)
+        for at in range(60 * 100):
+            rig.now += 100
+            rig.one(f"u-{at}")
+        ages = [int(entry.id[2:]) // 1500 for entry in rig.record.find(lane="read") if entry]
+        slots = rig.record.regions["ordinary"].slots
+        self.assertGreater(len(ages), slots * 0.7)
+        for quarter in range(1, 4):
+            self.assertGreater(ages.count(quarter), slots * 0.1)
+
+    def test_ids_that_come_again_and_a_client_that_tries_again(self):
+        rig = Clocked(3)
+        rig.one("x", "pay", key="k", end=R.DEFERRED)
+        rig.one("x", "pay", key="k", end=R.ABANDONED)
+        rig.now += 10_000
+        rig.one("y", "pay", key="k")  # the client's retry under a new id, and then it is done
+        rig.record.flush(rig.now + 10_000)
+        self.assertEqual([entry.end for entry in rig.record.by_name("x")], [R.DEFERRED, R.ABANDONED])
+        self.assertEqual([entry.id for entry in rig.record.by_name("k")], ["x", "x", "y"])
+        self.assertEqual([one.id for one in rig.record.find(reason=int(R.DEFERRED)) if one], ["x"])
+        self.assertEqual(rig.record.tally()["reasons"]["ABANDONED"], 1)
+
+    def test_an_entry_longer_than_its_slot_keeps_its_beginning_and_end(self):
+        notes = [[int(R.SENT), at, "s" * 60, 1, False, 9, 1.0] for at in range(40)]
+        content = packed(Entry(1, "i", "k", "t", "pay", False, 23, 5, list(notes)), 9)
+        number, entry = unpacked(content.ljust(SLOT, b"\0"))
+        self.assertEqual((number, entry.notes[0], entry.notes[-1]), (9, notes[0], notes[-1]))
+        self.assertEqual(entry.cut + len(entry.notes), 40)
+
+    def test_regions_follow_what_lanes_earn_and_fill_the_slots(self):
+        found = laid_out(WHY, LANES, 1000)
+        self.assertLessEqual(sum(count for _, count in found.values()), 1000)
+        self.assertGreater(sum(count for _, count in found.values()), 980)
+        self.assertGreater(found["pay", True][1], 50)
+        ends = sorted((first, first + count) for first, count in found.values())
+        self.assertTrue(all(one[1] == two[0] for one, two in zip(ends, ends[1:])))
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.booleans(), st.integers(0, 5)), max_size=80))
+    def test_shares_give_the_slot_of_who_holds_most(self, steps):
+        shares, plain = Shares(), {}
+        for slot, (give, holder) in enumerate(steps):
+            if give and plain:
+                slot = shares.give()
+                most = max(map(len, plain.values()))
+                owner = next(name for name, held in plain.items() if slot in held)
+                self.assertEqual((len(plain[owner]), plain[owner][0]), (most, slot))
+                plain[owner].pop(0)
+                plain = {name: held for name, held in plain.items() if held}
+            else:
+                shares.add(holder, slot)
+                plain.setdefault(holder, []).append(slot)
+            self.assertEqual(len(shares), sum(map(len, plain.values())))
+
+    def test_heavy_hitters_are_found_in_bounded_memory(self):
+        heavy = Heavy(20)
+        for at in range(30_000):
+            heavy.add(f"n{at}" if at % 4 else "loud")
+        name, count, over = heavy.top(1)[0]
+        self.assertEqual((name, count - over <= 7500 <= count, len(heavy.counts)), ("loud", True, 20))
+
+
+class Outlives(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.path, self.said = os.path.join(self.folder.name, "n1.why"), []
+
+    def say(self, event, **fields):
+        self.said.append((event, fields.get("because")))
+
+    def test_a_kill_at_every_byte_of_a_write_leaves_the_others_whole(self):
+        arena = Arena(3, self.path, self.say)
+        before = packed(Entry(1, "before", None, None, "pay", False, 24, 5, []), 1)
+        content = packed(Entry(2, "torn", "k", None, "pay", False, 24, 5, [[7, 0, "s-1", 1, False, 9, 1.0]]), 4)
+        arena.write(0, before)
+        arena.write(2, before)
+        # In the order of the writes: the checksum goes first, then the rest, the new checksum last.
+        for cut in range(len(content) + 1):
+            arena.write(1, packed(Entry(3, "former", None, None, "pay", False, 24, 5, []), 2))
+            at = HEAD + SLOT
+            arena.memory[at:at + 4] = b"\0\0\0\0"
+            part = content[4:4 + cut]
+            arena.memory[at + 4:at + 4 + len(part)] = part
+            if cut == len(content):
+                arena.memory[at:at + 4] = content[:4]
+            found, torn = Arena(3, self.path, self.say).whole()
+            whole = cut == len(content)
+            self.assertEqual([entry.id for _, _, entry in found], ["before"] + ["torn"] * whole + ["before"], cut)
+            self.assertEqual(torn, 1 - whole)
+        self.assertEqual(self.said, [])
+
+    def test_killed_writers_leave_what_they_had_told(self):
+        self.assertEqual(kills(4, 4)["recovered_after_kill"], 4)
+
+    def test_another_version_size_or_damage_is_set_aside_and_no_disk_means_memory(self):
+        Arena(3, self.path, self.say).close()
+        Arena(5, self.path, self.say).close()  # shrunk or grown by a setting
+        with open(self.path, "r+b") as target:
+            target.write(b"no record at all")
+        arena = Arena(5, self.path, self.say)
+        self.assertEqual([because for _, because in self.said], ["3 slots, 5 are set", "no record"])
+        self.assertEqual(arena.whole(), ([], 0))
+        with open(self.path, "r+b") as target:
+            target.seek(8)
+            target.write(b"\7")
+        Arena(5, self.path, self.say)
+        self.assertEqual(self.said[-1], ("record set aside", "damaged head"))
+        for bad in (os.path.join(self.path, "below a file"), "/proc/none/n1.why"):
+            self.assertIsNone(Arena(3, bad, self.say).path)
+        self.assertEqual(self.said[-1][0], "record in memory")
+
+    def test_a_full_disk_means_memory(self):
+        code = ("import resource; resource.setrlimit(resource.RLIMIT_FSIZE, (100000, 100000)); import signal; "
+                "signal.signal(signal.SIGXFSZ, signal.SIG_IGN); from thymeknot.why.arena import Arena; "
+                f"print(Arena(1000, {self.path!r}).path)")
+        ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=PATIENCE)
+        self.assertEqual(ended.stdout.strip(), "None", ended.stderr)
+        self.assertFalse(os.path.exists(self.path))
+
+    def test_a_record_goes_on_after_a_start_and_is_read_without_one(self):
+        rig = Clocked(1, 1, self.path)
+        for at in range(2000):
+            rig.now += 100
+            rig.one(f"p-{at}", "pay", f"t{at % 3}", end=R.ABANDONED)
+        rig.record.flush(rig.now + 10_000)
+        kept = len(rig.record.meta)
+        again = Clocked(1, 1, self.path)
+        self.assertEqual((again.record.recovered, again.record.torn), (kept, 0))
+        self.assertEqual([entry.end for entry in again.record.by_name("p-1999")], [R.ABANDONED])
+        again.one("later", "pay", end=R.ABANDONED)
+        again.record.flush(again.now + 10_000)
+        self.assertEqual(len(again.record.meta), kept)
+        self.assertEqual(left_over(self.path).whole()[1], 0)
+        lines = list(lines_of("", self.path, {"ask": "why", "id": "later"}))
+        self.assertEqual((lines[0]["end"], lines[-1]["end"]), ("ABANDONED", 1))
+
+
+class Asked(unittest.TestCase):
+    def answers(self, record, **told):
+        return [json.loads(line) for line in answer(json.dumps(told), record, 5) if line]
+
+    def test_faulty_questions_get_an_error_and_answers_are_bounded(self):
+        rig = Clocked(1)
+        for at in range(30):
+            rig.one(f"p-{at}", "pay", end=R.ABANDONED)
+        rig.record.flush(rig.now + 10_000)
+        for told in ({"ask": "what"}, {"ask": "find", "reason": "no such"}, {"ask": "find", "since": "x"},
+                     {"ask": "why", "id": 7}, {"ask": "find", "lane": "x" * 500}):
+            self.assertIn("error", self.answers(rig.record, **told)[0])
+        self.assertIn("error", json.loads(next(answer(b"no json", rig.record, 5))))
+        found = self.answers(rig.record, ask="find", lane="pay")
+        self.assertEqual((len(found), found[-1]), (6, {"end": 5, "more": True}))
+        self.assertEqual(self.answers(rig.record, ask="find", pod="nowhere"), [{"end": 0}])
+
+    def test_a_watcher_that_is_slow_is_told_what_it_missed(self):
+        watch = Watch({"lane": None, "tenant": None, "reason": None})
+        for at in range(300):
+            watch(Entry(at, "i", None, None, "pay", False, 24, 5, []))
+        lines = watch.take()
+        self.assertEqual((len(lines), json.loads(lines[-1])), (257, {"missed": 44}))
+
+    def test_a_live_instance_and_the_commands(self):
+        pods = [PodPeer(lambda words: OK if words[2] != b"03" else None), PodPeer(lambda words: b"-BUSY\r\n")]
+        for pod in pods:
+            self.addCleanup(pod.close)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        place = f"127.0.0.1:{port}"
+        running = Program(pods[0].entry("s-1"), operator=lambda folder: (
+            f'why: {{listen: "{place}", directory: "kept", megabytes: 1}}'))
+        self.addCleanup(running.__exit__)
+        running.__enter__()
+        with running.client() as client:
+            self.assertEqual(client.ask("SVC.QUERY", "k1", "01", READ), b"ok")
+            self.assertEqual(client.ask("SVC.SUBMIT", "k2", "02", PAY, "B"), b"ok")
+            self.assertTrue(client.ask("SVC.SUBMIT", "k3", "03", PAY, "B").startswith(b"-ERR"))
+        unread = socket.create_connection(("127.0.0.1", port))
+        self.addCleanup(unread.close)
+        unread.sendall(b'{"ask":"find"}\n' * 60)  # never reads an answer
+        found = []
+        until(lambda: found and found[0]["end"] == "ABANDONED", lambda: (time.sleep(0.05), found.__setitem__(
+            slice(None), list(lines_of(place, None, {"ask": "why", "id": "03"})))))
+        self.assertEqual([one["reason"] for one in found[0]["reasons"]],
+                         ["POSITION", "SENT", "ENDED", "MAY_HAVE_RUN", "ABANDONED"])
+        self.assertEqual(found[0]["reasons"][2]["operands"][:3], ["s-1", 0, "reset"])
+
+        def command(*words, **more):
+            return subprocess.run([sys.executable, "-m", "thymeknot", *words], capture_output=True, text=True,
+                                  timeout=PATIENCE, env={**os.environ, **more})
+        said = command("why", "--at", place, "k3")
+        self.assertIn("must not run twice", said.stdout, said.stderr)
+        self.assertEqual(command("why", "--at", place, "nothing").returncode, 1)
+        said = command("why", "--at", place, "--json", "find", "--lane", "pay", "--since", "1h")
+        self.assertEqual({json.loads(line)["id"] for line in said.stdout.splitlines()}, {"02", "03"})
+        self.assertEqual(command("why", "--at", place, "find", "--reason", "nonsense").returncode, 2)
+        self.assertIn("MAY_HAVE_RUN", command("why", "--at", place, "tally").stdout)
+        self.assertIn("stays_s", command("why", "--at", place, "kept").stdout)
+        with running.client() as client:  # transactions are served while somebody does not read
+            self.assertEqual(client.ask("SVC.QUERY", "k1", "04", READ), b"ok")
+        running.process.kill()
+        running.process.wait()
+        self.assertEqual(command("why", "--at", place, "03").returncode, 3)
+        said = command("why", "--file", os.path.join(running.folder.name, "kept", "n1.why"), "03")
+        self.assertIn("answered: abandoned", said.stdout, said.stderr)
+        said = command("check", NODE_CONFIG=running.path, THYMEKNOT_OPERATOR=running.operator)
+        self.assertEqual((said.returncode, said.stdout), (0, "both files can be used\n"), said.stderr)
+        said = command("--operator", running.path, "check", NODE_CONFIG="/nowhere")
+        self.assertEqual((said.returncode, len(said.stderr.splitlines())), (2, 2), said.stderr)
+        self.assertEqual(len(SETTINGS["categories"]), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeknot/__main__.py
+++ b/thymeknot/__main__.py
@@ -1,4 +1,4 @@
-"""Starts one sidecar."""
+"""Starts one sidecar; with words, the command line."""
 
 import os
 import sys
@@ -6,4 +6,7 @@
 from .service.life import main
 
 if __name__ == "__main__":
-    sys.exit(main(os.environ, sys.argv[1:]))
+    if sys.argv[1:]:
+        from .command.main import thymeknot
+        thymeknot(prog_name="thymeknot")
+    sys.exit(main(os.environ))
--- /dev/null
+++ b/thymeknot/command/main.py
@@ -0,0 +1,179 @@
+"""thymeknot's commands, on click. Exit codes: 0 done, 1 nothing found, 2 faulty words or files, 3 nobody answers."""
+
+import os
+import time
+
+import click
+
+from ..service.features import VARIABLE
+from .ask import Unreachable, lines_of
+
+DURATIONS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
+
+
+@click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--operator", metavar="FILE", envvar=VARIABLE, help="what is switched on beside the configuration")
+@click.pass_context
+def thymeknot(context, operator):
+    """Shifts traffic while a service's software is being replaced. Without a command: serve."""
+    context.obj = operator
+    if context.invoked_subcommand is None:
+        context.invoke(serve)
+
+
+@thymeknot.command()
+@click.pass_context
+def serve(context):
+    """Serves by the configuration at NODE_CONFIG."""
+    from ..service import life
+    context.exit(life.serve(os.environ, context.find_root().obj))
+
+
+@thymeknot.command()
+@click.pass_context
+def check(context):
+    """Reads the configuration and the operator's file and names every fault."""
+    from ..service import configuration, features
+    faults = []
+    for read in (lambda: configuration.load(os.environ, 0), lambda: features.Features(context.find_root().obj)):
+        try:
+            read()
+        except (configuration.Faulty, features.Faulty) as error:
+            faults.append(str(error))
+    for fault in faults:
+        click.echo(fault, err=True)
+    if not faults:
+        click.echo("both files can be used")
+    context.exit(2 if faults else 0)
+
+
+class IdOrCommand(click.Group):
+    """`why ID` beside `why find ...`: what is no command is an id."""
+
+    def resolve_command(self, context, words):
+        if words and words[0] not in self.commands and not words[0].startswith("-"):
+            return "id", self.commands["id"], words
+        return super().resolve_command(context, words)
+
+
+@thymeknot.group(cls=IdOrCommand)
+@click.option("--at", "place", default="127.0.0.1:6390", metavar="ADDRESS", envvar="THYMEKNOT_WHY", show_default=True,
+              help="where an instance answers: host:port or unix:PATH")
+@click.option("--file", "path", type=click.Path(exists=True, dir_okay=False),
+              help="a record that was left over, instead")
+@click.option("--json", "plain", is_flag=True, help="lines of JSON")
+@click.pass_context
+def why(context, place, path, plain):
+    """Why a transaction (by ID or key) went where it went; what else is known of the latest ones."""
+    context.obj = place, path, plain
+
+
+def _asked(context, told):
+    """Prints what answers, and ends with the code that tells whether anything did."""
+    place, path, plain = context.obj
+    found = 0
+    try:
+        for line in lines_of(place, path, told):
+            if "error" in line:
+                raise click.UsageError(line["error"])
+            if "end" in line and "id" not in line:
+                if line.get("more"):
+                    click.echo("there are more", err=True)
+                break
+            found += 1
+            _show(line, plain)
+    except Unreachable as error:
+        click.echo(f"why: {error}", err=True)
+        context.exit(3)
+    context.exit(0 if found else 1)
+
+
+def _show(line, plain):
+    if plain or "lines" not in line:
+        import orjson
+        line.pop("lines", None)
+        click.echo(orjson.dumps(line, option=0 if plain else orjson.OPT_INDENT_2).decode())
+        return
+    click.echo(time.strftime("%Y-%m-%d %H:%M:%S  ", time.localtime(line["at"])) + "\n".join(line["lines"]))
+
+
+@why.command("id", hidden=True)
+@click.argument("name")
+@click.pass_context
+def by_id(context, name):
+    """One transaction, or all with this key."""
+    _asked(context, {"ask": "why", "id": name})
+
+
+def _seconds(context, option, value):
+    if value is None:
+        return None
+    unit = DURATIONS.get(value[-1:])
+    try:
+        return float(value[:-1] if unit else value) * (unit or 1)
+    except ValueError:
+        raise click.BadParameter("a time such as 90s, 15m or 2h") from None
+
+
+def _filters(command):
+    for name, told in (("reason", "a reason's name"), ("pod", "sent to this pod"), ("tenant", "of this tenant"),
+                       ("lane", "of this lane")):
+        command = click.option(f"--{name}", help=told)(command)
+    return command
+
+
+@why.command()
+@_filters
+@click.option("--since", callback=_seconds, help="not longer ago than 90s, 15m, 2h")
+@click.option("--limit", type=click.IntRange(1, 10_000), default=50, show_default=True)
+@click.pass_context
+def find(context, **told):
+    """The latest that fit all that is told."""
+    _asked(context, {"ask": "find", **{name: value for name, value in told.items() if value is not None}})
+
+
+@why.command()
+@click.pass_context
+def tally(context):
+    """Sums over all that ever was: ends, reasons, times, who is turned away most."""
+    _asked(context, {"ask": "tally"})
+
+
+@why.command()
+@click.pass_context
+def kept(context):
+    """What is kept, and for how long at the present rates."""
+    _asked(context, {"ask": "kept"})
+
+
+@why.command()
+@_filters
+@click.pass_context
+def watch(context, **told):
+    """Entries as they are made, until interrupted."""
+    _asked(context, {"ask": "watch", **{name: value for name, value in told.items() if value is not None}})
+
+
+@thymeknot.group()
+def keys():
+    """Keys of gossip's ring."""
+
+
+@keys.command("new")
+@click.argument("name")
+@click.argument("file", type=click.Path())
+@click.pass_context
+def keys_new(context, name, file):
+    """Makes a key and prints its record for the ring."""
+    from ..gossip import keys as ring
+    context.exit(ring.main(["new", name, file]))
+
+
+@keys.command("show")
+@click.argument("name")
+@click.argument("file", type=click.Path(exists=True))
+@click.pass_context
+def keys_show(context, name, file):
+    """Prints the record of a key there is."""
+    from ..gossip import keys as ring
+    context.exit(ring.main(["show", name, file]))
--- a/thymeknot/service/features.py
+++ b/thymeknot/service/features.py
@@ -21,7 +21,14 @@
     return lambda sidecar: endpoint.Endpoint(sidecar, told, folder), told
 
 
-MAKERS = {"gossip": _gossip}
+def _why(settings, folder):
+    files, terms, listener = (import_module(f"..{name}", __package__) for name in (
+        "operator.files", "why.terms", "why.listener"))
+    told = files.record(terms.WhyTerms, settings)
+    return lambda sidecar: listener.Why(sidecar, told, folder), told
+
+
+MAKERS = {"gossip": _gossip, "why": _why}
 
 
 class Features:
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -24,19 +24,13 @@
     return reactor
 
 
-def operator_file(environment, arguments):
-    """The path of the operator's file, or None: told by a word, or else by the environment."""
-    if not arguments:
-        return environment.get(features.VARIABLE) or None
-    import argparse
-    parser = argparse.ArgumentParser(prog="thymeknot", description="Serves by the configuration at NODE_CONFIG.")
-    parser.add_argument("--operator", metavar="FILE", default=environment.get(features.VARIABLE),
-                        help=f"what is switched on beside it (or {features.VARIABLE} in the environment)")
-    return parser.parse_args(arguments).operator
-
-
-def main(environment, arguments=()):
-    operator = operator_file(environment, arguments)
+def main(environment):
+    """Serves without words: an operator's file is named by the environment, if at all."""
+    return serve(environment, environment.get(features.VARIABLE) or None)
+
+
+def serve(environment, operator):
+    """Serves by the environment's configuration and the operator's file at this path, or None. Gives an exit code."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is ready the file is read anyway
     epoch = time.time_ns() // 100_000 - clock()
     try:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -90,7 +90,7 @@
         self.transactions, self.by_id = Slots(), {}
         self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
         self.inbox, self.deciding, self.port, self.emptied = [], False, None, None
-        self.gossip = None          # hears of ends and lists, where an operator's file has it
+        self.gossip = self.why = None  # hear of ends, lists and answers, where an operator's file has them
         self.balancer = Balancer(self.terms, start.seed, self.clock())
         chance = Chance(~start.seed)
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
@@ -226,6 +226,8 @@
             for held in self.transactions:
                 if held.connection is connection and not held.over:
                     held.over = True
+                    if self.why is not None:
+                        self.why.ended(held.id, self.why.left)
                     self.tell(i.ClientLeft(held.id))
                     self._let_go(held)
         self._if_emptied()
@@ -245,6 +247,8 @@
         held.slot = self.by_id[name] = self.transactions.add(held)
         held.deadline = self.deadlines.add(held.ends + OVERDUE, self._overdue, held)
         key = command.key.decode() or None
+        if self.why is not None:
+            self.why.taken(name, command)
         return self.tell(i.Taken(name, command.lane, command.tenant, key, left, None, command.repeat, False))
 
     def _held(self, name):
@@ -255,6 +259,8 @@
         """No answer by its client's end: the decisions have missed it, and one is still owed."""
         if not held.over:
             logs.log("overdue", id=held.id, out=held.out)
+            if self.why is not None:
+                self.why.ended(held.id, self.why.abandoned)
             self._final(held, ABANDONED)
             self.tell(i.ClientLeft(held.id))
 
@@ -263,6 +269,8 @@
             held.over = True
             held.connection.answer(held.place, content)
             self._let_go(held)
+            if self.why is not None and not held.out:
+                self.why.over(held.id)
 
     def _let_go(self, held):
         if held.over and not held.out and self.by_id.get(held.id) == held.slot:
@@ -309,6 +317,8 @@
             self.deadlines.cancel(attempt.deadline)
         if outcome == i.DONE and not held.over:
             held.over = True
+            if self.why is not None:
+                self.why.ended(held.id, self.why.done)
             held.connection.answer(held.place, resp.value(answer.value))
         load = self._load(answer.report) if answer and answer.report else None
         pod = attempt.pod.address if attempt.pod else ""
@@ -317,6 +327,8 @@
             self.gossip.ended(attempt, outcome)
         self._let_go(held)
         self.tell(event)
+        if self.why is not None and held.over and not held.out:
+            self.why.over(held.id)
 
     def answered_unheard(self, attempt):
         """An answer that came too late, in part, spoilt, or may yet come: its key counts as answered."""
