--- a/thymeknot/service/logs.py
+++ b/thymeknot/service/logs.py
@@ -1,11 +1,18 @@
-"""Logs: one JSON line an event, on standard output."""
+"""Logs: one JSON line an event, on standard output. Events and their levels are declared in events.py; the lines are
+structlog's, rendered by orjson. What is below the level in THYMEKNOT_LOG (info, if unset) is not written."""
 
+import logging
 import os
 import time
 
 import orjson
+import structlog
+
+from .events import LEVELS
 
 MOST_KINDS = 100
+VARIABLE = "THYMEKNOT_LOG"
+LEAST = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 _last = {}
 
 
@@ -19,13 +26,34 @@
         log(event, **fields)
 
 
+def _rendered(logger, level, fields):
+    """The line: when, what, what belongs to it, and its level where that is above info."""
+    line = {"at": round(time.time(), 4), "event": fields.pop("event"), **fields}
+    if level != "info":
+        line["level"] = level
+    return orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+
+
+class _Lines:
+    """Where structlog's lines go, whatever their level."""
+
+    @staticmethod
+    def msg(line):
+        try:
+            os.write(1, line)
+        except OSError:
+            pass  # a log that can't be written must not stop the service
+
+    debug = info = warning = error = critical = msg
+
+
+_least = LEAST.get(os.environ.get(VARIABLE, "info").lower(), logging.INFO)
+_log = structlog.make_filtering_bound_logger(_least)(_Lines(), [_rendered], {}).log
+
+
 def log(event, **fields):
-    line = orjson.dumps({"at": round(time.time(), 4), "event": event, **fields}, default=str,
-                        option=orjson.OPT_APPEND_NEWLINE)
-    try:
-        os.write(1, line)
-    except OSError:
-        pass  # a log that can't be written must not stop the service
+    """An event that events.py declares; an undeclared one is an error in the program, and is written as such."""
+    _log(LEVELS.get(event, logging.ERROR), event, **fields)
 
 
 def take_over():
