--- /dev/null
+++ b/measure/why_story.py
@@ -0,0 +1,121 @@
+"""Two of the standing's riddles on own stand-ins, told from the record alone: a good build that goes back, and what is
+deferred just after a sidecar's restart. Simulated. python -m measure.why_story --seed n"""
+
+import argparse
+import collections
+import random
+import sys
+
+from measure.shop import SHOP
+from measure.world import World
+from tests.helpers import LANES
+from thymeknot import interface as i
+from thymeknot.balance import Balancer
+from thymeknot.reasons import Reason as R
+from thymeknot.records import Chance
+from thymeknot.why.arena import Arena
+from thymeknot.why.record import Record
+from thymeknot.why.sentences import explained
+from thymeknot.why.terms import WhyTerms
+
+SECOND = 10_000
+TERMS = SHOP._replace(lanes={name: LANES[name] for name in ("read", "pay")}, balancers=3, guarded_stages=0)
+WHY = WhyTerms(8, None, "", 0.4, 0.3, 60 * SECOND, 200)
+
+
+class Sidecar:
+    """One sidecar's decisions with a record, at so many transactions a second; ill: {pod: share that fails}."""
+
+    def __init__(self, seed, rate, pods, ill, news, pace=150):
+        self.world, self.chance = World([], seed), random.Random(seed)
+        self.rate, self.ill, self.pace = rate, ill, pace
+        self.record = Record(WHY, TERMS.lanes, Arena(10_000), 0, lambda: self.world.now, Chance(seed))
+        self.balancer = Balancer(TERMS, seed, self.world.now, self.record.say)
+        self.tell(i.PodList(i.REMEMBERED, tuple(pods)))
+        self.tell(news)
+        self.arrive()
+
+    def tell(self, event):
+        for action in list(self.balancer.handle(self.world.now, [event])):
+            if type(action) is i.SetTimer:
+                self.world.at(action.at, self.tell, i.TimerDue(action.token))
+            elif type(action) is i.Deliver:
+                number = len(self.balancer.open[action.id].sent) - 1
+                took = int(self.chance.gammavariate(4, self.pace))
+                self.world.at(self.world.now + took, self.ended, action, number, took)
+            elif type(action) is i.Vote:
+                self.tell(i.News(action.build, action.stage, self.phase, True, i.DONE, 0.5, 0))
+            elif type(action) in (i.Defer, i.Abandon):
+                self.record.over(action.id)
+
+    phase = i.ON_TRIAL
+
+    def arrive(self):
+        name, lane = f"{self.chance.getrandbits(48):012x}", "pay" if self.chance.random() < 0.2 else "read"
+        self.record.taken(name, name, "t", lane, False)
+        self.tell(i.Taken(name, lane, "t", name, 3 * SECOND, None, False, False))
+        self.world.at(self.world.now + max(1, int(self.chance.expovariate(self.rate) * SECOND)), self.arrive)
+
+    def ended(self, action, number, took):
+        failed = self.chance.random() < self.ill.get(action.pod, 0.001)
+        if not failed:
+            self.record.ended(action.id, R.DONE)
+        self.tell(i.Ended(action.id, i.ERROR if failed else i.DONE, not failed, took, action.pod, number, None))
+        if not failed:
+            self.record.over(action.id)
+
+
+def pods(prefix, count, build, started=0):
+    return [i.Pod(f"{prefix}-{at}", "a", 1.0, 0, i.READY, started, "m", build) for at in range(count)]
+
+
+def went_back(seed):
+    """A good build of which two pods err by themselves, at a sidecar that has just restarted: the votes it cast, and what
+    the record holds of the build's failures."""
+    sidecar = Sidecar(seed, 40, pods("old", 12, 1) + pods("new", 8, 2),
+                      {"new-1": 0.3, "new-5": 0.3},
+                      i.News(2, 2, i.ON_TRIAL, False, i.DONE, 0.5, 0))
+    sidecar.world.run(20 * SECOND)
+    record = sidecar.record
+    record.flush(sidecar.world.now, 0)
+    votes = [one for one in record.find(reason=int(R.VOTED)) if one]
+    failures = collections.Counter(
+        note[2] for entry in record.find(reason=int(R.ENDED)) if entry
+        for note in entry.notes if note[0] == R.ENDED and note[4] == "error")
+    return list(reversed(votes)), failures
+
+
+def after_restart(seed):
+    """All pods cold just after a release, at a sidecar that has just restarted: why transactions were deferred."""
+    now = 1000 * SECOND
+    sidecar = Sidecar(seed, 60, pods("new", 4, 2, now - SECOND), {},
+                      i.News(2, 2, i.RELEASED, False, i.DONE, 1.0, 0), 400)
+    sidecar.phase = i.RELEASED
+    sidecar.world.run(6 * SECOND)
+    record = sidecar.record
+    record.flush(sidecar.world.now, 0)
+    deferred = [one for one in record.find(reason=int(R.DEFERRED)) if one]
+    why = collections.Counter(R(note[0]).name for entry in deferred for note in entry.notes
+                              if note[0] not in (R.POSITION, R.DEFERRED, R.SENT, R.ENDED))
+    return deferred, why, record.tally()
+
+
+def main(arguments):
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args(arguments).seed
+    votes, failures = went_back(seed)
+    print("A good build, two of its eight pods err by themselves:")
+    for entry in votes[:3] + votes[-1:]:
+        print("\n".join(explained(entry)))
+    print("failed deliveries by pod:", dict(failures))
+    deferred, why, tally = after_restart(seed)
+    print(f"Just after a restart with all pods cold: {len(deferred)} deferred, for", dict(why))
+    for entry in deferred[-1:] + deferred[:1]:
+        print("\n".join(explained(entry)))
+    print(tally["ends"])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -456,7 +456,8 @@
             return self._why(*((R.NO_NEWS,) if news is None else late if self.now >= tx.ends else most)) or False
         stays = (news.phase in (i.ON_TRIAL, i.RELEASED)
                  and (tx.key in self.pins or len(self.pins) >= KEYS_MOST))  # more than it can tell apart: all
-        below = position(tx.key) < self.ramp and news.phase in (i.ON_TRIAL, i.RELEASED)
+        at, open_ = position(tx.key), news.phase in (i.ON_TRIAL, i.RELEASED)
+        below = at < self.ramp and open_
         # Off the ordinary path: another try, a key that failed there, a hot one that would flood the trial.
         seen = self.keys.get(tx.key, 0)
         hot = seen >= HOT_LEAST and seen >= HOT_SHARE * sum(self.keys.values())
@@ -464,8 +465,8 @@
         order = (True, False) if below and not astray else (False, True)
         if stays:
             self._why(R.STAYS, len(self.pins))
-        elif news.phase in (i.ON_TRIAL, i.RELEASED):
-            self._why(R.POSITION, position(tx.key), self.ramp, news.cap)
+        elif open_:
+            self._why(R.POSITION, at, self.ramp, news.cap)
             if astray and below:
                 self._why(R.ASTRAY, len(tx.sent), tx.key in self.bad_keys, hot)
         for new in (True,) if stays else order:
--- a/thymeknot/why/arena.py
+++ b/thymeknot/why/arena.py
@@ -65,6 +65,10 @@
         self.memory[at + 4:at + len(content)] = content[4:]
         self.memory[at:at + 4] = content[:4]
 
+    def clear(self, slot):
+        at = HEAD + slot * SLOT
+        self.memory[at:at + SLOT] = bytes(SLOT)
+
     def read(self, slot):
         """(number, Entry) or None."""
         at = HEAD + slot * SLOT
--- a/thymeknot/why/listener.py
+++ b/thymeknot/why/listener.py
@@ -3,6 +3,7 @@
 
 import os
 import stat
+import time
 
 from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IPullProducer
@@ -17,7 +18,8 @@
 from .entries import SLOT
 from .record import Record
 
-STEPS = 16                      # entries looked at in a round of the loop
+STEPS = 4                       # entries looked at in a round of the loop
+REST = 12                       # times as long as they took, before the next ones: askers get a small part of the core
 CONNECTIONS = 8
 IDLE = 100_000                  # an asker that neither asks nor reads is ended
 UPKEEP = 5_000
@@ -68,16 +70,21 @@
         self.transport.registerProducer(self, False)
 
     def resumeProducing(self):
-        """The socket has taken what was written: a few more steps, or the next question."""
+        """The socket has taken what was written: a few more steps, after a rest."""
+        self.owner.reactor.callLater(REST * self.owner.took, self._work)
+
+    def _work(self):
+        """A few more steps, or the next question."""
         if self.steps is None:
             return
-        out, line = [], None
+        began, out, line = time.perf_counter(), [], None
         for _ in range(STEPS):
             line = next(self.steps, False)
             if line is False:
                 break
             if line is not None:
                 out.append(line)
+        self.owner.took = time.perf_counter() - began
         if out:
             self._live()
             self.transport.write(b"".join(out))
@@ -86,7 +93,7 @@
             self.transport.unregisterProducer()
             self._next()
         else:
-            self.owner.reactor.callLater(0, self.resumeProducing)
+            self.resumeProducing()
 
     def stopProducing(self):
         self.steps = None
@@ -117,6 +124,7 @@
     def __init__(self, sidecar, terms, folder):
         self.sidecar, self.terms, self.reactor = sidecar, terms, sidecar.reactor
         self.clock, self.deadlines, self.askers = sidecar.clock, sidecar.deadlines, 0
+        self.took = 0.0             # seconds that an asker's last steps took
         path = None
         if terms.directory:
             path = os.path.join(folder, terms.directory, f"{sidecar.start.name}.why")
@@ -139,7 +147,9 @@
                 self.port = self.reactor.listenTCP(int(port), factory, backlog=8, interface=host.strip("[]"))
         except (CannotListenError, OSError) as error:
             raise Unusable(f"why.listen: {error}") from None
-        logs.log("record", slots=self.arena.slots, file=self.arena.path, recovered=self.record.recovered,
+        at = self.port.getHost()  # port 0 was any free one
+        logs.log("record", listen=f"{at.host}:{at.port}" if hasattr(at, "port") else terms.listen,
+                 slots=self.arena.slots, file=self.arena.path, recovered=self.record.recovered,
                  torn=self.record.torn)
         self._upkeep()
 
--- a/thymeknot/why/record.py
+++ b/thymeknot/why/record.py
@@ -24,6 +24,8 @@
 UNUSUAL = 0.6                   # of a costly lane's part
 HITTERS, LANES_MOST = 64, 64
 OPEN_MOST = 50_000
+TIMED = 8                       # one end in so many goes into the times' sketch
+SENT, DONE, ENDS_AWAY = R.SENT, R.DONE, (R.DEFERRED, R.ABANDONED)  # looked up at every note
 
 
 class Region:
@@ -81,7 +83,8 @@
         self.regions = {name: Region(name, *where) for name, where in laid_out(terms, lanes, arena.slots).items()}
         self.open, self.closing, self.number, self.lost = {}, deque(), 0, 0
         self.meta, self.by_id, self.by_key, self.by_pod = {}, {}, {}, {}
-        self.reasons, self.ends = {}, {}
+        self.reasons, self.ends = [0] * (max(R) + 1), {}
+        self.share_at, self.share = clock(), 1.0    # of what goes as usual, kept
         self.times, self.keys, self.tenants = {}, Heavy(HITTERS), Heavy(HITTERS)
         self.usual, self.watchers = Ring(10 * SECOND, 10), []
         self.recovered, self.torn = self._recover()
@@ -104,6 +107,9 @@
                 if entry:
                     self._index(slot, number, entry)
                     self.number = max(self.number, number)
+        for slot in range(self.arena.slots if torn else 0):  # what was torn is told once
+            if slot not in whole:
+                self.arena.clear(slot)
         return len(self.meta), torn
 
     # From the decisions and the sidecar.
@@ -127,21 +133,23 @@
         held = self.open.get(name)
         if held is None:
             return
-        if reason == R.SENT:
+        self.reasons[reason] += 1
+        if reason == SENT:
             held.sent += 1
-        elif reason == R.DEFERRED or reason == R.ABANDONED:
-            held.end = int(reason)
+        elif reason in ENDS_AWAY:
+            held.end = reason
         if len(held.notes) >= NOTES_MOST:
             held.cut += 1
             del held.notes[NOTES_MOST // 2]
-        held.notes.append([int(reason), self.clock() - held.at, *operands])
+        held.notes.append([reason, self.clock() - held.at, *operands])
 
     def ended(self, name, reason):
         """The final answer as the sidecar gave it."""
         held = self.open.get(name)
         if held is not None and not held.end:
-            held.end = int(reason)
-            held.notes.append([int(reason), self.clock() - held.at])
+            held.end = reason
+            self.reasons[reason] += 1
+            held.notes.append([reason, self.clock() - held.at])
 
     def over(self, name):
         """Nothing of it is out any more."""
@@ -151,6 +159,10 @@
             self.closing.append((name, now, held))
 
     def flush(self, now, wait=CLOSES_AFTER):
+        if now - self.share_at >= SECOND and "ordinary" in self.regions:
+            rate = self.usual.total(now) / 10
+            self.share_at = now
+            self.share = min(1.0, self.regions["ordinary"].slots / max(1e-9, rate * self.terms.span / SECOND))
         while self.closing and now - self.closing[0][1] >= wait:
             name, _, held = self.closing.popleft()
             if self.open.get(name) is held:
@@ -166,19 +178,19 @@
     def _close(self, name):
         held, now = self.open.pop(name), self.clock()
         took = (held.over_at if held.over_at is not None else now) - held.at
-        entry = Entry(held.at + self.epoch, name[:TEXT_MOST], held.key and held.key[:TEXT_MOST],
-                      held.tenant and held.tenant[:TEXT_MOST], held.lane, held.repeat, held.end, took, held.notes,
-                      held.cut)
-        self._tally(entry)
-        region = self._region_of(held.lane, entry)
-        if region.name == "ordinary":
-            # One in so many that the region's slots last for the span that is set.
+        self._tally(held, took)
+        lane = self.lanes.get(held.lane)
+        if (held.end == DONE and held.sent <= 1 and lane is not None and took <= lane.latency_goal
+                and (held.lane, False) not in self.regions):
+            # As most of it is: one in so many that the region's slots last for the span that is set.
             self.usual.add(now)
-            rate = self.usual.total(now) / 10
-            if self.chance.draw() * rate * self.terms.span / SECOND > region.slots:
+            if self.chance.draw() >= self.share:
                 self.lost += 1
                 return
-        self._keep(region, entry, now)
+        entry = Entry(held.at + self.epoch, name[:TEXT_MOST], held.key and held.key[:TEXT_MOST],
+                      held.tenant and held.tenant[:TEXT_MOST], held.lane, held.repeat, held.end, took, held.notes,
+                      held.cut)
+        self._keep(self._region_of(held.lane, entry), entry, now)
 
     def _region_of(self, name, entry):
         if entry.end == R.VOTED:
@@ -220,17 +232,19 @@
                 if not slots:
                     del index[name]
 
-    def _tally(self, entry):
-        key = entry.lane, entry.end
-        self.ends[key] = self.ends.get(key, 0) + 1
-        for reason in {note[0] for note in entry.notes}:
-            self.reasons[reason] = self.reasons.get(reason, 0) + 1
-        if entry.lane in self.lanes and (entry.lane in self.times or len(self.times) < LANES_MOST):
-            self.times.setdefault(entry.lane, DDSketch(0.02)).add(entry.took / 10)
-        if entry.end in (R.DEFERRED, R.ABANDONED):
-            self.tenants.add(entry.tenant or "")
-            if entry.key:
-                self.keys.add(entry.key)
+    def _tally(self, held, took):
+        key = held.lane, held.end
+        count = self.ends[key] = self.ends.get(key, 0) + 1
+        if count % TIMED == 1 and held.lane in self.lanes:
+            sketch = self.times.get(held.lane)
+            if sketch is None and len(self.times) < LANES_MOST:
+                sketch = self.times[held.lane] = DDSketch(0.02)
+            if sketch is not None:
+                sketch.add(took / 10)
+        if held.end in ENDS_AWAY:
+            self.tenants.add((held.tenant or "")[:TEXT_MOST])
+            if held.key:
+                self.keys.add(held.key[:TEXT_MOST])
 
     # Asking. Each gives a generator, so that a long search is done in parts.
 
@@ -266,7 +280,7 @@
         """Sums over all that ever was, kept or not."""
         return {"ends": [[lane, R(end).name if end else "OPEN", count]
                          for (lane, end), count in sorted(self.ends.items())],
-                "reasons": {R(reason).name: count for reason, count in sorted(self.reasons.items())},
+                "reasons": {R(reason).name: count for reason, count in enumerate(self.reasons) if count},
                 "ms": {lane: {str(share): round(sketch.get_quantile_value(share), 1) for share in (0.5, 0.9, 0.99)}
                        for lane, sketch in self.times.items()},
                 "turned away, tenants": self.tenants.top(10), "turned away, keys": self.keys.top(10)}
