--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 # Measurements: the last line is JSON. SEED=n where chance plays.
 SEED = 1
-MEASURES = gossip why
+MEASURES = gossip why laboratory
 
 .PHONY: $(MEASURES:%=measure-%)
 $(MEASURES:%=measure-%): build
--- a/measure/why_story.py
+++ b/measure/why_story.py
@@ -48,7 +48,7 @@
             elif type(action) in (i.Defer, i.Abandon):
                 self.record.over(action.id)
 
-    phase = i.ON_TRIAL
+    phase, swarm = i.ON_TRIAL, (0, 0, 0.0)
 
     def arrive(self):
         name, lane = f"{self.chance.getrandbits(48):012x}", "pay" if self.chance.random() < 0.2 else "read"
@@ -57,7 +57,9 @@
         self.world.at(self.world.now + max(1, int(self.chance.expovariate(self.rate) * SECOND)), self.arrive)
 
     def ended(self, action, number, took):
-        failed = self.chance.random() < self.ill.get(action.pod, 0.001)
+        first, last, share = self.swarm
+        hit = first <= self.world.now < last and action.pod.startswith("new")
+        failed = self.chance.random() < (share if hit else self.ill.get(action.pod, 0.001))
         if not failed:
             self.record.ended(action.id, R.DONE)
         self.tell(i.Ended(action.id, i.ERROR if failed else i.DONE, not failed, took, action.pod, number, None))
@@ -70,12 +72,12 @@
 
 
 def went_back(seed):
-    """A good build of which two pods err by themselves, at a sidecar that has just restarted: the votes it cast, and what
-    the record holds of the build's failures."""
-    sidecar = Sidecar(seed, 40, pods("old", 12, 1) + pods("new", 8, 2),
-                      {"new-1": 0.3, "new-5": 0.3},
+    """A good build whose machines are behind something that fails for half a second: the votes that a sidecar cast, and
+    what the record holds of the build's failures."""
+    sidecar = Sidecar(seed, 40, pods("old", 12, 1) + pods("new", 8, 2), {},
                       i.News(2, 2, i.ON_TRIAL, False, i.DONE, 0.5, 0))
-    sidecar.world.run(20 * SECOND)
+    sidecar.swarm = sidecar.world.now + 6 * SECOND, sidecar.world.now + 13 * SECOND // 2, 0.6
+    sidecar.world.run(12 * SECOND)
     record = sidecar.record
     record.flush(sidecar.world.now, 0)
     votes = [one for one in record.find(reason=int(R.VOTED)) if one]
@@ -105,10 +107,10 @@
     parser.add_argument("--seed", type=int, default=1)
     seed = parser.parse_args(arguments).seed
     votes, failures = went_back(seed)
-    print("A good build, two of its eight pods err by themselves:")
-    for entry in votes[:3] + votes[-1:]:
+    print("A good build, of whose machines deliveries fail for half a second:")
+    for entry in votes:
         print("\n".join(explained(entry)))
-    print("failed deliveries by pod:", dict(failures))
+    print("failed deliveries by pod:", dict(sorted(failures.items())))
     deferred, why, tally = after_restart(seed)
     print(f"Just after a restart with all pods cold: {len(deferred)} deferred, for", dict(why))
     for entry in deferred[-1:] + deferred[:1]:
--- /dev/null
+++ b/tests/test_laboratory.py
@@ -0,0 +1,160 @@
+"""The laboratory: the same seed gives the same day, queues are as Erlang's, each rule's breaker is found."""
+
+import json
+import subprocess
+import sys
+import unittest
+
+import numpy as np
+
+from thymeknot.laboratory import days, numbers
+from thymeknot.laboratory.fleet import Fleet, balancer, gamma, zipf_keys
+from thymeknot.laboratory.pods import Build, Pod
+from thymeknot.laboratory.policies import BREAKERS, TEXTBOOK
+from thymeknot.laboratory.rules import Checker
+from thymeknot.laboratory.trial import broken_by, queue
+
+SECOND = days.SECOND
+LANES = {one.lane.name: one.lane for one in days.LANES}
+SMALL = {"instances": 6, "pods": 8, "rate": 60.0, "seconds": 20}
+
+
+def checker(**more):
+    return Checker(LANES, 2500, 3 * SECOND, 3.0, **more)
+
+
+class SameSeed(unittest.TestCase):
+    def test_a_day_is_the_same_here_and_in_another_process(self):
+        here = Fleet(days.drawn(5, **SMALL), balancer).play().figures()
+        code = ("import json; from thymeknot.laboratory import days; from thymeknot.laboratory.fleet import *; "
+                f"print(json.dumps([repr(days.drawn(5, **{SMALL!r})), "
+                f"Fleet(days.drawn(5, **{SMALL!r}), balancer).play().figures()]))")
+        there = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+        drawn, figures = json.loads(there.stdout)
+        self.assertEqual((drawn, figures), (repr(days.drawn(5, **SMALL)), json.loads(json.dumps(here))))
+        self.assertNotEqual(repr(days.drawn(6, **SMALL)), drawn)
+
+    def test_two_policies_meet_the_same_arrivals(self):
+        asked = {name: Fleet(days.drawn(5, **SMALL)._replace(retries=0, faults=()), policy).play().scores["asked"]
+                 for name, policy in TEXTBOOK.items()}
+        self.assertEqual(len(set(asked.values())), 1)
+
+
+class World(unittest.TestCase):
+    def test_queues_are_as_erlangs_formulas_have_them(self):
+        for load in (0.3, 0.6, 0.85):
+            mean, late, wanted, wanted_late = queue(3, load, 120_000, 11)
+            self.assertLess(abs(mean / wanted - 1), 0.06, load)
+            self.assertLess(abs(late / wanted_late - 1), 0.06, load)
+
+    def test_draws_fit_what_they_are_drawn_from(self):
+        chance = np.random.Generator(np.random.PCG64(4))
+        gaps, keys = gamma(chance, 1.0, 1.0), zipf_keys(chance, 500, 0.9)
+        self.assertGreater(numbers.arrivals_p([gaps.next() for _ in range(20_000)]), 0.001)
+        self.assertGreater(numbers.zipf_p([keys.next() for _ in range(20_000)], 500, 0.9), 0.001)
+        self.assertLess(numbers.zipf_p([keys.next() for _ in range(20_000)], 500, 1.2), 1e-6)  # it can fail
+
+    def test_a_cold_pod_does_its_part_and_a_full_one_turns_away(self):
+        pod = Pod("p", "a", 1, 1.0, 1, Build(1), 1000, 1000, 0.25)
+        self.assertEqual([pod.warmth(at) for at in (1000, 1500, 2000, 9000)], [0.25, 0.625, 1.0, 1.0])
+
+        class Job:
+            work, lane = 100, "fetch"
+        self.assertEqual(pod.take(1000, Job), 400)
+        self.assertIsNone(pod.take(1000, Job))
+        self.assertIs(pod.take(1000, Job), False)
+        self.assertEqual(pod.finish(2000), (Job, 100))
+
+    def test_builds_fail_as_they_are_told(self):
+        late, loaded = Build(2, 0.5, after=500), Build(2, 0.5, load=0.5)
+        pod = Pod("p", "a", 2, 1.0, 9, late, 1000)
+        self.assertEqual([late.strikes(pod, at, "x") for at in (1400, 1500)], [False, True])
+        self.assertFalse(loaded.strikes(pod, 2000, "x"))
+        pod.busy = 1
+        self.assertTrue(loaded.strikes(pod, 2000, "x"))
+
+    def test_intervals_hold_the_true_difference(self):
+        chance, held = np.random.Generator(np.random.PCG64(8)), 0
+        for _ in range(300):
+            one = chance.normal(0.5, 0.1, 12)
+            found = numbers.paired(one + chance.normal(0.03, 0.02, 12), one)
+            held += found.low <= 0.03 <= found.high
+        self.assertTrue(270 <= held <= 298, held)
+
+
+class Rules(unittest.TestCase):
+    def test_each_breaker_is_found_and_no_textbook_policy_nor_the_module_is_blamed(self):
+        for rule, policy in BREAKERS.items():
+            self.assertIn(rule, broken_by(policy, 3), policy.__name__)
+        for policy in (balancer, *TEXTBOOK.values()):
+            self.assertEqual(broken_by(policy, 3), [], getattr(policy, "__name__", policy))
+
+    def test_one_answer_in_time(self):
+        one = checker()
+        one.taken(0, 0, "t", "fetch", 100)
+        one.answered(150, 0, "t", "done")
+        self.assertEqual(one.broken, [])
+        one.answered(150, 0, "t", "done")
+        one.taken(0, 0, "u", "fetch", 100)
+        one.answered(151, 0, "u", "done")
+        one.taken(0, 0, "v", "fetch", 100)
+        one.taken(0, 1, "w", "fetch", 100)
+        one.killed(50, 1)
+        one.ended(1000)
+        self.assertEqual([text for _, _, text in one.broken],
+                         ["t: a second answer", "u: answered 51 late", "v: no answer"])
+
+    def test_a_binding_one_goes_again_only_if_proved_unrun(self):
+        for ran, broken in ((False, []), (None, [2]), (True, [2])):
+            one = checker()
+            one.taken(0, 0, "t", "pay", 9000)
+            one.sent(0, 0, "t", "p", 1, "pay")
+            one.proved(0, "t", 0, ran)
+            one.sent(10, 0, "t", "q", 1, "pay")
+            self.assertEqual(one.rules_broken(), broken)
+
+    def test_a_drain_is_kept_to_the_moment(self):
+        one = checker()
+        one.listed(1000, 0, "p", "gone")
+        one.listed(2000, 0, "p", "gone")  # told again: the first time counts
+        one.sent(3500, 0, "t", "p", 1, "fetch")
+        self.assertEqual(one.broken, [])
+        one.sent(3501, 0, "t", "p", 1, "fetch")
+        self.assertEqual(one.rules_broken(), [3])
+
+    def test_one_delivery_too_many_to_the_trial(self):
+        one = checker()
+        one.cap(0, 0, 2, 0.5, 3, "trial")
+        for at in range(10):
+            one.taken(at, 0, f"t{at}", "fetch", 9000)
+        for at in range(8):  # 3 and half of 10
+            one.sent(20 + at, 0, f"t{at}", "p", 2, "fetch")
+        self.assertEqual(one.broken, [])
+        one.sent(30, 0, "t9", "p", 2, "fetch")
+        self.assertEqual(one.rules_broken(), [5])
+
+    def test_guarded_stages_and_keys_that_stay(self):
+        one = checker(guarded=2)
+        one.cap(0, 0, 2, 1.0, 1, "trial")
+        for at in range(9):
+            one.taken(at, 0, f"t{at}", "pay", 9000)
+        one.key_answered(0, "k", 2)
+        one.sent(20, 0, "t1", "p", 1, "fetch", "other")
+        self.assertEqual(one.broken, [])
+        one.sent(20, 0, "t2", "p", 1, "fetch", "k")
+        one.sent(20, 0, "t3", "p", 2, "pay")
+        self.assertEqual([text.split(":")[1][:20] for _, _, text in one.broken],
+                         [" its key was answere", " pay in guarded stag"])
+
+    def test_a_cold_pod_pushed_by_all_together(self):
+        one = checker(cold=4 * SECOND, cold_from=0.25, overload=SECOND)
+        for at in range(40):
+            one.sent(10_000 + at * 100, at % 7, f"t{at}", "p", 1, "fetch", work=100.0, started=9_000, capacity=1.0)
+        self.assertEqual(one.broken, [])
+        for at in range(80):
+            one.sent(15_000 + at * 10, at % 7, f"u{at}", "p", 1, "fetch", work=200.0, started=9_000, capacity=1.0)
+        self.assertEqual(one.rules_broken(), [4])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeknot/command/main.py
+++ b/thymeknot/command/main.py
@@ -177,3 +177,66 @@
     """Prints the record of a key there is."""
     from ..gossip import keys as ring
     context.exit(ring.main(["show", name, file]))
+
+
+@thymeknot.group()
+def lab():
+    """The laboratory: fleets and their failures in simulated time."""
+
+
+def _size(command):
+    for name, default, told in (("seconds", 40, "of the day"), ("rate", 400.0, "transactions a second"),
+                                ("pods", 24, "pods"), ("instances", 40, "sidecars")):
+        command = click.option(f"--{name}", default=default, show_default=True, help=told)(command)
+    command = click.option("--seed", default=1, show_default=True, help="the first day's")(command)
+    return command
+
+
+@lab.command("run")
+@_size
+@click.option("--policy", default="now", show_default=True, help="now, at:REVISION, random, turns, ...")
+def lab_run(seed, policy, **size):
+    """Plays one day and prints its figures."""
+    from ..laboratory import experiments
+    try:
+        click.echo(_json(experiments.played((policy, seed, size))))
+    except experiments.Unknown as error:
+        raise click.UsageError(str(error)) from None
+
+
+@lab.command("compare")
+@click.argument("one")
+@click.argument("two")
+@_size
+@click.option("--days", default=8, show_default=True)
+@click.option("--workers", default=os.cpu_count() or 1, show_default="all cores")
+@click.option("--keep", type=click.Path(), help="a file of results; one that stands there is gone on with")
+def lab_compare(one, two, seed, days, workers, keep, **size):
+    """Two policies on the same days: the difference with its interval, and the least that could be seen."""
+    from ..laboratory import experiments
+    with click.progressbar(length=2 * days, label="days", file=click.get_text_stream("stderr")) as bar:
+        try:
+            found, broken, _ = experiments.compared(one, two, range(seed, seed + days), size, workers, keep,
+                                                    lambda done, count: bar.update(done - bar.pos))
+        except experiments.Unknown as error:
+            raise click.UsageError(str(error)) from None
+    for name, gap in found.items():
+        click.echo(f"{name:10} {one} - {two}: {gap.mean:+.4f}  [{gap.low:+.4f}, {gap.high:+.4f}]  "
+                   f"least seen {gap.least:.4f}, {gap.pairs} days")
+    click.echo(f"rules broken: {broken or 'none'}")
+
+
+@lab.command("search")
+@_size
+@click.option("--days", default=24, show_default=True)
+@click.option("--against", default="random", show_default=True)
+def lab_search(seed, days, against, **size):
+    """The days on which the module does worst beside another policy, shrunk to what matters."""
+    from ..laboratory import experiments
+    for one in experiments.searched("now", range(seed, seed + days), size, os.cpu_count() or 1, against):
+        click.echo(_json(one))
+
+
+def _json(value):
+    import orjson
+    return orjson.dumps(value).decode()
--- /dev/null
+++ b/thymeknot/laboratory/experiments.py
@@ -0,0 +1,142 @@
+"""Experiments: days by seed, played with each policy on all cores, kept as they come; one that was ended half-way goes
+on where it was. Every result holds what it takes to play it again: seed, size, policy, version."""
+
+import multiprocessing
+import os
+import subprocess
+import types
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from hashlib import blake2b
+
+import orjson
+
+from . import days, numbers
+from .fleet import Fleet, balancer
+from .policies import TEXTBOOK
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+_versions = {}
+
+
+class Unknown(ValueError):
+    """No such policy, version or result."""
+
+
+def earlier(revision):
+    """The decisions as they were at a revision of this repository, side by side with today's."""
+    if revision in _versions:
+        return _versions[revision]
+
+    def text(path):
+        shown = subprocess.run(["git", "-C", ROOT, "show", f"{revision}:thymeknot/{path}.py"], capture_output=True)
+        if shown.returncode:
+            raise Unknown(f"{revision}: {shown.stderr.decode().strip()}")
+        return shown.stdout.decode()
+    package = f"thymeknot_{blake2b(revision.encode(), digest_size=4).hexdigest()}"
+    import sys
+    holder = types.ModuleType(package)
+    holder.__path__ = []
+    sys.modules[package] = holder
+    # Events and actions are today's: the emulator tells them apart by their type.
+    from .. import interface
+    sys.modules[f"{package}.interface"] = holder.interface = interface
+    for name in ("reasons", "records", "balance"):
+        try:
+            code = text(name)
+        except Unknown:
+            if name == "reasons":  # older than the reasons
+                continue
+            raise
+        module = types.ModuleType(f"{package}.{name}")
+        module.__package__ = package
+        sys.modules[module.__name__] = module
+        setattr(holder, name, module)
+        exec(compile(code, f"{revision}:{name}.py", "exec"), module.__dict__)
+    made = holder.balance.Balancer
+    _versions[revision] = lambda terms, seed, now: made(terms, seed, now)
+    return _versions[revision]
+
+
+def policy(name):
+    """`now` is today's module, `at:REVISION` an earlier one, else one of the textbook's."""
+    if name == "now":
+        return balancer
+    if name.startswith("at:"):
+        return earlier(name[3:])
+    if name not in TEXTBOOK:
+        raise Unknown(f"{name}: none of now, at:REVISION, {', '.join(TEXTBOOK)}")
+    return TEXTBOOK[name]
+
+
+def played(task):
+    """One day with one policy: its figures, with what it takes to play it again."""
+    name, seed, size = task
+    fleet = Fleet(days.drawn(seed, **size), policy(name)).play()
+    return {"policy": name, "seed": seed, "size": size, "troubles": [one.kind for one in fleet.day.faults],
+            "faulty": [list(one) for one in fleet.day.offers], **fleet.figures()}
+
+
+def key_of(task):
+    return orjson.dumps([task[0], task[1], sorted(task[2].items())]).decode()
+
+
+def run(tasks, workers, path=None, told=lambda done, count: None):
+    """The results of all tasks (policy, seed, size), in their order. path: where each is kept as it comes; those that
+    stand there already are not played again, and a line cut off by a kill is passed over."""
+    found = {}
+    if path and os.path.exists(path):
+        with open(path, "rb") as source:
+            for line in source:
+                try:
+                    one = orjson.loads(line)
+                    found[key_of((one["policy"], one["seed"], one["size"]))] = one
+                except (orjson.JSONDecodeError, KeyError):
+                    continue
+    missing = [task for task in tasks if key_of(task) not in found]
+    with ProcessPoolExecutor(workers, multiprocessing.get_context("spawn")) as pool:
+        waiting = {pool.submit(played, task): task for task in missing}
+        for future in as_completed(waiting):
+            one = found[key_of(waiting[future])] = future.result()
+            if path:
+                with open(path, "ab") as target:
+                    target.write(orjson.dumps(one) + b"\n")
+            told(len(tasks) - sum(key_of(task) not in found for task in tasks), len(tasks))
+    return [found[key_of(task)] for task in tasks]
+
+
+def compared(one, two, seeds, size, workers, path=None, told=lambda done, count: None):
+    """Two policies on the same days: {"service": Difference, "worst_10s": ..., "harm": ...} of one - two, the rules
+    that either broke, and the results."""
+    tasks = [(name, seed, size) for seed in seeds for name in (one, two)]
+    results = run(tasks, workers, path, told)
+    first, second = results[::2], results[1::2]
+    return {figure: numbers.paired([each[figure] for each in first], [each[figure] for each in second])
+            for figure in ("service", "worst_10s", "harm")}, sorted(
+        {rule for each in results for rule in each["rules_broken"]}), results
+
+
+def searched(name, seeds, size, workers, against="random", told=lambda done, count: None):
+    """The days on which a policy does worst beside another, one for each set of troubles, the worst first; each then
+    shrunk to what matters: troubles that can be left out without it getting better by a tenth of the gap are."""
+    results = compared(name, against, seeds, size, workers, None, told)[2]
+    worst = {}
+    for mine, theirs in zip(results[::2], results[1::2]):
+        gap, kind = mine["service"] - theirs["service"], tuple(sorted(mine["troubles"]))
+        if kind not in worst or gap < worst[kind][0]:
+            worst[kind] = gap, mine["seed"]
+    found = []
+    for kind, (gap, seed) in sorted(worst.items(), key=lambda one: one[1][0])[:3]:
+        found.append({"seed": seed, "gap": round(gap, 4), "troubles": kind,
+                      "needed": shrunk(name, against, seed, size, gap)})
+    return found
+
+
+def shrunk(name, against, seed, size, gap):
+    """The kinds of a day's troubles without which the gap would close by over a tenth."""
+    day, kept = days.drawn(seed, **size), list(days.drawn(seed, **size).faults)
+    for fault in list(kept):
+        fewer = day._replace(faults=tuple(one for one in kept if one is not fault))
+        rest = Fleet(fewer, policy(name)).play().service() - Fleet(fewer, policy(against)).play().service()
+        if rest <= gap + abs(gap) * 0.1:
+            kept.remove(fault)
+    return [one.kind for one in kept]
--- /dev/null
+++ b/thymeknot/laboratory/fleet.py
@@ -0,0 +1,460 @@
+"""Plays a day in simulated time with any policy: clients, network, pods, discovery, platform, instances.
+
+One heap of moments; all chance comes from the day's seed, in streams of its own for traffic, work and network, so that
+two policies meet the same arrivals. Figures from it are simulated.
+"""
+
+import heapq
+
+import numpy as np
+
+from .. import interface as i
+from ..records import Chance
+from .days import CAPS, SECOND, WAVES
+from .pods import DOWN, DRAINING, UP, Build, Pod
+from .rules import Checker
+
+GRACE = 2500                    # of drains
+PHASES = {i.ON_TRIAL: "trial", i.GOING_BACK: "back", i.RELEASED: "released", i.WITHDRAWN: "withdrawn"}
+CHUNK = 4096
+
+
+class Stream:
+    """Numbers of one distribution, drawn many at a time: a call for each would take most of the time."""
+
+    def __init__(self, draw):
+        self.draw, self.values, self.at = draw, draw(CHUNK).tolist(), 0
+
+    def next(self):
+        if self.at >= CHUNK:
+            self.values, self.at = self.draw(CHUNK).tolist(), 0
+        self.at += 1
+        return self.values[self.at - 1]
+
+
+def gamma(chance, mean, spread):
+    """Work of this mean and relative spread; a spread of 1 is exponential, 0 is always the mean."""
+    if spread <= 0:
+        return Stream(lambda count: np.full(count, mean))
+    shape = 1 / spread ** 2
+    return Stream(lambda count: chance.gamma(shape, mean / shape, count))
+
+
+def zipf_keys(chance, count, exponent):
+    """Ranks of keys by Zipf's law over a bounded number of them."""
+    weights = 1 / np.arange(1, count + 1) ** exponent
+    steps = np.cumsum(weights) / weights.sum()
+    return Stream(lambda size: np.searchsorted(steps, chance.random(size)))
+
+
+class Job:
+    """A delivery on its way or at a pod."""
+    __slots__ = ("instance", "turn", "name", "number", "lane", "key", "work", "sent_at", "pod", "over", "build")
+
+    def __init__(self, instance, turn, name, number, lane, key, work, sent_at, pod, build):
+        self.instance, self.turn, self.name, self.number, self.lane, self.key = instance, turn, name, number, lane, key
+        self.work, self.sent_at, self.pod, self.over, self.build = work, sent_at, pod, False, build
+
+
+class Transaction:
+    __slots__ = ("name", "instance", "lane", "key", "tenant", "at", "ends", "tries", "first", "work", "sent")
+
+    def __init__(self, name, instance, lane, key, tenant, at, ends, tries, first, work):
+        self.name, self.instance, self.lane, self.key, self.tenant = name, instance, lane, key, tenant
+        self.at, self.ends, self.tries, self.first, self.work, self.sent = at, ends, tries, first, work, []
+
+
+class Fleet:
+    """day: see days.py. policy(terms, seed, now): has handle(now, events) -> actions, as the Balancer has."""
+
+    def __init__(self, day, policy):
+        self.day, self.policy, self.now, self.count, self.heap = day, policy, 0, 0, []
+        streams = [np.random.Generator(np.random.PCG64(one)) for one in np.random.SeedSequence(day.seed).spawn(6)]
+        arrivals, works, network, keys, clients, self.misc = streams
+        self.gaps, self.uniform = Stream(lambda n: arrivals.exponential(1.0, n)), Stream(arrivals.random)
+        self.works = {one.lane.name: gamma(works, one.work, one.spread) for one in day.lanes}
+        self.delays, self.losses = gamma(network, *day.delay), Stream(network.random)
+        self.keys, self.clients = zipf_keys(keys, day.keys, day.zipf), Stream(clients.random)
+        self.strikes = Stream(works.random)
+        self.lanes = {one.lane.name: one for one in day.lanes}
+        self.builds = {1: Build(1)}
+        self.pods = {f"p{at}-1": Pod(f"p{at}-1", day.zones[at % 3], day.cores, speed, day.queue, self.builds[1], 0)
+                     for at, speed in enumerate(day.speeds)}
+        self.listed = {}
+        self.checker = Checker({one.lane.name: one.lane for one in day.lanes}, GRACE, 3 * SECOND, 3.0,
+                               guarded=day.terms.guarded_stages, cold=day.cold, cold_from=day.cold_from,
+                               overload=day.terms.overload_for)
+        self.news = [1, len(WAVES) - 1, i.RELEASED, 1.0]
+        self.votes, self.moved_at, self.trial = {}, 0, None
+        self.transactions, self.balancers, self.turns = {}, {}, [0] * day.instances
+        self.scores = {"asked": 0.0, "earned": 0.0, "harm": 0.0}
+        self.spans = [[0.0, 0.0] for _ in range(day.span // SECOND + 20)]
+        self.ends, self.latencies, self.by_pod, self.released = {}, {}, {}, []
+        self.slow_news = self.slow_list = 0
+        self.loss, self.burst = day.loss, 1.0
+
+    def at(self, moment, call, *arguments):
+        self.count += 1
+        heapq.heappush(self.heap, (moment, self.count, call, arguments))
+
+    def play(self):
+        """The whole day; gives itself."""
+        day = self.day
+        for instance in range(day.instances):
+            self._start(instance)
+        for fault in day.faults:
+            self.at(fault.begin, self._fault, fault, True)
+            self.at(fault.end, self._fault, fault, False)
+        for offer in day.offers:
+            self.at(offer.at, self._offer, offer)
+        self.at(0, self._arrive)
+        last = day.span + 2 * SECOND
+        while self.heap and self.heap[0][0] <= last:
+            self.now, _, call, arguments = heapq.heappop(self.heap)
+            call(*arguments)
+        self.now = last
+        self.checker.ended(last)
+        return self
+
+    # Instances.
+
+    def _start(self, instance):
+        self.turns[instance] += 1
+        policy = self.policy(self.day.terms, self.day.seed * 1000 + instance * 7 + self.turns[instance], self.now)
+        self.balancers[instance] = policy
+        listed = tuple(self._entry(pod) for pod in self.pods.values() if pod.state in (UP, DRAINING))
+        for pod in self.pods.values():
+            if pod.state == DRAINING:
+                self.checker.listed(self.now, instance, pod.name, "draining")
+        build, stage, phase, cap = self.news
+        self.checker.cap(self.now, instance, build, cap, stage, PHASES[phase])
+        self._tell(instance, i.PodList(i.REMEMBERED, listed))
+        self._tell(instance, i.News(build, stage, phase, False, i.DONE, cap, 0))
+
+    def _entry(self, pod, condition=None):
+        condition = condition or (i.READY if pod.state == UP else i.DRAINING)
+        return i.Pod(pod.name, pod.zone, 1.0, 0, condition, pod.started, "m", pod.build.number)
+
+    def _tell(self, instance, event):
+        policy = self.balancers.get(instance)
+        if policy is None:
+            return
+        turn = self.turns[instance]
+        for action in list(policy.handle(self.now, [event])):
+            kind = type(action)
+            if kind is i.SetTimer:
+                self.at(max(self.now, action.at), self._timer, instance, turn, action.token)
+            elif kind is i.Deliver:
+                self._deliver(instance, turn, action)
+            elif kind is i.Defer:
+                self._answered(instance, action.id, "deferred", action.wait)
+            elif kind is i.Abandon:
+                self._answered(instance, action.id, "abandoned", 0)
+            elif kind is i.Vote:
+                self.at(self.now + 500, self._vote, instance, turn, action)
+
+    def _timer(self, instance, turn, token):
+        if self.turns[instance] == turn:
+            self._tell(instance, i.TimerDue(token))
+
+    # Clients.
+
+    def _arrive(self):
+        day = self.day
+        if self.now >= day.span:
+            return
+        self.at(self.now + max(1, round(self.gaps.next() * SECOND / (day.rate * self.burst))), self._arrive)
+        lot, instance = self.uniform.next(), 0
+        while instance < day.instances - 1 and lot >= day.busy[instance]:
+            lot -= day.busy[instance]
+            instance += 1
+        lot, lane = self.uniform.next(), day.lanes[-1]
+        for one in day.lanes:
+            lot -= one.share
+            if lot < 0:
+                lane = one
+                break
+        key = f"k{self.keys.next()}" if lane.lane.effect != i.BINDING else f"b{self.count}"
+        self.scores["asked"] += lane.lane.earnings
+        self.spans[self.now // SECOND][0] += lane.lane.earnings
+        self._ask(instance, lane.lane.name, key, int(self.clients.next() * day.tenants), self.now, 0,
+                  self.works[lane.lane.name].next())
+
+    def _ask(self, instance, lane, key, tenant, first, tries, work):
+        if self.balancers.get(instance) is None:
+            return
+        limit = self.lanes[lane].lane.outer_limit
+        left = limit - (self.now - first)
+        if left <= 0:
+            return
+        self.count += 1
+        name = f"t{self.count}"
+        self.transactions[instance, name] = Transaction(name, instance, lane, key, tenant, self.now, self.now + left,
+                                                        tries, first, work)
+        self.checker.taken(self.now, instance, name, lane, self.now + left)
+        self._tell(instance, i.Taken(name, lane, f"t{tenant}", key, left, None, tries > 0, False))
+
+    def _answered(self, instance, name, how, wait):
+        self.checker.answered(self.now, instance, name, how)
+        held = self.transactions.get((instance, name))
+        if held is None:
+            return
+        self.ends[how] = self.ends.get(how, 0) + 1
+        lane = self.lanes[held.lane].lane
+        if how == "done":
+            took = self.now - held.first
+            earned = lane.earnings if took <= lane.latency_goal else lane.earnings * lane.late_earnings
+            self.scores["earned"] += earned
+            self.spans[held.first // SECOND][1] += earned
+            self.latencies.setdefault(held.lane, []).append(took)
+        elif how == "deferred" and held.tries < self.day.retries:
+            pause = wait if self.clients.next() < self.day.heeds else 50
+            self.at(self.now + max(1, pause), self._ask, instance, held.lane, held.key, held.tenant, held.first,
+                    held.tries + 1, held.work)
+        if all(job.over for job in held.sent):
+            del self.transactions[instance, name]
+
+    # Deliveries.
+
+    def _deliver(self, instance, turn, action):
+        held, pod = self.transactions.get((instance, action.id)), self.pods.get(action.pod)
+        build = pod.build.number if pod else 0
+        number = len(held.sent) if held else 0
+        job = Job(instance, turn, action.id, number, held.lane if held else "", held.key if held else "",
+                  held.work if held else 1.0, self.now, action.pod, build)
+        if held is None or pod is None:
+            self.at(self.now, self._end, job, i.UNSENT, False)
+            return
+        held.sent.append(job)
+        self.by_pod[action.pod] = self.by_pod.get(action.pod, 0) + 1
+        self.checker.sent(self.now, instance, action.id, action.pod, build, held.lane, held.key, held.work, pod.started,
+                          pod.cores * pod.speed)
+        ends = min(self.now + action.time_out, held.ends)
+        if self.losses.next() < self.loss or pod.state == DOWN:
+            self.at(min(ends, self.now + 2500), self._end, job, i.UNCONNECTED, False)
+            return
+        self.at(ends, self._end, job, i.EXPIRED, None)
+        self.at(self.now + max(1, round(self.delays.next())), self._reach, job)
+
+    def _reach(self, job):
+        pod = self.pods.get(job.pod)
+        took = pod.take(self.now, job) if pod else False
+        if took is False:
+            self.at(self.now + max(1, round(self.delays.next())), self._end, job, i.FULL, False)
+        elif took is not None:
+            self.at(self.now + took, self._served, pod, job)
+
+    def _served(self, pod, job):
+        following = pod.finish(self.now)
+        if following:
+            self.at(self.now + following[1], self._served, pod, following[0])
+        if pod.state == DOWN:
+            return
+        self.checker.ran(self.now, job.name, job.lane)
+        build = pod.build
+        fails = self.strikes.next() < (build.fails if build.strikes(pod, self.now, job.lane) else 0.001)
+        fails = fails or (pod.name in self.listed and self.strikes.next() < self.listed[pod.name])
+        if fails and self.lanes[job.lane].lane.effect != i.RETRIABLE and build.fails:
+            self.scores["harm"] += self.lanes[job.lane].lane.earnings
+        self.at(self.now + max(1, round(self.delays.next())), self._end, job, i.ERROR if fails else i.DONE,
+                None if fails else True)
+
+    def _end(self, job, outcome, ran):
+        if job.over:
+            return
+        job.over = True
+        instance = job.instance
+        if self.turns[instance] != job.turn or self.balancers.get(instance) is None:
+            return
+        held = self.transactions.get((instance, job.name))
+        over = (instance, job.name) in self.checker.over
+        if held is not None and job in held.sent:
+            self.checker.proved(instance, job.name, job.number, ran)
+        if outcome == i.DONE:
+            self.checker.key_answered(instance, job.key, job.build)
+            if not over:
+                self._answered(instance, job.name, "done", 0)
+        self._tell(instance, i.Ended(job.name, outcome, over or outcome == i.DONE, self.now - job.sent_at, job.pod,
+                                     job.number, None))
+        if held is not None and (instance, job.name) in self.checker.over and all(one.over for one in held.sent):
+            self.transactions.pop((instance, job.name), None)
+
+    # Discovery and the platform.
+
+    def _list(self, *entries):
+        """Changes reach each instance a while later."""
+        for instance in range(self.day.instances):
+            lag = self.day.list_lag * (0.5 + self.misc.random()) + self.slow_list
+            self.at(self.now + int(lag), self._told_list, instance, entries)
+
+    def _told_list(self, instance, entries):
+        if self.balancers.get(instance) is None:
+            return
+        for entry in entries:
+            self.checker.listed(self.now, instance, entry.address, "ready" if entry.condition == i.READY else "gone")
+        self._tell(instance, i.PodList(i.CHANGES, entries))
+
+    def _announce(self):
+        news = tuple(self.news)
+        for instance in range(self.day.instances):
+            lag = self.day.news_lag * (0.5 + self.misc.random()) + self.slow_news
+            self.at(self.now + int(lag), self._told_news, instance, news)
+
+    def _told_news(self, instance, news, answers=False, outcome=i.DONE):
+        if self.balancers.get(instance) is None:
+            return
+        build, stage, phase, cap = news
+        if outcome == i.DONE:
+            self.checker.cap(self.now, instance, build, cap, stage, PHASES[phase])
+        self._tell(instance, i.News(build, stage, phase, answers, outcome, cap, 0))
+
+    def _offer(self, offer):
+        if self.news[2] == i.ON_TRIAL:  # it takes off what is still on trial
+            self._back()
+        self.builds[offer.build] = Build(offer.build, offer.fails, offer.slow, offer.after, None, offer.load)
+        self.news = [offer.build, 0, i.ON_TRIAL, CAPS[0]]
+        self.votes, self.trial = {}, offer
+        self._stage()
+
+    def _stage(self):
+        build, stage = self.news[0], self.news[1]
+        self._announce()
+        wanted = max(1, round(WAVES[stage] * self.day.pods))
+        running = sum(pod.build.number == build for pod in self.pods.values())
+        for at in range(running, wanted):
+            self.at(self.now + int(self.day.boot * (0.7 + 0.6 * self.misc.random())), self._boot, build, at)
+        self.moved_at = self.now + self.day.boot * 2
+        self.at(self.moved_at + self.day.stage_least, self._count_votes, build, stage)
+
+    def _boot(self, build, at):
+        if self.news[0] != build or self.news[2] not in (i.ON_TRIAL, i.RELEASED):
+            return
+        name = f"p{at}-{build}"
+        pod = Pod(name, self.day.zones[at % 3], self.day.cores, self.day.speeds[at], self.day.queue,
+                  self.builds[build], self.now, self.day.cold, self.day.cold_from)
+        self.pods[name] = pod
+        self._list(self._entry(pod))
+
+    def _vote(self, instance, turn, vote):
+        if self.turns[instance] != turn:
+            return
+        build, stage, phase, _ = self.news
+        fits = vote.build == build and (vote.stage == stage or vote.verdict == i.BACK) and phase in (
+            i.ON_TRIAL, i.RELEASED)
+        if fits:
+            self.votes[instance] = vote.verdict, self.now
+            self._count_votes(build, stage)
+        self.at(self.now + 500, self._told_vote, instance, turn, fits)
+
+    def _told_vote(self, instance, turn, fits):
+        if self.turns[instance] == turn:
+            self._told_news(instance, tuple(self.news), True, i.DONE if fits else i.ERROR)
+
+    def _count_votes(self, build, stage):
+        if (build, stage) != tuple(self.news[:2]) or self.news[2] not in (i.ON_TRIAL, i.RELEASED):
+            return
+        live = [verdict for verdict, at in self.votes.values() if self.now - at <= self.day.terms.vote_life]
+        if live.count(i.BACK) >= self.day.terms.votes_to_revert:
+            self._back()
+        elif (self.news[2] == i.ON_TRIAL and live.count(i.ON) >= max(1, self.day.instances // 2)
+              and self.now >= self.moved_at + self.day.stage_least):
+            self.votes = {}
+            if stage + 1 < len(WAVES):
+                self.news[1:] = [stage + 1, i.ON_TRIAL, CAPS[stage + 1]]
+                self._stage()
+            else:
+                self.news[2:] = [i.RELEASED, 1.0]
+                self.released.append(build)
+                self._announce()
+                self._drain(lambda pod: pod.build.number < build)
+
+    def _back(self):
+        build = self.news[0]
+        self.news[2:] = [i.GOING_BACK, 0.0]
+        self._announce()
+        earlier = [pod for pod in self.pods.values() if pod.build.number < build and pod.state == UP]
+        if len(earlier) < self.day.pods:  # the earlier machines have left: others of the earlier build start first
+            last = max((number for number in self.builds if number < build), default=1)
+            for at in range(len(earlier), self.day.pods):
+                pod = Pod(f"p{at}-{build}r", self.day.zones[at % 3], self.day.cores, self.day.speeds[at],
+                          self.day.queue, self.builds[last], self.now, self.day.cold, self.day.cold_from)
+                self.pods[pod.name] = pod
+                self._list(self._entry(pod))
+        self._drain(lambda pod: pod.build.number == build)
+        self.at(self.now + 2 * SECOND, self._withdrawn, build)
+
+    def _withdrawn(self, build):
+        if self.news[0] == build and self.news[2] == i.GOING_BACK:
+            self.news[2:] = [i.WITHDRAWN, 0.0]
+            self._announce()
+
+    def _drain(self, which):
+        leaving = [pod for pod in self.pods.values() if pod.state == UP and which(pod)]
+        for pod in leaving:
+            pod.state = DRAINING
+            self.at(self.now + 4 * SECOND, self._gone, pod)
+        if leaving:
+            self._list(*(self._entry(pod) for pod in leaving))
+
+    def _gone(self, pod):
+        pod.state = DOWN
+        self.pods.pop(pod.name, None)
+        self._list(self._entry(pod, i.GONE))
+
+    # Faults.
+
+    def _fault(self, fault, begins):
+        if fault.kind == "pods":
+            for pod in self.pods.values():
+                if int(pod.name[1:].split("-")[0]) in fault.what:
+                    pod.speed *= 1 / fault.size if begins else fault.size
+        elif fault.kind == "ill":
+            for at in fault.what:
+                if begins:
+                    self.listed[f"p{at}-1"] = fault.size
+                else:
+                    self.listed.pop(f"p{at}-1", None)
+        elif fault.kind == "network":
+            self.loss = fault.size if begins else self.day.loss
+        elif fault.kind == "discovery":
+            self.slow_list = int(fault.size) if begins else 0
+        elif fault.kind == "platform":
+            self.slow_news = int(fault.size) if begins else 0
+        elif fault.kind == "burst":
+            self.burst = fault.size if begins else 1.0
+        elif fault.kind == "kill" and begins:
+            for instance in fault.what:
+                self.balancers[instance] = None
+                self.turns[instance] += 1
+                self.checker.killed(self.now, instance)
+                for key in [key for key in self.transactions if key[0] == instance]:
+                    del self.transactions[key]
+                self.at(self.now + int(fault.size * (0.5 + self.misc.random())), self._start, instance)
+
+    # What came of it.
+
+    def service(self):
+        """Earnings answered within the goal over earnings asked for."""
+        return self.scores["earned"] / max(1e-9, self.scores["asked"])
+
+    def worst(self, seconds=10):
+        """The same in the worst stretch."""
+        best = 1.0
+        whole = self.day.span // SECOND
+        for begin in range(max(1, whole - seconds)):
+            asked = sum(one[0] for one in self.spans[begin:begin + seconds])
+            earned = sum(one[1] for one in self.spans[begin:begin + seconds])
+            best = min(best, earned / asked if asked else 1.0)
+        return best
+
+    def figures(self):
+        return {"service": round(self.service(), 4), "worst_10s": round(self.worst(), 4),
+                "harm": round(self.scores["harm"] / max(1e-9, self.scores["asked"]), 4), "ends": self.ends,
+                "released": self.released, "good": [one.build for one in self.day.offers if one.good],
+                "rules_broken": self.checker.rules_broken(), "breaches": len(self.checker.broken)}
+
+
+def balancer(terms, seed, now):
+    """The project's own decisions."""
+    from ..balance import Balancer
+    return Balancer(terms, Chance(seed).state, now)
