--- a/thymeknot/why/listener.py
+++ b/thymeknot/why/listener.py
@@ -19,7 +19,7 @@
 from .record import Record
 
 STEPS = 4                       # entries looked at in a round of the loop
-REST = 12                       # times as long as they took, before the next ones: askers get a small part of the core
+REST = 30                       # times as long as they took, before the next ones: askers get a small part of the core
 CONNECTIONS = 8
 IDLE = 100_000                  # an asker that neither asks nor reads is ended
 UPKEEP = 5_000
--- a/thymeknot/why/record.py
+++ b/thymeknot/why/record.py
@@ -141,7 +141,7 @@
         if len(held.notes) >= NOTES_MOST:
             held.cut += 1
             del held.notes[NOTES_MOST // 2]
-        held.notes.append([reason, self.clock() - held.at, *operands])
+        held.notes.append((reason, self.clock() - held.at, *operands))  # tuples of numbers cost the collector nothing
 
     def ended(self, name, reason):
         """The final answer as the sidecar gave it."""
@@ -149,7 +149,7 @@
         if held is not None and not held.end:
             held.end = reason
             self.reasons[reason] += 1
-            held.notes.append([reason, self.clock() - held.at])
+            held.notes.append((reason, self.clock() - held.at))
 
     def over(self, name):
         """Nothing of it is out any more."""
