--- a/thymeknot/why/record.py
+++ b/thymeknot/why/record.py
@@ -86,8 +86,8 @@
         self.reasons, self.ends = [0] * (max(R) + 1), {}
         self.share_at, self.share = clock(), 1.0    # of what goes as usual, kept
         self.times, self.keys, self.tenants = {}, Heavy(HITTERS), Heavy(HITTERS)
-        self.usual, self.watchers = Ring(10 * SECOND, 10), []
-        self.recovered, self.torn = self._recover()
+        self.usual, self.watchers = 0, []           # usual: since the share was worked out
+        self.recovered, self.torn = self._recover() if arena.path else (0, 0)
 
     def _recover(self):
         """Takes up what an earlier run has left in the arena: each entry keeps its slot, if its region is still that
@@ -160,8 +160,8 @@
 
     def flush(self, now, wait=CLOSES_AFTER):
         if now - self.share_at >= SECOND and "ordinary" in self.regions:
-            rate = self.usual.total(now) / 10
-            self.share_at = now
+            rate = self.usual * SECOND / (now - self.share_at)
+            self.share_at, self.usual = now, 0
             self.share = min(1.0, self.regions["ordinary"].slots / max(1e-9, rate * self.terms.span / SECOND))
         while self.closing and now - self.closing[0][1] >= wait:
             name, _, held = self.closing.popleft()
@@ -183,7 +183,7 @@
         if (held.end == DONE and held.sent <= 1 and lane is not None and took <= lane.latency_goal
                 and (held.lane, False) not in self.regions):
             # As most of it is: one in so many that the region's slots last for the span that is set.
-            self.usual.add(now)
+            self.usual += 1
             if self.chance.draw() >= self.share:
                 self.lost += 1
                 return
