--- a/thymeknot/laboratory/days.py
+++ b/thymeknot/laboratory/days.py
@@ -92,6 +92,11 @@
     span, cold, cold_from, cores = seconds * SECOND, int(chance.uniform(3, 6) * SECOND), 0.31, 2
     work = sum(one.share * one.work for one in lanes) / SECOND
     speed = rate * work / (load * pods * cores)
+    # Few transactions a pod at a given load mean long ones: what clients bear grows with them.
+    stretch = max(1.0, 1 / speed)
+    lanes = tuple(one._replace(lane=one.lane._replace(latency_goal=int(one.lane.latency_goal * stretch),
+                                                      outer_limit=int(one.lane.outer_limit * stretch)))
+                  for one in lanes)
     speeds = tuple(float(speed * one) for one in chance.uniform(0.8, 1.2, pods))
     shares = chance.lognormal(0, 0.8, instances)
     told = []
