Admission by evidence: few outcomes no longer bind, and votes fill the calls in order

Seen with a counting listener in the laboratory (60 instances, 36 pods, calm, load 0.5): of 1,931 deferrals without a delivery 1,643 OVER_LIMIT at two open (limit 2.4 to 3.7, the transaction itself counted), the rest BY_LOT by a mean of some four outcomes. Lines at fault: Balancer._limit_for (answers of two seconds times half the goal is the mean of open work, and chance alone exceeds the mean) and the lot in _place. Ruled out by one play each: cold pods (8 of 5,115 deferrals), want of descriptors (none logged).

Change: thymeknot/admission.py, a policy file. The limit leaves three standard deviations to chance while answers come in time; the lot and the bare limit act only when answers of the last two seconds, with four outcomes' worth of what is usual added, are above it; silence and full queues count once they outnumber answers; a trial's own slowness does not count. Votes for on: the first fit into what the platform takes at once (two seconds' calls), the others follow one by one; 'on' is not withdrawn after the release, which cost calls when votes back need them.

--- a/measure/why_cases.py
+++ b/measure/why_cases.py
@@ -147,6 +147,12 @@
     case.expect(name, R.DEFERRED, R.OVER_LIMIT)
 
 
+def pressed_by(balancer):
+    """Answers of now that took a hundred times their goal."""
+    balancer.admission.heard.add(balancer.now)
+    balancer.admission.times.add(balancer.now, 100.0)
+
+
 def by_lot(case, name):
     actions = case.take(name)
     if any(isinstance(action, i.Deliver) for action in actions):  # one in ten is let in all the same
@@ -154,7 +160,7 @@
         case.expect(name, R.DONE, R.SENT, R.ENDED, R.POSITION)
     else:
         case.expect(name, R.DEFERRED, R.BY_LOT)
-    case.balancer.pressure = 100.0
+    pressed_by(case.balancer)
 
 
 def no_news(case, name):
@@ -250,7 +256,7 @@
 
 def pressed(**more):
     case = Case(*OLD, **more)
-    case.balancer.pressure = 100.0
+    pressed_by(case.balancer)
     return case
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -51,6 +51,12 @@
     return made
 
 
+def pressed(made, times, count=40):
+    """Its answers of now took so many times their goal."""
+    made.admission.heard.add(made.now, count)
+    made.admission.times.add(made.now, count * times)
+
+
 def taken(name="t1", lane="read", key=None, left=3 * SECOND):
     return i.Taken(name, lane, None, key, left, None, False, False)
 
--- /dev/null
+++ b/thymeknot/admission.py
@@ -0,0 +1,75 @@
+"""Whether a transaction is taken in hand or turned away at once: a part of the decisions, see balance.py.
+Each bound binds only as far as it is sure. Source: docs/design/admission.md."""
+
+from . import interface as i
+from .records import Ring
+
+SECOND = 10_000
+GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
+LEAST_TAKEN, LANE_PART, CALM, PRESSED = 0.1, (0.8, 1.25), "calm", "pressed"  # part of the limit by earnings
+FEW, QUIET = 5, 120             # sidecars that share the pods; transactions in 8 s that are too few to count
+USUAL, FIRM, ROOM = 0.2, 4, 0.15  # of the goal, if unknown; outcomes it weighs; of the rest: still in time
+USUAL_UP, USUAL_DOWN = 0.005, 0.02  # a step: slowness is followed least, or an overload becomes the usual
+# (state, many sidecars) -> standard deviations of open work left to chance, whether a quiet one draws lots.
+# A quiet instance often has two open where one is the mean: the bare mean turned away a fifth of a calm day.
+ADMITS = {(CALM, True): (3.0, False), (CALM, False): (0.0, False),
+          (PRESSED, True): (0.0, True), (PRESSED, False): (0.0, True)}
+
+
+class Admission:
+    """One for each instance. Asked with every transaction, told of every outcome that says how pods are."""
+
+    def __init__(self, balancers):
+        self.many, self.least = balancers > FEW, max(3.0, LIMIT_LEAST * min(1.0, FEW / balancers))
+        self.answers, self.heard, self.times, self.unheard = (Ring(2 * SECOND, 8) for _ in range(4))
+        self.usual, self.means, self.lanes = USUAL, {}, {}
+
+    def ended(self, now, lane, end, share):
+        """An outcome at a pod with this share of its capacity. A full queue, or no answer by the goal, says
+        something of this pod alone: pods drain, fall silent, pause."""
+        times = min(2.0, end.latency * share / lane.latency_goal)
+        if end.outcome == i.FULL or (end.outcome == i.EXPIRED and end.latency >= 0.99 * lane.latency_goal):
+            self.unheard.add(now)
+        elif end.outcome == i.DONE:
+            self.heard.add(now)
+            self.times.add(now, times)
+            self.usual += (USUAL_UP if times > self.usual else USUAL_DOWN) * (times - self.usual)
+
+    def answered(self, now, lane, latency):
+        """Any answer: the room that it makes, and the lane's mean."""
+        self.answers.add(now, GOAL_PART * lane.latency_goal)
+        mean = self.means.get(lane.name, latency)
+        self.means[lane.name], self.lanes[lane.name] = max(1.0, mean + 0.03 * (latency - mean)), lane
+
+    def limit(self, now, lane, since):
+        """Open work may be what answers come for within part of the goal (Little's law), so no queue lasts.
+        Lanes that earn least go first. No answers yet are no sign of overload. since: its first traffic."""
+        come = self.answers.total(now) / min(2 * SECOND, since) if since > SECOND else 1000.0
+        return max(self.least, come) * self.part(lane)
+
+    def part(self, lane):
+        worth = {name: self.lanes[name].earnings / mean for name, mean in self.means.items()}
+        low, high = min(worth.values(), default=0), max(worth.values(), default=0)
+        rank = (worth[lane.name] - low) / (high - low) if lane.name in worth and high > low else 0.5
+        return LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * rank
+
+    def pressure(self, now, open_):
+        """The time that pods take over what is still in time: above 1 they queue. What is unknown counts as
+        usual, so few outcomes do not bind, and what binds lapses. Silence counts if it outnumbers answers."""
+        heard = self.heard.total(now)
+        seen, times = heard + FIRM, self.times.total(now) + FIRM * self.usual
+        late = self.unheard.total(now) + sum(now - tx.sent[-1].at > GOAL_PART * tx.lane.latency_goal
+                                             for tx in open_ if tx.sent and tx.sent[-1].out)
+        if late > heard:
+            seen, times = seen + late, times + late
+        return times / seen / (self.usual + ROOM * (1 - self.usual))
+
+    def refused(self, now, lane, open_, since, recent, draw):
+        """None if it is taken, else (whether by the lot, what was looked at, what it was held to)."""
+        pressure, limit = self.pressure(now, open_), self.limit(now, lane, since)
+        chance, by_lot = ADMITS[PRESSED if pressure > 1 else CALM, self.many]
+        limit += chance * limit ** 0.5
+        if len(open_) > limit:
+            return False, len(open_), limit
+        odds = max(LEAST_TAKEN, self.part(lane) / pressure) if by_lot and recent < QUIET else 1.0
+        return (True, pressure, odds) if odds < 1 and draw() > odds else None
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -6,19 +6,19 @@
 from math import log
 
 from . import interface as i
+from .admission import FEW, SECOND, Admission
 from .reasons import Reason as R
 from .records import Chance, Delivery, Ring, Transaction, merged
 
-SECOND = 10_000
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE, LISTED = 2 * SECOND, 0.8, 0.75  # of a stage's pods: listed, for a vote for on
 P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0, "all": 3.0}, {"failed": 0.01, "slow": 0.1}
 FALSE_BACK, FALSE_ON, SLOW_STRICTER = 0.05, 0.2, 10
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
-ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR = 20, 3 * SECOND, 5 * SECOND // 2
+ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR, AT_ONCE = 20, 3 * SECOND, 5 * SECOND // 2, 2 * SECOND
 HOLD_PART, ONE_SECOND, ONE_PERIOD = 0.5, 0.5, 0.6  # of the back bound: holds; what slowness, tallies add
 ONE_POD, FEW_PODS = {"failed": 0.55, "slow": 0.45}, (3, 5)  # one pod adds so much; few to the quiet, the loud
-COLD_FAILS, FREED_FAILS, TIMES, TIMES_MOST = 0.3, 0.1, 1.5, 3.0  # in tallies: may fail cold, freed; slow
+COLD_FAILS, FREED_FAILS, TIMES, TIMES_MOST = 0.3, 0.15, 1.5, 3.0  # in tallies: may fail cold, freed; slow
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}  # slowness of all may pass; True: machines replaced
 BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
@@ -30,9 +30,7 @@
 DRAWN, LOOK, CROWD = 6, 24, 0.75  # pods in use at least; looked at; sidecars a pod that make a crowd
 COLD_PART, COLD_LEAST = 0.5, 4  # of what would push a cold pod over, what all instances use; and deliveries
 RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
-GOAL_PART, LIMIT_LEAST = 0.5, 16  # of the latency goal: the mean time that the limit on open work aims at
-LEAST_TAKEN, LANE_PART = 0.1, (0.8, 1.25)  # of the transactions; of the limit, by what the lane earns
-SECOND_COPIES, RETRIES, FEW = 0.05, 0.15, 5  # of the transactions; up to so few sidecars save up in full
+SECOND_COPIES, RETRIES = 0.05, 0.15  # of the transactions
 COPY_AFTER = (3.0, 0.4)         # times the lane's mean, times its goal: the later of both
 
 NEW, OUT, OVER = "new", "out", "over"
@@ -75,10 +73,11 @@
         self.room, self.warm, self.warm_at = {True: 0.0, False: 0.0}, 0.0, 0
         self.open, self.due, self.tokens, self.keys, self.keys_at = {}, {}, 0, {}, now
         self.most = [min(most, 1 + most * FEW / terms.balancers) for most in (20.0, 5.0)]  # it adds up
-        self.retries, self.copies, self.answers = self.most[0] / 4, self.most[1] / 4, Ring(2 * SECOND, 8)
+        self.retries, self.copies = self.most[0] / 4, self.most[1] / 4
+        self.admission = Admission(terms.balancers)
         self.arrivals, self.shed, self.served = (Ring(span * SECOND, 2 * span) for span in (8, 8, 4))
-        self.pressure, self.pressed_at, self.lost, self.warm_rate = 0.0, now, 0.0, 0.0
-        self.means, self.marks, self.taken, self.p0, self.pins = {}, {}, {}, dict(P0_FLOOR), set()
+        self.lost, self.warm_rate, self.means = 0.0, 0.0, self.admission.means
+        self.marks, self.taken, self.p0, self.pins = {}, {}, dict(P0_FLOOR), set()
         self.earlier = {what: Ring(8 * SECOND, 16) for what in EARLIER}
         # All share the allowed error; where many must err together, each may err more (Poisson tail's bound).
         needed = terms.votes_to_revert
@@ -87,6 +86,7 @@
         self.back_at = {"failed": log(odds), "slow": log(odds * SLOW_STRICTER)}
         # Each keeps to its part of the calls that the platform takes from all.
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
+        self.in_turns = max(0, self.turn_of_all - AT_ONCE)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         self.vote, self.vote_at, self.asked, self.ask_at, self.rows, self.rows_at = None, 0, None, now, [], 0
         self.news, self.build, self.by_votes = None, USUAL, terms.decided_by != i.BY_CLOCK
@@ -180,7 +180,9 @@
 
     def _go_on(self):  # failures are kept, or the quiet never have enough; each stage's cold pods are slow
         self.ramped, self.clear_since = self.now, self.now
-        self.offset = (self.chance.draw() - 0.5) * self.turn_of_all
+        # Each has its place: the first fit into what the platform takes at once, the others come one by one.
+        turn = max(0.0, self.chance.draw() * self.turn_of_all - AT_ONCE)
+        self.offset = turn - min(self.in_turns, AFTER_START) / 2
         self.sums = self.left = {"failed": max(0.0, self.sums.get("failed", 0.0)), "slow": 0.0}
         self.by_pod = {key: had for key, had in self.by_pod.items() if key[0] == "failed"}
         self.seen, self.doubt, self.swarm, self.bad_keys, self.saying_back = 0, 0.0, (0, 0.0), set(), False
@@ -384,7 +386,8 @@
         wanted, age = (self.news.build, self.news.stage, self._verdict()), self.now - self.vote_at
         vote, stands = self.vote, self.vote is not None and age < self.terms.vote_life
         if wanted[2] == i.NO_VOTE:
-            if not stands or vote[0] != wanted[0] or (vote[2] == i.ON and vote[1] != wanted[1]):
+            moved = vote and (vote[1] != wanted[1] or self.news.phase != i.ON_TRIAL)
+            if not stands or vote[0] != wanted[0] or (vote[2] == i.ON and moved):  # it binds nothing then
                 return
         elif stands and vote == wanted and age < self.renew:
             return
@@ -397,7 +400,7 @@
         self.actions.append(i.Vote(*wanted))
 
     def _vote_answered(self, news):  # what was turned away, or unanswered, is asked again, not in step
-        pause = SECOND // 5 + int(self.chance.draw() * self.turn_of_all)
+        pause = SECOND // 5 + int(self.chance.draw() * max(SECOND, self.in_turns))
         self.ask_at = self.now + (UPKEEP if news.outcome == i.DONE else max(pause, SECOND))
         if news.outcome == i.DONE and self.asked:
             self.vote, self.vote_at = (None if self.asked[2] == i.NO_VOTE else self.asked), self.now
@@ -420,40 +423,21 @@
         self._step(tx, "taken")
 
     def _place(self, tx):
-        # A quiet instance has too little open to count: it goes by how long its answers take, and by chance.
-        quiet = self.arrivals.total(self.now) < 8 * LOUD and self.pressure > GOAL_PART
-        chance = (GOAL_PART * self._lane_part(tx.lane) / self.pressure) ** 2 if quiet else 1.0
-        taken = len(self.open) <= self._limit_for(tx.lane) and self.chance.draw() <= max(LEAST_TAKEN, chance)
-        if not taken:
-            if len(self.open) > self._limit_for(tx.lane):
-                self._why(R.OVER_LIMIT, len(self.open), self._limit_for(tx.lane))
-            else:
-                self._why(R.BY_LOT, self.pressure, chance)
+        refused = self.admission.refused(self.now, tx.lane, self.open.values(), self.now - self.born,
+                                         self.arrivals.total(self.now), self.chance.draw)
+        if refused:
+            self._why(R.BY_LOT if refused[0] else R.OVER_LIMIT, *refused[1:])
             self.shed.add(self.now)
             self._judge_all(None, i.EXPIRED, 0)  # limits would hide slowness of all
-        if not taken or not self._send(tx):
+        if refused or not self._send(tx):
             self._step(tx, "given up")
 
-    def _limit_for(self, lane):
-        """Open work may be what answers come for within part of the goal (Little's law), so no queue lasts.
-        Lanes that earn least go first. No answers yet are no sign of overload."""
-        since = min(2 * SECOND, self.now - self.born)
-        least = max(3.0, LIMIT_LEAST * min(1.0, FEW / self.terms.balancers))  # it adds up, too
-        limit = max(least, self.answers.total(self.now) / since) if since > SECOND else 1000.0
-        return limit * self._lane_part(lane)
-
-    def _lane_part(self, lane):
-        worth = {name: self.terms.lanes[name].earnings / mean for name, mean in self.means.items()}
-        low, high = min(worth.values(), default=0), max(worth.values(), default=0)
-        rank = (worth[lane.name] - low) / (high - low) if lane.name in worth and high > low else 0.5
-        return LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * rank
-
     def _send(self, tx):
         news = self.news
         if news is None or len(tx.sent) >= self.terms.max_deliveries or self.now >= tx.ends:
             most = (R.MOST_DELIVERIES, len(tx.sent), self.terms.max_deliveries)
             late = (R.TIME_OVER, tx.ends - self.now, 0)
-            return self._why(*((R.NO_NEWS,) if news is None else late if self.now >= tx.ends else most)) or False
+            return self._why(*(late if self.now >= tx.ends else most if news else (R.NO_NEWS,))) or False
         stays = (news.phase in (i.ON_TRIAL, i.RELEASED)
                  and (tx.key in self.pins or len(self.pins) >= KEYS_MOST))  # more than it can tell apart: all
         at, open_ = position(tx.key), news.phase in (i.ON_TRIAL, i.RELEASED)
@@ -488,8 +472,8 @@
             for known in (pool[start:] + pool[:start])[:LOOK]:
                 share, pod = known.share(self.now, self.terms), known.listed
                 if self._same_group(tx, pod) and (share == 1.0 or self._cold_room(known, share)):
-                    avoid = (R.UNREACHABLE if self.now < known.shunned else
-                             R.DOUBTED if self.now < known.doubted else R.USED if pod.address in used else None)
+                    avoid = (R.UNREACHABLE if self.now < known.shunned else R.DOUBTED
+                             if self.now < known.doubted else R.USED if pod.address in used else None)
                     cost = self._cost(known) * (known.out + 1) / share
                     found.append((cost + 1e6 * (avoid is not None), known))
                 else:
@@ -564,7 +548,8 @@
 
     def _second(self, tx):
         """A second copy for one much later than its lane, as long as few need it and there is room."""
-        room = self.copies >= 1 and 2 * len(self.open) <= self._limit_for(tx.lane)
+        room = self.copies >= 1 and 2 * len(self.open) <= self.admission.limit(
+            self.now, tx.lane, self.now - self.born)
         if room and not tx.streams and tx.out() == 1 and self._in_time(tx) and self._may(tx, False):
             self._why(R.SECOND_COPY, self.now - tx.sent[0].at)
             self.copies -= self._send(tx)
@@ -609,11 +594,8 @@
             known.load = load if 0 <= load <= 2 else known.load
         if event.outcome in (i.RECALLED, i.UNSENT):
             return
-        # Turned away: the queue is full. A client's short patience says nothing.
-        times = 2.0 if event.outcome == i.FULL else event.latency / tx.lane.latency_goal
-        if event.outcome in (i.DONE, i.FULL) or (event.outcome == i.EXPIRED and times >= 0.99):
-            gain = max(0.05, min(0.5, (self.now - self.pressed_at) / (4 * SECOND)))
-            self.pressure, self.pressed_at = self.pressure + gain * (times - self.pressure), self.now
+        if not (known.side and self.build == TRIAL):  # a build's own slowness is no overload
+            self.admission.ended(self.now, tx.lane, event, known.share(self.now, self.terms))
         known.fails += 0.1 * ((event.outcome != i.DONE) - known.fails)
         self.lost += 0.05 * ((event.outcome in (i.UNCONNECTED, i.RESET)) - self.lost)  # on the way
         if event.outcome == i.UNCONNECTED:
@@ -621,9 +603,7 @@
             known.shunned = self.now + known.shun
         if event.outcome == i.DONE:
             lane, share = tx.lane, known.share(self.now, self.terms)
-            self.answers.add(self.now, GOAL_PART * lane.latency_goal)
-            mean = self.means.get(lane.name, event.latency)
-            self.means[lane.name] = max(1.0, mean + 0.03 * (event.latency - mean))
+            self.admission.answered(self.now, lane, event.latency)
             # The longer ago the last answer, the more the present one counts: the quiet know old things only.
             gain = min(0.5, 0.08 + 0.1 * (self.now - known.heard) / SECOND)
             known.pace += gain * (min(4.0, event.latency * share / self.means[lane.name]) - known.pace)
--- /dev/null
+++ b/thymeknot/laboratory/crowds.py
@@ -0,0 +1,90 @@
+"""Days of a whole fleet: hundreds of instances that see a few transactions a second each, and what then goes wrong for
+many at once. Drawn from ranges by a seed, as days.py draws the smaller ones. Times are tenths of a millisecond."""
+
+import math
+
+import numpy as np
+
+from .. import interface as i
+from .days import SECOND, WAVES, Day, Fault, LaneMix, Offer
+
+KINDS = ("calm", "roll", "herd", "zone", "split", "join", "overload")
+LANES = (
+    LaneMix(i.Lane("fetch", i.RETRIABLE, i.GROUP_ALL, 5 * SECOND, 8_000, 20_000, 1.0, 0.0), 0.55, 1_200, 0.8),
+    LaneMix(i.Lane("sync", i.RETRIABLE, i.GROUP_ALL, 5 * SECOND, 25_000, 75_000, 1.0, 0.2), 0.22, 2_900, 0.8),
+    LaneMix(i.Lane("buy", i.FINGERPRINTED, i.GROUP_ALL, 5 * SECOND, 8_000, 25_000, 5.0, 0.0), 0.12, 1_200, 0.7),
+    LaneMix(i.Lane("pay", i.BINDING, i.GROUP_ALL, 5 * SECOND, 15_000, 40_000, 5.0, 0.0), 0.11, 2_900, 0.8),
+)
+ADVANCE, REVERT = 0.6, 0.25     # of the instances: votes that move a build on, and back
+
+
+def terms(instances, cold, cold_from, calls, lanes=LANES):
+    return i.Terms(
+        lanes={one.lane.name: one.lane for one in lanes}, balancers=instances, subscribes=False, max_deliveries=4,
+        max_retry_after=SECOND // 2, second_copies=False, may_recall=True, retry_after=True, reports=(),
+        ask_within=10 * SECOND, cold_from=cold_from, cold=cold, fall_multiple=2.0, overload_for=3 * SECOND // 2,
+        exposure_window=3 * SECOND, allowance=3.0, guarded_stages=2, waves=WAVES, by_lane=False, keys_stay=True,
+        replaces=False, decided_by=i.BY_COUNT, votes_to_revert=max(1, math.ceil(REVERT * instances)),
+        vote_life=4 * SECOND, vote_wait=12_000, votes_per_s=calls)
+
+
+def _some(chance, count, share):
+    return tuple(int(one) for one in chance.choice(count, max(1, round(count * share)), replace=False))
+
+
+def _faults(kind, chance, instances, pods, span):
+    """What happens on a day of this kind: (faults, begin of the worst of it, its end)."""
+    begin = int(chance.uniform(0.25, 0.35) * span)
+    end = begin + 6 * SECOND
+    pauses = Fault("pause", begin // 2, span, _some(chance, pods, 0.3), float(chance.uniform(0.5, 1.2)) * SECOND)
+    ill = Fault("ill", 0, span, _some(chance, pods, 1 / 8), float(chance.uniform(0.3, 0.7)))
+    zone = int(chance.integers(0, 3))
+    if kind == "calm":
+        return (Fault("burst", begin, end, (), 1.5),), begin, end
+    if kind == "roll":
+        order = [int(one) for one in chance.permutation(instances)]
+        part, step = math.ceil(instances / 10), (span - begin) // 14
+        turns = tuple(Fault("kill", begin + at * step, begin + at * step + 1, tuple(order[at * part:(at + 1) * part]),
+                            float(chance.uniform(0.3, 1.0)) * SECOND) for at in range(10))
+        return (pauses, *turns), begin, begin + 10 * step
+    if kind == "herd":
+        return (pauses, ill, Fault("kill", begin, begin + 1, _some(chance, instances, 0.7),
+                                   float(chance.uniform(0.5, 1.5)) * SECOND)), begin, begin + 2 * SECOND
+    if kind == "zone":
+        later = min(span - 6 * SECOND, end + 4 * SECOND)
+        slow = Fault("pods", 0, span, _some(chance, pods, 1 / 8), float(chance.uniform(1.5, 3)))
+        return (Fault("zone", begin, begin + 5 * SECOND, (zone,), 0.0), slow if chance.random() < 0.5 else ill,
+                Fault("cut", later, later + 4 * SECOND, ((zone + 1) % 3,), 0.0)), begin, later + 4 * SECOND
+    if kind == "split":
+        how = (Fault("cut", begin, end, (zone,), 0.0) if chance.random() < 0.5
+               else Fault("silent", begin, end, _some(chance, pods, 1 / 5), 0.0))
+        return (how, Fault("discovery", begin, end, (), float(chance.uniform(1, 3)) * SECOND),
+                Fault("lost answers", begin // 2, span, (), float(chance.uniform(0.005, 0.03)))), begin, end
+    if kind == "join":
+        return (pauses._replace(what=_some(chance, pods, 1 / 3)),
+                Fault("lost answers", 0, span, (), float(chance.uniform(0.005, 0.02)))), begin, span
+    return (Fault("burst", begin, end + 4 * SECOND, (), 2.6),), begin, end + 4 * SECOND
+
+
+def drawn(seed, kind="herd", instances=200, pods=100, seconds=40, load=0.5, good=None):
+    """A day of one of the KINDS; rate follows from load, the share of what all pods can do. good: of the build
+    offered; drawn with a half if None. Gives (day, (begin, end) of the worst of it)."""
+    chance = np.random.Generator(np.random.PCG64([seed, KINDS.index(kind)]))
+    span, cold, cold_from, cores = seconds * SECOND, int(chance.uniform(2, 4.8) * SECOND), 0.35, 2
+    speeds = tuple(float(one) for one in chance.uniform(0.85, 1.1, pods))
+    work = sum(one.share * one.work for one in LANES) / SECOND
+    rate = load * float(chance.uniform(0.85, 1.1)) * sum(speeds) * cores / work
+    shares = chance.lognormal(0, 0.9, instances)
+    fine, how = bool(chance.random() < 0.5) if good is None else good, int(chance.integers(0, 4))
+    fails, slow = float(chance.uniform(0.1, 0.6)), float(chance.uniform(2, 4))
+    offer = Offer(int(chance.uniform(3, 6) * SECOND), 2, fine, 0.0 if fine or how == 1 else fails,
+                  float(chance.uniform(0.92, 1.1)) if fine or how != 1 else slow,
+                  2 * SECOND if how == 2 and not fine else 0, 0.4 if how == 3 and not fine else 0.0)
+    faults, begin, end = _faults(kind, chance, instances, pods, span)
+    patient = kind != "join"
+    calls, boot = instances * float(chance.uniform(0.2, 0.75)), int(chance.uniform(1.3, 2.0) * SECOND)
+    return Day(seed, span, instances, pods, ("a", "b", "c"), cores, speeds, 32, rate,
+               tuple(float(one) for one in shares / shares.sum()), LANES, 12_000, 0.75, 4, 1 if patient else 3,
+               0.7 if patient else 0.3, (12, 0.5), 0.0005, 5_000, 4_000, SECOND, boot, cold, cold_from,
+               (offer,), faults, terms(instances, cold, cold_from, calls),
+               advance=math.ceil(ADVANCE * instances)), (begin, end)
--- a/thymeknot/laboratory/days.py
+++ b/thymeknot/laboratory/days.py
@@ -18,7 +18,8 @@
 
 
 class Fault(NamedTuple):
-    """kind: pods, network, discovery, platform, kill, stall, burst. what: whom it strikes; size: how hard."""
+    """kind: pods, ill, network, discovery, platform, kill, burst; pause, silent, zone, cut, lost answers.
+    what: whom it strikes; size: how hard."""
     kind: str
     begin: int
     end: int
@@ -65,6 +66,7 @@
     offers: tuple
     faults: tuple
     terms: i.Terms
+    advance: int = 0            # votes that move a build on; half of the instances if 0
 
 
 LANES = (
--- a/thymeknot/laboratory/fleet.py
+++ b/thymeknot/laboratory/fleet.py
@@ -5,6 +5,8 @@
 """
 
 import heapq
+from bisect import bisect_right
+from itertools import accumulate
 
 import numpy as np
 
@@ -15,6 +17,8 @@
 from .rules import Checker
 
 GRACE = 2500                    # of drains
+CONNECTING = 2500               # a new connection that does not come up
+ROOM, ROOMY = 0.25, 0.25        # of the goal: a wait that is no cause to turn away; of the pods that have no more
 PHASES = {i.ON_TRIAL: "trial", i.GOING_BACK: "back", i.RELEASED: "released", i.WITHDRAWN: "withdrawn"}
 CHUNK = 4096
 
@@ -87,7 +91,13 @@
         self.news = [1, len(WAVES) - 1, i.RELEASED, 1.0]
         self.votes, self.moved_at, self.trial = {}, 0, None
         self.transactions, self.balancers, self.turns = {}, {}, [0] * day.instances
-        self.scores = {"asked": 0.0, "earned": 0.0, "harm": 0.0}
+        self.scores = {"asked": 0.0, "earned": 0.0, "harm": 0.0, "behind": 0.0}
+        self.shares = list(accumulate(day.busy))
+        self.tries = [[0, 0, 0] for _ in range(day.span // SECOND + 20)]  # asked, turned away unsent, of these needless
+        self.votes_asked = {"asked": 0, "full": 0, "moot": 0}
+        self.calls, self.calls_at, self.newest_good = 2 * day.terms.votes_per_s, 0, 0
+        self.lost, self.votes_wait = set(), day.terms.vote_wait
+        self.lost_answers, self.cuts, self.up_to = 0.0, set(), {}
         self.spans = [[0.0, 0.0] for _ in range(day.span // SECOND + 20)]
         self.ends, self.latencies, self.by_pod, self.released = {}, {}, {}, []
         self.slow_news = self.slow_list = 0
@@ -164,10 +174,7 @@
         if self.now >= day.span:
             return
         self.at(self.now + max(1, round(self.gaps.next() * SECOND / (day.rate * self.burst))), self._arrive)
-        lot, instance = self.uniform.next(), 0
-        while instance < day.instances - 1 and lot >= day.busy[instance]:
-            lot -= day.busy[instance]
-            instance += 1
+        instance = min(day.instances - 1, bisect_right(self.shares, self.uniform.next()))
         lot, lane = self.uniform.next(), day.lanes[-1]
         for one in day.lanes:
             lot -= one.share
@@ -192,6 +199,7 @@
         self.transactions[instance, name] = Transaction(name, instance, lane, key, tenant, self.now, self.now + left,
                                                         tries, first, work)
         self.checker.taken(self.now, instance, name, lane, self.now + left)
+        self.tries[self.now // SECOND][0] += 1
         self._tell(instance, i.Taken(name, lane, f"t{tenant}", key, left, None, tries > 0, False))
 
     def _answered(self, instance, name, how, wait):
@@ -205,15 +213,37 @@
             took = self.now - held.first
             earned = lane.earnings if took <= lane.latency_goal else lane.earnings * lane.late_earnings
             self.scores["earned"] += earned
+            self.scores["behind"] += earned * (held.sent[-1].build < self.newest_good)
             self.spans[held.first // SECOND][1] += earned
             self.latencies.setdefault(held.lane, []).append(took)
-        elif how == "deferred" and held.tries < self.day.retries:
+            return self._done_with(instance, name, held)
+        if not held.sent:
+            some = self.tries[self.now // SECOND]
+            some[1] += 1
+            some[2] += self._needless(instance, lane.latency_goal)
+        if how == "deferred" and held.tries < self.day.retries:
             pause = wait if self.clients.next() < self.day.heeds else 50
             self.at(self.now + max(1, pause), self._ask, instance, held.lane, held.key, held.tenant, held.first,
                     held.tries + 1, held.work)
+        self._done_with(instance, name, held)
+
+    def _done_with(self, instance, name, held):
         if all(job.over for job in held.sent):
             del self.transactions[instance, name]
 
+    def _needless(self, instance, goal):
+        """Whether a part of the pods of the usual builds that this instance can reach had room at this moment."""
+        usual = [pod for pod in self.pods.values() if pod.state == UP and self._reached(instance, pod) and (
+            pod.build.number < self.news[0] or self.news[2] == i.RELEASED)]
+        return sum(pod.fits(self.now, ROOM * goal) for pod in usual) > ROOMY * len(usual)
+
+    def _reached(self, instance, pod):
+        """A zone that is cut off reaches itself alone."""
+        if not self.cuts:
+            return True
+        here = self.day.zones[instance % len(self.day.zones)]
+        return here == pod.zone or not self.cuts & {here, pod.zone}
+
     # Deliveries.
 
     def _deliver(self, instance, turn, action):
@@ -229,7 +259,14 @@
         self.by_pod[action.pod] = self.by_pod.get(action.pod, 0) + 1
         self.checker.sent(self.now, instance, action.id, action.pod, build, held.lane, held.key, held.work, pod.started,
                           pod.cores * pod.speed)
-        ends = min(self.now + action.time_out, held.ends)
+        ends, line = min(self.now + action.time_out, held.ends), (instance, turn, action.pod)
+        if pod.silent or not self._reached(instance, pod):
+            # Nothing is said: what stands open takes the delivery, a new connection never comes up.
+            if self.now - self.up_to.pop(line, -10 ** 9) > 15 * SECOND:
+                self.at(min(ends, self.now + CONNECTING), self._end, job, i.UNCONNECTED, False)
+            else:
+                self.at(ends, self._end, job, i.EXPIRED, None)
+            return
         if self.losses.next() < self.loss or pod.state == DOWN:
             self.at(min(ends, self.now + 2500), self._end, job, i.UNCONNECTED, False)
             return
@@ -245,6 +282,8 @@
             self.at(self.now + took, self._served, pod, job)
 
     def _served(self, pod, job):
+        if self.now < pod.paused:  # everything in it stands still
+            return self.at(pod.paused + 1, self._served, pod, job)
         following = pod.finish(self.now)
         if following:
             self.at(self.now + following[1], self._served, pod, following[0])
@@ -256,6 +295,12 @@
         fails = fails or (pod.name in self.listed and self.strikes.next() < self.listed[pod.name])
         if fails and self.lanes[job.lane].lane.effect != i.RETRIABLE and build.fails:
             self.scores["harm"] += self.lanes[job.lane].lane.earnings
+        if pod.silent or not self._reached(job.instance, pod):
+            return
+        if self.lost_answers and self.strikes.next() < self.lost_answers:
+            self.at(self.now + max(1, round(self.delays.next())), self._end, job, i.RESET, None)
+            return
+        self.up_to[job.instance, job.turn, job.pod] = self.now
         self.at(self.now + max(1, round(self.delays.next())), self._end, job, i.ERROR if fails else i.DONE,
                 None if fails else True)
 
@@ -290,6 +335,7 @@
     def _told_list(self, instance, entries):
         if self.balancers.get(instance) is None:
             return
+        entries = [entry for entry in entries if entry.condition != i.READY or entry.address in self.pods]
         for entry in entries:
             self.checker.listed(self.now, instance, entry.address, "ready" if entry.condition == i.READY else "gone")
         self._tell(instance, i.PodList(i.CHANGES, entries))
@@ -301,7 +347,7 @@
             self.at(self.now + int(lag), self._told_news, instance, news)
 
     def _told_news(self, instance, news, answers=False, outcome=i.DONE):
-        if self.balancers.get(instance) is None:
+        if self.balancers.get(instance) is None or self._off(instance):
             return
         build, stage, phase, cap = news
         if outcome == i.DONE:
@@ -314,6 +360,7 @@
         self.builds[offer.build] = Build(offer.build, offer.fails, offer.slow, offer.after, None, offer.load)
         self.news = [offer.build, 0, i.ON_TRIAL, CAPS[0]]
         self.votes, self.trial = {}, offer
+        self.newest_good = offer.build if offer.good else self.newest_good
         self._stage()
 
     def _stage(self):
@@ -321,34 +368,53 @@
         self._announce()
         wanted = max(1, round(WAVES[stage] * self.day.pods))
         running = sum(pod.build.number == build for pod in self.pods.values())
-        for at in range(running, wanted):
-            self.at(self.now + int(self.day.boot * (0.7 + 0.6 * self.misc.random())), self._boot, build, at)
-        self.moved_at = self.now + self.day.boot * 2
+        boots = [int(self.day.boot * (0.7 + 0.6 * self.misc.random())) for _ in range(running, wanted)]
+        for at, boot in zip(range(running, wanted), boots):
+            self.at(self.now + boot, self._boot, build, at)
+        self.moved_at = self.now + max(boots, default=0) + SECOND  # a stage's clock starts when its machines run
         self.at(self.moved_at + self.day.stage_least, self._count_votes, build, stage)
 
     def _boot(self, build, at):
         if self.news[0] != build or self.news[2] not in (i.ON_TRIAL, i.RELEASED):
             return
         name = f"p{at}-{build}"
+        if any(self.day.zones[at % 3] == zone for zone in self.lost):
+            return self.at(self.now + SECOND, self._boot, build, at)
         pod = Pod(name, self.day.zones[at % 3], self.day.cores, self.day.speeds[at], self.day.queue,
                   self.builds[build], self.now, self.day.cold, self.day.cold_from)
         self.pods[name] = pod
         self._list(self._entry(pod))
 
     def _vote(self, instance, turn, vote):
-        if self.turns[instance] != turn:
+        if self.turns[instance] != turn or self._off(instance):
+            self.at(self.now + self.votes_wait, self._told_vote, instance, turn, i.EXPIRED)
+            return
+        self.votes_asked["asked"] += 1
+        self.calls = min(2 * self.day.terms.votes_per_s,
+                         self.calls + (self.now - self.calls_at) * self.day.terms.votes_per_s / SECOND)
+        self.calls_at = self.now
+        if self.calls < 1:
+            self.votes_asked["full"] += 1
+            self.at(self.now + 500, self._told_vote, instance, turn, i.FULL)
             return
+        self.calls -= 1
         build, stage, phase, _ = self.news
         fits = vote.build == build and (vote.stage == stage or vote.verdict == i.BACK) and phase in (
             i.ON_TRIAL, i.RELEASED)
         if fits:
             self.votes[instance] = vote.verdict, self.now
             self._count_votes(build, stage)
-        self.at(self.now + 500, self._told_vote, instance, turn, fits)
+        self.votes_asked["moot"] += not fits
+        self.at(self.now + 500, self._told_vote, instance, turn, i.DONE if fits else i.UNSENT)
 
-    def _told_vote(self, instance, turn, fits):
+    def _told_vote(self, instance, turn, outcome):
         if self.turns[instance] == turn:
-            self._told_news(instance, tuple(self.news), True, i.DONE if fits else i.ERROR)
+            self._told_news(instance, tuple(self.news), True, outcome)
+
+    def _off(self, instance):
+        """Cut off from the platform, which stands in the first zone."""
+        here, there = self.day.zones[instance % len(self.day.zones)], self.day.zones[0]
+        return bool(self.cuts) and here != there and bool(self.cuts & {here, there})
 
     def _count_votes(self, build, stage):
         if (build, stage) != tuple(self.news[:2]) or self.news[2] not in (i.ON_TRIAL, i.RELEASED):
@@ -356,7 +422,7 @@
         live = [verdict for verdict, at in self.votes.values() if self.now - at <= self.day.terms.vote_life]
         if live.count(i.BACK) >= self.day.terms.votes_to_revert:
             self._back()
-        elif (self.news[2] == i.ON_TRIAL and live.count(i.ON) >= max(1, self.day.instances // 2)
+        elif (self.news[2] == i.ON_TRIAL and live.count(i.ON) >= max(1, self.day.advance or self.day.instances // 2)
               and self.now >= self.moved_at + self.day.stage_least):
             self.votes = {}
             if stage + 1 < len(WAVES):
@@ -422,6 +488,18 @@
             self.slow_news = int(fault.size) if begins else 0
         elif fault.kind == "burst":
             self.burst = fault.size if begins else 1.0
+        elif fault.kind == "lost answers":
+            self.lost_answers = fault.size if begins else 0.0
+        elif fault.kind == "cut":
+            zones = {self.day.zones[at] for at in fault.what}
+            self.cuts = self.cuts | zones if begins else self.cuts - zones
+        elif fault.kind == "silent":
+            for pod in self.pods.values():
+                pod.silent = begins and int(pod.name[1:].split("-")[0]) in fault.what
+        elif fault.kind == "pause" and begins:
+            self._pause(fault)
+        elif fault.kind == "zone":
+            self._zone(self.day.zones[fault.what[0]], begins)
         elif fault.kind == "kill" and begins:
             for instance in fault.what:
                 self.balancers[instance] = None
@@ -431,6 +509,29 @@
                     del self.transactions[key]
                 self.at(self.now + int(fault.size * (0.5 + self.misc.random())), self._start, instance)
 
+    def _pause(self, fault):
+        """The machines at these places stand still again and again, for so long each time."""
+        for pod in self.pods.values():
+            if int(pod.name[1:].split("-")[0]) in fault.what and self.misc.random() < 0.3:
+                pod.paused = self.now + int(fault.size * (0.5 + self.misc.random()))
+        if self.now + SECOND < fault.end:
+            self.at(self.now + SECOND, self._pause, fault)
+
+    def _zone(self, zone, begins):
+        """All that runs in a zone is lost at once and says nothing; it comes back cold, at the same places."""
+        if begins:
+            self.lost.add(zone)
+        else:
+            self.lost.discard(zone)
+        for pod in [one for one in self.pods.values() if one.zone == zone and one.state == UP]:
+            pod.silent = begins
+            if not begins:
+                fresh = Pod(pod.name, pod.zone, pod.cores, pod.speed, pod.queue_most, pod.build, self.now,
+                            self.day.cold, self.day.cold_from)
+                pod.state = DOWN
+                self.pods[pod.name] = fresh
+                self._list(self._entry(fresh))
+
     # What came of it.
 
     def service(self):
@@ -447,6 +548,25 @@
             best = min(best, earned / asked if asked else 1.0)
         return best
 
+    def needless(self, begin=0, end=None):
+        """(turned away unsent, of these needlessly) as shares of all tries within these seconds."""
+        some = self.tries[begin:end]
+        asked = max(1, sum(one[0] for one in some))
+        return sum(one[1] for one in some) / asked, sum(one[2] for one in some) / asked
+
+    def recovered(self, end, least=0.05):
+        """Seconds from this moment until no more than this share is turned away for two seconds on end."""
+        begin = -(-end // SECOND)
+        for at in range(begin, self.day.span // SECOND - 1):
+            if self.needless(at, at + 2)[0] <= least:
+                return at - begin
+        return self.day.span // SECOND - begin
+
+    def worth(self, behind=0.5, harm=5.0):
+        """Service less what old builds and harm cost, each by its price."""
+        asked = max(1e-9, self.scores["asked"])
+        return self.service() - (behind * self.scores["behind"] + harm * self.scores["harm"]) / asked
+
     def figures(self):
         return {"service": round(self.service(), 4), "worst_10s": round(self.worst(), 4),
                 "harm": round(self.scores["harm"] / max(1e-9, self.scores["asked"]), 4), "ends": self.ends,
--- a/thymeknot/laboratory/pods.py
+++ b/thymeknot/laboratory/pods.py
@@ -24,14 +24,14 @@
 
 class Pod:
     __slots__ = ("name", "zone", "cores", "speed", "queue_most", "build", "started", "cold", "cold_from", "state",
-                 "busy", "queue", "done", "turned_away", "worked", "sent", "most_sent")
+                 "busy", "queue", "done", "turned_away", "worked", "paused", "silent", "wait")
 
     def __init__(self, name, zone, cores, speed, queue_most, build, started, cold=0, cold_from=1.0):
         self.name, self.zone, self.cores, self.speed, self.queue_most = name, zone, cores, speed, queue_most
         self.build, self.started, self.cold, self.cold_from = build, started, cold, cold_from
         self.state, self.busy, self.queue = UP, 0, deque()
         self.done = self.turned_away = 0
-        self.worked = 0.0
+        self.worked, self.paused, self.silent, self.wait = 0.0, 0, False, 0.0  # wait: work in its queue
 
     def warmth(self, now):
         """The part of its capacity that it has."""
@@ -48,8 +48,14 @@
         if self.busy < self.cores:
             return self._begin(now, job)
         self.queue.append(job)
+        self.wait += job.work
         return None
 
+    def fits(self, now, goal):
+        """Whether what came now would be begun within so long: what a client could have had here."""
+        return (self.state == UP and now >= self.paused and not self.silent
+                and self.wait <= goal * self.cores * self.speed * self.warmth(now))
+
     def _begin(self, now, job):
         self.busy += 1
         slow = self.build.slow if self.build.strikes(self, now, job.lane) else 1.0
@@ -63,5 +69,6 @@
         self.done += 1
         if self.queue:
             job = self.queue.popleft()
+            self.wait -= job.work
             return job, self._begin(now, job)
         return None
--- a/thymeknot/laboratory/rules.py
+++ b/thymeknot/laboratory/rules.py
@@ -60,9 +60,11 @@
         return None
 
     def killed(self, now, instance):
-        """What it held is no longer its duty."""
+        """What it held is no longer its duty, and the next one starts with nothing."""
         for key in [key for key in self.open if key[0] == instance]:
             del self.open[key]
+        for held in (self.gone, self.kept):
+            held.pop(instance, None)
 
     def ended(self, now):
         """At the end of a day: whatever is open past its time was lost."""
