--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 # Measurements: the last line is JSON. SEED=n where chance plays.
 SEED = 1
-MEASURES = gossip why laboratory
+MEASURES = gossip why laboratory fleet
 
 .PHONY: $(MEASURES:%=measure-%)
 $(MEASURES:%=measure-%): build
--- a/thymeknot/admission.py
+++ b/thymeknot/admission.py
@@ -9,7 +9,7 @@
 LEAST_TAKEN, LANE_PART, CALM, PRESSED = 0.1, (0.8, 1.25), "calm", "pressed"  # part of the limit by earnings
 FEW, QUIET = 5, 120             # sidecars that share the pods; transactions in 8 s that are too few to count
 USUAL, FIRM, ROOM = 0.2, 4, 0.15  # of the goal, if unknown; outcomes it weighs; of the rest: still in time
-USUAL_UP, USUAL_DOWN = 0.005, 0.02  # a step: slowness is followed least, or an overload becomes the usual
+UP, DOWN = 0.005, 0.02          # a step: slowness is followed least, or an overload becomes the usual
 # (state, many sidecars) -> standard deviations of open work left to chance, whether a quiet one draws lots.
 # A quiet instance often has two open where one is the mean: the bare mean turned away a fifth of a calm day.
 ADMITS = {(CALM, True): (3.0, False), (CALM, False): (0.0, False),
@@ -18,7 +18,6 @@
 
 class Admission:
     """One for each instance. Asked with every transaction, told of every outcome that says how pods are."""
-
     def __init__(self, balancers):
         self.many, self.least = balancers > FEW, max(3.0, LIMIT_LEAST * min(1.0, FEW / balancers))
         self.answers, self.heard, self.times, self.unheard = (Ring(2 * SECOND, 8) for _ in range(4))
@@ -33,7 +32,7 @@
         elif end.outcome == i.DONE:
             self.heard.add(now)
             self.times.add(now, times)
-            self.usual += (USUAL_UP if times > self.usual else USUAL_DOWN) * (times - self.usual)
+            self.usual = min(GOAL_PART, self.usual + (UP if times > self.usual else DOWN) * (times - self.usual))
 
     def answered(self, now, lane, latency):
         """Any answer: the room that it makes, and the lane's mean."""
--- a/thymeknot/laboratory/experiments.py
+++ b/thymeknot/laboratory/experiments.py
@@ -10,7 +10,8 @@
 
 import orjson
 
-from . import days, numbers
+from .. import interface
+from . import crowds, days, numbers
 from .fleet import Fleet, balancer
 from .policies import TEXTBOOK
 
@@ -38,13 +39,12 @@
     holder.__path__ = []
     sys.modules[package] = holder
     # Events and actions are today's: the emulator tells them apart by their type.
-    from .. import interface
     sys.modules[f"{package}.interface"] = holder.interface = interface
-    for name in ("reasons", "records", "balance"):
+    for name in ("reasons", "records", "admission", "balance"):
         try:
             code = text(name)
         except Unknown:
-            if name == "reasons":  # older than the reasons
+            if name in ("reasons", "admission"):  # older than these
                 continue
             raise
         module = types.ModuleType(f"{package}.{name}")
@@ -76,6 +76,33 @@
             "faulty": [list(one) for one in fleet.day.offers], **fleet.figures()}
 
 
+def crowd_played(task):
+    """One day of a whole fleet (policy, kind, seed, size of crowds.drawn): what its decisions are judged by."""
+    name, kind, seed, size = task
+    day, (_, end) = crowds.drawn(seed, kind, **size)
+    fleet, offer = Fleet(day, policy(name)).play(), day.offers[0]
+    turned_away, needless = fleet.needless()
+    back = fleet.news[2] in (interface.GOING_BACK, interface.WITHDRAWN)
+    return {"policy": name, "kind": kind, "seed": seed, "good": offer.good, "worth": fleet.worth(),
+            "service": fleet.service(), "worst_10s": fleet.worst(), "turned_away": turned_away, "needless": needless,
+            "behind": fleet.scores["behind"] / max(1e-9, fleet.scores["asked"]), "recover_s": fleet.recovered(end),
+            "good_back": offer.good and back, "bad_released": not offer.good and bool(fleet.released),
+            "bad_kept": not offer.good and fleet.news[2] == interface.RELEASED and fleet.news[0] == offer.build,
+            "votes": fleet.votes_asked, "rules_broken": fleet.checker.rules_broken(),
+            "breaches": [list(one) for one in fleet.checker.broken[:5]]}
+
+
+def crowds_compared(one, two, kinds, seeds, size, workers, told=lambda done, count: None):
+    """Two policies on the same days of these kinds: a list of pairs of results, in the order of the days."""
+    tasks = [(name, kind, seed, size) for kind in kinds for seed in seeds for name in (one, two)]
+    found = []
+    with ProcessPoolExecutor(workers, multiprocessing.get_context("spawn")) as pool:
+        for result in pool.map(crowd_played, tasks):
+            found.append(result)
+            told(len(found), len(tasks))
+    return list(zip(found[::2], found[1::2]))
+
+
 def key_of(task):
     return orjson.dumps([task[0], task[1], sorted(task[2].items())]).decode()
 
--- a/thymeknot/service/events.py
+++ b/thymeknot/service/events.py
@@ -9,6 +9,7 @@
     "operator file taken up": INFO, "operator file kept": WARNING,
     # decisions
     "note": INFO, "vote": INFO, "overdue": ERROR, "fault": ERROR, "not spoken here": WARNING,
+    "turned away": INFO,
     # the network
     "clients held off": WARNING, "no descriptor for a pod": WARNING, "unheard answer": INFO,
     "stream ended": WARNING, "stream silent": WARNING, "list not fetched": WARNING,
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -16,6 +16,7 @@
 from .protocol.reached import WRITTEN, Broken, nothing_waits
 from .records import Chance
 from .service import logs
+from .service.refusals import Refusals
 
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, the platform, the loop's own, standard streams
 FOR_PODS = 0.4              # of the others: connections to pods; the rest is for clients
@@ -91,7 +92,8 @@
         self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
         self.inbox, self.deciding, self.port, self.emptied = [], False, None, None
         self.gossip = self.why = None  # hear of ends, lists and answers, where an operator's file has them
-        self.balancer = Balancer(self.terms, start.seed, self.clock())
+        self.refusals = Refusals(logs.log)
+        self.balancer = Balancer(self.terms, start.seed, self.clock(), self.refusals.hear)
         chance = Chance(~start.seed)
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
@@ -124,6 +126,11 @@
         self.tell(self.start.news)
         self.watch.start()
         self.stream.start()
+        self._refusals()
+
+    def _refusals(self):
+        pressure = round(self.balancer.admission.pressure(self.clock(), ()), 2)
+        self.deadlines.add(self.refusals.due(self.clock(), pressure=pressure), self._refusals)
 
     def serve(self):
         factory = Factory()
--- a/thymeknot/why/listener.py
+++ b/thymeknot/why/listener.py
@@ -133,7 +133,7 @@
                              Chance(sidecar.start.seed ^ 0x77))
         self.ended, self.over = self.record.ended, self.record.over
         self.done, self.left, self.abandoned = Reason.DONE, Reason.LEFT, Reason.ABANDONED
-        sidecar.balancer.say = self.record.say
+        sidecar.refusals.then = self.record.say
         factory = Factory()
         factory.noisy, factory.buildProtocol = False, self._asker
         try:
