--- a/thymeknot/admission.py
+++ b/thymeknot/admission.py
@@ -32,7 +32,8 @@
         elif end.outcome == i.DONE:
             self.heard.add(now)
             self.times.add(now, times)
-            self.usual = min(GOAL_PART, self.usual + (UP if times > self.usual else DOWN) * (times - self.usual))
+            apart = times - self.usual
+            self.usual = min(GOAL_PART, self.usual + (UP if apart > 0 else DOWN) * apart)
 
     def answered(self, now, lane, latency):
         """Any answer: the room that it makes, and the lane's mean."""
@@ -67,8 +68,7 @@
         """None if it is taken, else (whether by the lot, what was looked at, what it was held to)."""
         pressure, limit = self.pressure(now, open_), self.limit(now, lane, since)
         chance, by_lot = ADMITS[PRESSED if pressure > 1 else CALM, self.many]
-        limit += chance * limit ** 0.5
-        if len(open_) > limit:
-            return False, len(open_), limit
+        if len(open_) > limit + chance * limit ** 0.5:
+            return False, len(open_), limit + chance * limit ** 0.5
         odds = max(LEAST_TAKEN, self.part(lane) / pressure) if by_lot and recent < QUIET else 1.0
         return (True, pressure, odds) if odds < 1 and draw() > odds else None
--- a/thymeknot/laboratory/fleet.py
+++ b/thymeknot/laboratory/fleet.py
@@ -134,6 +134,7 @@
         self.balancers[instance] = policy
         listed = tuple(self._entry(pod) for pod in self.pods.values() if pod.state in (UP, DRAINING))
         for pod in self.pods.values():
+            self.checker.started(instance, pod.name, pod.started)
             if pod.state == DRAINING:
                 self.checker.listed(self.now, instance, pod.name, "draining")
         build, stage, phase, cap = self.news
@@ -338,6 +339,7 @@
         entries = [entry for entry in entries if entry.condition != i.READY or entry.address in self.pods]
         for entry in entries:
             self.checker.listed(self.now, instance, entry.address, "ready" if entry.condition == i.READY else "gone")
+            self.checker.started(instance, entry.address, entry.started)
         self._tell(instance, i.PodList(i.CHANGES, entries))
 
     def _announce(self):
--- a/thymeknot/laboratory/rules.py
+++ b/thymeknot/laboratory/rules.py
@@ -19,7 +19,7 @@
         self.gone = defaultdict(dict)
         self.taken_at, self.tried_at, self.caps = defaultdict(list), defaultdict(list), defaultdict(list)
         self.kept = defaultdict(dict)
-        self.cold_work = defaultdict(list)
+        self.cold_work, self.starts = defaultdict(list), defaultdict(dict)
 
     def _broke(self, rule, now, text):
         self.broken.append((rule, now, text))
@@ -33,6 +33,10 @@
         else:
             self.gone[instance].setdefault(pod, now)
 
+    def started(self, instance, pod, at):
+        """It was told that the pod runs since then."""
+        self.starts[instance][pod] = at
+
     def cap(self, now, instance, build, cap, stage, phase):
         self.caps[instance].append((now, build, cap, stage, phase))
 
@@ -63,7 +67,7 @@
         """What it held is no longer its duty, and the next one starts with nothing."""
         for key in [key for key in self.open if key[0] == instance]:
             del self.open[key]
-        for held in (self.gone, self.kept):
+        for held in (self.gone, self.kept, self.starts):
             held.pop(instance, None)
 
     def ended(self, now):
@@ -88,7 +92,7 @@
             self._broke(1, now, f"{name}: sent after its answer")
         self._exposed(now, instance, name, build, lane, key)
         if started and now < started + self.cold:
-            self._pushed(now, pod, started, work, capacity)
+            self._pushed(now, pod, started, work, capacity, self.starts[instance].get(pod) == started)
 
     def _exposed(self, now, instance, name, build, lane, key):
         told = self.caps[instance][-1] if self.caps[instance] else None
@@ -113,15 +117,16 @@
             self._broke(5, now, f"{name}: {within} deliveries to build {newest}, {self.allowance} and {highest} of "
                                 f"{known} allowed")
 
-    def _pushed(self, now, pod, started, work, capacity):
-        """All instances together."""
+    def _pushed(self, now, pod, started, work, capacity, told):
+        """All instances together; it is theirs if two thirds came from such as were told of its start."""
         sent = self.cold_work[pod, started]
-        sent.append((now, work))
+        sent.append((now, work, told))
         begin = now - self.overload
         share = self.cold_from + (1 - self.cold_from) * max(0, begin - started) / self.cold
-        total = sum(one for at, one in sent if at > begin)
+        total = sum(one for at, one, _ in sent if at > begin)
+        known = sum(one for at, one, told in sent if at > begin and told)
         least = self.multiple * share * capacity * self.overload
-        if total > least * 1.1 + 4 * work:
+        if total > least * 1.1 + 4 * work and known >= total * 2 / 3:
             self._broke(4, now, f"{pod}: {total:.0f} of work in {self.overload}, {least:.0f} push it over")
 
     def proved(self, instance, name, number, ran):
