The emulator carries out recalls; giving up slow deliveries early was tried and left

Long work stays long elsewhere, so it costs what it saves.

Change: the emulator now ends a recalled delivery, which it passed over.

--- a/thymeknot/laboratory/fleet.py
+++ b/thymeknot/laboratory/fleet.py
@@ -157,6 +157,10 @@
                 self.at(max(self.now, action.at), self._timer, instance, turn, action.token)
             elif kind is i.Deliver:
                 self._deliver(instance, turn, action)
+            elif kind is i.Recall:
+                held = self.transactions.get((instance, action.id))
+                if held and action.number < len(held.sent):
+                    self.at(self.now, self._end, held.sent[action.number], i.RECALLED, None)
             elif kind is i.Defer:
                 self._answered(instance, action.id, "deferred", action.wait)
             elif kind is i.Abandon:
