--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -30,7 +30,7 @@
         self.told(R.OVER_LIMIT, R.DEFERRED)
         self.told(R.OVER_LIMIT, R.DEFERRED)
         self.told(R.POSITION, R.SENT, R.ENDED, R.TIME_OVER, R.ABANDONED)
-        self.told(R.POSITION, R.COLD, R.NO_POD, R.DEFERRED)
+        self.told(R.POSITION, R.COLD, R.NO_POD, R.VOTED, R.DEFERRED)
         self.refusals.due(NOW + EVERY, pressure=0.5)
         self.assertEqual(self.lines, [("turned away", {
             "seconds": 5.0, "deferred": {"OVER_LIMIT": 2, "NO_POD/COLD": 1}, "abandoned": {"TIME_OVER": 1},
