Refused connections count as pods that queue, from three to four answers on

Seen: from 30 s on, where pods take fewer connections, 2,213 of 3,800 deliveries in five seconds got none, at 2.16 tries a transaction, while 0.05 was turned away. Lines at fault: Admission.ended, where a refused connection said nothing, and pressure, where silence counted only once it outnumbered answers.

Change: refused connections count like full queues, and all of these count from three for four answers, with half an outcome's allowance.

Also: thymeknot load, open loop with corrected latencies in HDR histograms, by rate or as a ramp; lanes, plug-in of protocols, tests beside stand-ins.

--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,149 @@
+"""The load tool: its own lateness is never the server's, a stall counts for all it held up, a ramp finds the rate."""
+
+import json
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as some
+
+from thymeknot.load import plan
+from thymeknot.load.speakers import Resp2
+from thymeknot.protocol.resp import Malformed
+
+from .helpers import PodPeer, Program
+
+READ = plan.Lane("read", 1.0, "read")
+GOAL = plan.Goal(0.99, 500, 0.01)
+GOOD = b"$2\r\nok\r\n"
+
+
+def stretch(rate=100.0, latency=100, done=1000, ended=1000, late=1):
+    return plan.Stretch(rate, latency, done, ended, late, ended, ended)
+
+
+def loaded(port, *words):
+    """The last line of `thymeknot load` against this port, and its exit code."""
+    told = subprocess.run([sys.executable, "-m", "thymeknot", "load", "--at", f"127.0.0.1:{port}", *words],
+                          capture_output=True, text=True, timeout=60)
+    return json.loads(told.stdout.splitlines()[-1]), told.returncode
+
+
+class Plan(unittest.TestCase):
+    def test_the_same_seed_is_the_same_plan_and_arrivals_keep_the_rate(self):
+        one, two, other = (list(plan.schedule(seed, 500, 10 * plan.SECOND, [READ])) for seed in (3, 3, 4))
+        self.assertEqual(one, two)
+        self.assertNotEqual(one, other)
+        self.assertTrue(4_700 < len(one) < 5_300)
+        self.assertEqual([each.at for each in one], sorted(each.at for each in one))
+        self.assertEqual(len({each.id for each in one}), len(one))
+
+    def test_lanes_come_by_their_share_and_wrong_words_are_refused(self):
+        lanes = [plan.lane("read=3"), plan.lane("pay=1,write")]
+        drawn = [one.lane.name for one in plan.schedule(1, 400, 10 * plan.SECOND, lanes)]
+        self.assertTrue(0.2 < drawn.count("pay") / len(drawn) < 0.3)
+        for text in ("", "=1", "read=x", "read=0", "read=-1", "read=1,once", "read=inf", "read=nan"):
+            with self.assertRaises(plan.Wrong):
+                plan.lane(text)
+
+    def test_what_the_tool_did_itself_is_looked_at_first(self):
+        self.assertEqual(plan.judged(stretch(latency=9_000, done=1, late=900), GOAL)[0], plan.SATURATED)
+        self.assertEqual(plan.judged(stretch(latency=9_000), GOAL)[0], plan.FAILED)
+        self.assertEqual(plan.judged(stretch(done=980), GOAL)[0], plan.FAILED)
+        self.assertEqual(plan.judged(stretch(), GOAL)[0], plan.HELD)
+
+    @settings(max_examples=100, deadline=None)
+    @given(some.floats(20, 20_000))
+    def test_a_ramp_ends_and_finds_the_rate(self, truth):
+        ramp, steps = plan.Ramp(10), 0
+        while ramp.state != plan.OVER:
+            ramp.told(plan.HELD if ramp.rate <= truth else plan.FAILED, "")
+            steps += 1
+            self.assertLess(steps, 60)
+        self.assertTrue(0.9 * truth <= ramp.held <= truth, (truth, ramp.held))
+
+    def test_a_saturated_tool_ends_the_ramp_and_blames_nobody(self):
+        ramp = plan.Ramp(100)
+        ramp.told(plan.HELD, "")
+        ramp.told(plan.SATURATED, "the load tool itself was late")
+        self.assertEqual((ramp.state, ramp.held, ramp.failed), (plan.OVER, 100, float("inf")))
+
+    def test_nothing_held_ends_too(self):
+        ramp = plan.Ramp(100)
+        for _ in range(60):
+            if ramp.state == plan.OVER:
+                break
+            ramp.told(plan.FAILED, "")
+        self.assertEqual((ramp.state, ramp.held), (plan.OVER, 0.0))
+
+
+class Speaks(unittest.TestCase):
+    def test_each_kind_as_the_protocol_has_it(self):
+        told = plan.Request(0, "a" * 16, "k1", READ, "t1")
+        self.assertEqual(Resp2().request(told, 20_000).count(b"\r\n$"), 4)
+        self.assertIn(b"c=read,t=t1,d=2000\r\n", Resp2().request(told, 20_000))
+        marked = Resp2().request(told._replace(lane=plan.Lane("mark", 1, "marked")), 20_000)
+        self.assertTrue(marked.startswith(b"*5\r\n$10\r\nSVC.SUBMIT") and f"k={'a' * 16}".encode() in marked)
+
+    def test_answers_over_any_cut(self):
+        told = GOOD + b"-BUSY 50\r\n-ERR abandoned\r\n$-1\r\n*2\r\n$1\r\nx\r\n$-1\r\n"
+        for cut in range(len(told)):
+            speaker = Resp2()
+            found = [*speaker.heard(told[:cut]), *speaker.heard(told[cut:])]
+            self.assertEqual(found, ["done", "deferred", "abandoned", "abandoned", "done"], cut)
+        with self.assertRaises(Malformed):
+            list(Resp2().heard(b"HTTP/1.1 200\r\n"))
+
+
+class OnSockets(unittest.TestCase):
+    def test_a_stall_counts_for_all_that_it_held_up(self):
+        begun = time.monotonic()
+        gate, stalled = threading.Lock(), []
+
+        def answer(words):
+            with gate:
+                if not stalled and time.monotonic() > begun + 1.2:
+                    stalled.append(time.sleep(0.8))
+            return GOOD
+        server = PodPeer(answer)
+        port = int(server.address.rpartition(":")[2])
+        told, code = loaded(port, "--rate", "100", "--seconds", "4", "--lines", "1", "--patience", "3")
+        server.close()
+        self.assertEqual((code, told["verdict"]), (1, plan.FAILED), told)
+        # On one line one answer was slow as it was served; some 80 were due while it was.
+        self.assertGreater(told["corrected_ms"]["read"]["p90"], 100, told)
+        self.assertLess(told["served_ms"]["read"]["p90"], 50, told)
+
+    def test_deferred_lost_and_refused_are_told_apart(self):
+        server = PodPeer(lambda words: b"-BUSY 10\r\n" if words[1] < b"00000010" else GOOD)
+        port = int(server.address.rpartition(":")[2])
+        told, _ = loaded(port, "--rate", "100", "--seconds", "1")
+        server.close()
+        self.assertGreater(told["ends"]["deferred"], 0)
+        self.assertEqual(told["ends"]["done"] + told["ends"]["deferred"], told["due"])
+        silent = PodPeer(lambda words: b"")
+        port = int(silent.address.rpartition(":")[2])
+        told, code = loaded(port, "--rate", "50", "--seconds", "1", "--patience", "0.3")
+        silent.close()
+        self.assertEqual((code, told["ends"]["lost"], told["ends"]["done"]), (1, told["due"], 0), told)
+        told, code = loaded(port, "--rate", "50", "--seconds", "1", "--patience", "0.3")  # nobody listens now
+        self.assertEqual((code, told["ends"]["lost"]), (1, told["due"]), told)
+
+    def test_a_sidecar_beside_its_pods(self):
+        pods = [PodPeer(lambda words: b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n") for _ in range(2)]
+        with Program(*(pod.entry(f"s-{at}") for at, pod in enumerate(pods))) as program:
+            told, _ = loaded(program.port, "--rate", "60", "--seconds", "2", "--lane", "read=3",
+                             "--lane", "pay=1,write")
+        for pod in pods:
+            pod.close()
+        self.assertEqual(told["ends"]["done"], told["due"], told)
+        self.assertEqual(set(told["corrected_ms"]), {"read", "pay"})
+
+    def test_wrong_words_are_one_line_and_status_two(self):
+        for words in (["--at", "nowhere"], ["--lane", "x=y"], ["--rate", "0"], ["--quantile", "2"]):
+            told = subprocess.run([sys.executable, "-m", "thymeknot", "load", *words], capture_output=True, text=True)
+            self.assertEqual(told.returncode, 2, words)
+            self.assertNotIn("Traceback", told.stderr)
--- a/thymeknot/admission.py
+++ b/thymeknot/admission.py
@@ -9,7 +9,7 @@
 LEAST_TAKEN, LANE_PART, CALM, PRESSED = 0.1, (0.8, 1.25), "calm", "pressed"  # part of the limit by earnings
 FEW, QUIET = 5, 120             # sidecars that share the pods; transactions in 8 s that are too few to count
 USUAL, FIRM, ROOM = 0.2, 4, 0.15  # of the goal, if unknown; outcomes it weighs; of the rest: still in time
-UP, DOWN = 0.005, 0.02          # a step: slowness is followed least, or an overload becomes the usual
+LOST, UP, DOWN = 0.75, 0.005, 0.02  # to an answer; a step up is small, or an overload becomes the usual
 # (state, many sidecars) -> standard deviations of open work left to chance, whether a quiet one draws lots.
 # A quiet instance often has two open where one is the mean: the bare mean turned away a fifth of a calm day.
 ADMITS = {(CALM, True): (3.0, False), (CALM, False): (0.0, False),
@@ -24,10 +24,10 @@
         self.usual, self.means, self.lanes = USUAL, {}, {}
 
     def ended(self, now, lane, end, share):
-        """An outcome at a pod with this share of its capacity. A full queue, or no answer by the goal, says
-        something of this pod alone: pods drain, fall silent, pause."""
+        """An outcome at a pod with this share of its capacity."""
         times = min(2.0, end.latency * share / lane.latency_goal)
-        if end.outcome == i.FULL or (end.outcome == i.EXPIRED and end.latency >= 0.99 * lane.latency_goal):
+        late = end.outcome == i.EXPIRED and end.latency >= 0.99 * lane.latency_goal
+        if late or end.outcome in (i.FULL, i.UNCONNECTED):
             self.unheard.add(now)
         elif end.outcome == i.DONE:
             self.heard.add(now)
@@ -36,7 +36,6 @@
             self.usual = min(GOAL_PART, self.usual + (UP if apart > 0 else DOWN) * apart)
 
     def answered(self, now, lane, latency):
-        """Any answer: the room that it makes, and the lane's mean."""
         self.answers.add(now, GOAL_PART * lane.latency_goal)
         mean = self.means.get(lane.name, latency)
         self.means[lane.name], self.lanes[lane.name] = max(1.0, mean + 0.03 * (latency - mean)), lane
@@ -55,12 +54,13 @@
 
     def pressure(self, now, open_):
         """The time that pods take over what is still in time: above 1 they queue. What is unknown counts as
-        usual, so few outcomes do not bind, and what binds lapses. Silence counts if it outnumbers answers."""
+        usual, so few outcomes do not bind, and what binds lapses. Silence, full queues, refused connections
+        are a few pods' matter, which drain, pause or are lost, until they are near as many as answers."""
         heard = self.heard.total(now)
         seen, times = heard + FIRM, self.times.total(now) + FIRM * self.usual
         late = self.unheard.total(now) + sum(now - tx.sent[-1].at > GOAL_PART * tx.lane.latency_goal
                                              for tx in open_ if tx.sent and tx.sent[-1].out)
-        if late > heard:
+        if late > LOST * heard + 0.5:
             seen, times = seen + late, times + late
         return times / seen / (self.usual + ROOM * (1 - self.usual))
 
--- a/thymeknot/command/main.py
+++ b/thymeknot/command/main.py
@@ -179,6 +179,43 @@
     context.exit(ring.main(["show", name, file]))
 
 
+@thymeknot.command()
+@click.option("--at", "place", default="127.0.0.1:6379", metavar="ADDRESS", show_default=True, help="a sidecar")
+@click.option("--rate", default=100.0, show_default=True, type=click.FloatRange(0.01), help="requests a second; of a "
+              "ramp, the first")
+@click.option("--seconds", default=10, show_default=True, type=click.IntRange(1, 3600), help="of a stretch")
+@click.option("--lane", "lanes", multiple=True, default=("read=1",), show_default=True, metavar="NAME=SHARE[,KIND]",
+              help="read, write or marked; again for each lane")
+@click.option("--lines", default=64, show_default=True, type=click.IntRange(1, 20_000), help="connections at most")
+@click.option("--patience", default=2.0, show_default=True, help="seconds that a client waits")
+@click.option("--goal-ms", default=50.0, show_default=True, help="of the quantile")
+@click.option("--quantile", default=0.99, show_default=True, type=click.FloatRange(0.5, 0.9999))
+@click.option("--not-done", default=0.01, show_default=True, help="share that may end otherwise")
+@click.option("--ramp", is_flag=True, help="climb until the goal fails; tells the highest rate held")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--protocol", default="resp2", show_default=True, type=click.Choice(["resp2"]))
+@click.pass_context
+def load(context, place, rate, seconds, lanes, lines, patience, goal_ms, quantile, not_done, ramp, seed, protocol):
+    """Sends at its own times whatever the answers do. Latencies count from when a request was due."""
+    from ..load import plan, run
+    host, _, port = place.rpartition(":")
+    try:
+        told = [plan.lane(one) for one in lanes]
+        if not port.isdigit():
+            raise plan.Wrong(f"{place}: HOST:PORT")
+    except plan.Wrong as error:
+        raise click.UsageError(str(error)) from None
+    goal = plan.Goal(quantile, int(goal_ms * 10), not_done)
+    climbing = plan.Ramp(rate) if ramp else None
+    found = run.stretches(host, int(port), {"seed": seed, "rate": rate, "seconds": seconds, "lanes": told,
+                                            "keys": 10_000}, goal, lambda line: click.echo(line, err=True),
+                          lines, int(patience * plan.SECOND), protocol, climbing)
+    last = found[-1][3].figures(seconds)
+    click.echo(_json({"verdict": found[-1][1], "why": found[-1][2], **last, **(
+        {"held_per_s": round(climbing.held, 1), "held_until": climbing.why} if climbing else {})}))
+    context.exit(0 if climbing or found[-1][1] == plan.HELD else 1)
+
+
 @thymeknot.group()
 def lab():
     """The laboratory: fleets and their failures in simulated time."""
