--- a/thymeknot/admission.py
+++ b/thymeknot/admission.py
@@ -18,6 +18,7 @@
 
 class Admission:
     """One for each instance. Asked with every transaction, told of every outcome that says how pods are."""
+
     def __init__(self, balancers):
         self.many, self.least = balancers > FEW, max(3.0, LIMIT_LEAST * min(1.0, FEW / balancers))
         self.answers, self.heard, self.times, self.unheard = (Ring(2 * SECOND, 8) for _ in range(4))
@@ -53,14 +54,14 @@
         return LANE_PART[0] + (LANE_PART[1] - LANE_PART[0]) * rank
 
     def pressure(self, now, open_):
-        """The time that pods take over what is still in time: above 1 they queue. What is unknown counts as
-        usual, so few outcomes do not bind, and what binds lapses. Silence, full queues, refused connections
-        are a few pods' matter, which drain, pause or are lost, until they are near as many as answers."""
-        heard = self.heard.total(now)
-        seen, times = heard + FIRM, self.times.total(now) + FIRM * self.usual
-        late = self.unheard.total(now) + sum(now - tx.sent[-1].at > GOAL_PART * tx.lane.latency_goal
-                                             for tx in open_ if tx.sent and tx.sent[-1].out)
-        if late > LOST * heard + 0.5:
+        """The time that pods take over what is still in time: above 1 they queue. What is unknown is usual:
+        few outcomes do not bind. Silence and refusals are a few pods' matter until they near the answers."""
+        heard, late = self.heard.total(now), self.unheard.total(now)
+        seen, times, bound = heard + FIRM, self.times.total(now) + FIRM * self.usual, LOST * heard + 0.5
+        if late + len(open_) > bound:  # else what is open could not tip it
+            late += sum(now - tx.sent[-1].at > GOAL_PART * tx.lane.latency_goal
+                        for tx in open_ if tx.sent and tx.sent[-1].out)
+        if late > bound:
             seen, times = seen + late, times + late
         return times / seen / (self.usual + ROOM * (1 - self.usual))
 
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -437,7 +437,7 @@
         if news is None or len(tx.sent) >= self.terms.max_deliveries or self.now >= tx.ends:
             most = (R.MOST_DELIVERIES, len(tx.sent), self.terms.max_deliveries)
             late = (R.TIME_OVER, tx.ends - self.now, 0)
-            return self._why(*(late if self.now >= tx.ends else most if news else (R.NO_NEWS,))) or False
+            return self._why(*((R.NO_NEWS,) if not news else late if self.now >= tx.ends else most)) or False
         stays = (news.phase in (i.ON_TRIAL, i.RELEASED)
                  and (tx.key in self.pins or len(self.pins) >= KEYS_MOST))  # more than it can tell apart: all
         at, open_ = position(tx.key), news.phase in (i.ON_TRIAL, i.RELEASED)
--- a/thymeknot/records.py
+++ b/thymeknot/records.py
@@ -32,9 +32,11 @@
 
     def _turn(self, now):
         bucket = now // self.width
+        if bucket <= self.last:
+            return
         for step in range(max(self.last + 1, bucket - self.size + 1), bucket + 1):
             self.counts[step % self.size] = 0
-        self.last = max(self.last, bucket)
+        self.last = bucket
 
     def add(self, now, amount=1):
         self._turn(now)
@@ -43,8 +45,12 @@
     def total(self, now, full_only=False, back=None):
         """The last `back` buckets' sum (all if None), with the partly covered oldest one or without it."""
         self._turn(now)
-        back = self.size if back is None else back + 1
-        return sum(self.counts[(self.last - step) % self.size] for step in range(back - full_only))
+        wanted = (self.size if back is None else back + 1) - full_only
+        begin = (self.last + 1 - wanted) % self.size
+        end = begin + wanted  # slices: every transaction asks for a dozen of these sums
+        if end <= self.size:
+            return sum(self.counts[begin:end])
+        return sum(self.counts[begin:]) + sum(self.counts[:end - self.size])
 
 
 class Transaction:
