The load tool sends again what crossed the end of a connection, and leaves none open

Need: read again beside the protocol, a client sends once more on a new connection what crossed the end of a used one, and the sidecar closes idle ones when they are many: the tool called such requests lost. A connection that came up after a stretch stayed open into the next one. Without its library the command ended in a traceback.

Change: a request that is cut off on a used connection is dialled for once more; late connections are closed; a missing library is named with the command that installs it.

--- a/thymeknot/command/main.py
+++ b/thymeknot/command/main.py
@@ -197,7 +197,10 @@
 @click.pass_context
 def load(context, place, rate, seconds, lanes, lines, patience, goal_ms, quantile, not_done, ramp, seed, protocol):
     """Sends at its own times whatever the answers do. Latencies count from when a request was due."""
-    from ..load import plan, run
+    try:
+        from ..load import plan, run
+    except ImportError as error:
+        raise click.UsageError(f"{error.name} is missing: pip install 'thymeknot[load]'") from None
     host, _, port = place.rpartition(":")
     try:
         told = [plan.lane(one) for one in lanes]
--- a/thymeknot/load/driver.py
+++ b/thymeknot/load/driver.py
@@ -3,7 +3,6 @@
 from collections import deque
 
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from ..protocol.resp import Malformed
@@ -17,12 +16,13 @@
 class Line(Protocol):
     """One connection; busy while a request is out on it."""
 
-    def __init__(self, driver):
+    def __init__(self, driver, again=None):
         self.driver, self.speaker, self.out, self.sent_at = driver, driver.speaker(), None, 0
+        self.used, self.again = False, again  # again: a request that was cut off, the first to go here
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
-        self.driver.free(self)
+        self.driver.up(self, self.again)
 
     def send(self, request, now):
         self.out, self.sent_at = request, now
@@ -33,6 +33,7 @@
             for how in self.speaker.heard(data):
                 if self.out is None:
                     raise Malformed("an answer that nothing asked for")
+                self.used = True
                 self.ended(how)
         except Malformed:
             self.transport.abortConnection()
@@ -47,20 +48,22 @@
     def connectionLost(self, reason):
         self.driver.gone(self)
         if self.out is not None:
-            self.ended("lost")
+            self.driver.cut_off(self)
 
 
 class _Lines(ClientFactory):
     noisy = False
 
-    def __init__(self, driver):
-        self.driver = driver
+    def __init__(self, driver, again=None):
+        self.driver, self.again = driver, again
 
     def buildProtocol(self, address):
-        return Line(self.driver)
+        return Line(self.driver, self.again)
 
     def clientConnectionFailed(self, connector, reason):
-        self.driver.refused(reason.value if isinstance(reason.value, ConnectError) else ConnectError())
+        self.driver.coming -= 1
+        if self.again is not None:
+            self.driver.ended(self.again, self.driver.now(), "lost")
 
 
 class Driver:
@@ -72,7 +75,7 @@
         self.idle, self.lines, self.coming = [], set(), 0
 
     def run(self, plan, span):
-        self.plan, self.next, self.waiting, self.tally = iter(plan), None, deque(), Tally()
+        self.plan, self.waiting, self.tally = iter(plan), deque(), Tally()
         self.begun, self.span, self.out, self.done = self.clock(), span, 0, Deferred()
         self.next = next(self.plan, None)
         self._look()
@@ -89,9 +92,10 @@
             self.next = next(self.plan, None)
         self._send(now)
         for line in [one for one in self.lines if one.out and now > one.out.at + self.patience + SLACK]:
+            line.ended("lost")
             line.transport.abortConnection()
         while self.waiting and now > self.waiting[0].at + self.patience:  # its client has gone: nobody sent it
-            self.ended(self.waiting.popleft(), now, "lost", was_out=False)
+            self.tally.ended(now, self.waiting.popleft(), now, "lost")
         over = self.next is None and not self.waiting and not self.out
         if over or now > self.span + self.patience + 4 * SLACK:
             return self._finish()
@@ -105,13 +109,23 @@
             line.send(request, now)
         wanted = min(len(self.waiting), self.most - len(self.lines)) - self.coming
         for _ in range(max(0, wanted)):
-            self.coming += 1
-            self.reactor.connectTCP(self.host, self.port, _Lines(self), timeout=2)
+            self._dial()
+
+    def _dial(self, again=None):
+        self.coming += 1
+        self.reactor.connectTCP(self.host, self.port, _Lines(self, again), timeout=2)
+
+    def up(self, line, again):
+        self.coming -= 1
+        self.lines.add(line)
+        if self.done.called:  # it came up when all was over
+            line.transport.abortConnection()
+        elif again is not None:
+            line.send(again, self.now())
+        else:
+            self.free(line)
 
     def free(self, line):
-        if line not in self.lines:
-            self.coming -= 1
-            self.lines.add(line)
         if not self.done.called:
             self.idle.append(line)
             self._send(self.now())
@@ -121,11 +135,17 @@
         if line in self.idle:
             self.idle.remove(line)
 
-    def refused(self, error):
-        self.coming -= 1
-
-    def ended(self, request, sent_at, how, was_out=True):
-        self.out -= was_out
+    def cut_off(self, line):
+        """A connection ended under a request. A server may close one between requests: what crossed that on a
+        connection that had been used is sent once more on a new one, as the protocol has clients do."""
+        request, line.out = line.out, None
+        if line.used and not self.done.called:
+            self._dial(request)
+        else:
+            self.ended(request, line.sent_at, "lost")
+
+    def ended(self, request, sent_at, how):
+        self.out -= 1
         self.tally.ended(self.now(), request, sent_at, how)
 
     def _finish(self):
--- a/thymeknot/load/plan.py
+++ b/thymeknot/load/plan.py
@@ -47,7 +47,6 @@
     ended: int
     late: int
     due: int
-    sent: int
 
 
 class Wrong(ValueError):
--- a/thymeknot/load/run.py
+++ b/thymeknot/load/run.py
@@ -26,7 +26,7 @@
     def ended(tally, rate):
         latency = tally.all.get_value_at_percentile(100 * goal.quantile) if tally.ends["done"] else 0
         stretch = Stretch(rate, latency, tally.ends["done"], sum(tally.ends.values()),
-                          tally.late.get_value_at_percentile(99), tally.due, tally.sent)
+                          tally.late.get_value_at_percentile(99), tally.due)
         verdict, why = judged(stretch, goal)
         found.append((rate, verdict, why, tally))
         told(f"{rate:8.0f}/s  {verdict:9}  {why}  (done {stretch.done} of {stretch.due})")
