A zone that is joined again hears the news it missed; a new life has no allowance of the old

Need: read again, two places where the laboratory was not as the protocol has it. Instances of a zone that had been cut off were told nothing until the next change of stage, while the platform's news comes again and again; and the checker counted what an earlier life of an instance took for its allowance, which is looser than the rule on exposure.

Change: the end of a cut announces the state; a kill forgets what was taken and tried. Both tests fail without their lines.

--- a/tests/test_laboratory.py
+++ b/tests/test_laboratory.py
@@ -146,6 +146,18 @@
         self.assertEqual([text.split(":")[1][:20] for _, _, text in one.broken],
                          [" its key was answere", " pay in guarded stag"])
 
+    def test_an_instance_that_starts_anew_has_no_allowance_of_its_earlier_life(self):
+        for killed, rules in ((False, []), (True, [5])):
+            one = checker()
+            one.cap(0, 1, 2, 0.5, 2, "trial")
+            for at in range(40):
+                one.taken(100 + at, 1, f"t{at}", "fetch", 10_000)
+            if killed:
+                one.killed(200, 1)
+            for at in range(10):
+                one.sent(300 + at, 1, f"t{at}", "p", 2, "fetch")
+            self.assertEqual(one.rules_broken(), rules)
+
     def test_a_cold_pod_pushed_by_all_together(self):
         one, untold = (checker(cold=4 * SECOND, cold_from=0.25, overload=SECOND) for _ in range(2))
         for instance in range(7):
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,6 +4,7 @@
 
 from thymeknot import interface as i
 from thymeknot.laboratory import crowds
+from thymeknot.laboratory.days import Fault
 from thymeknot.laboratory.fleet import Fleet, balancer
 from thymeknot.reasons import Reason as R
 from thymeknot.service.refusals import EVERY, Refusals
@@ -85,6 +86,10 @@
         reached = {one.zone: (fleet._reached(inside, one), fleet._reached(outside, one)) for one in fleet.pods.values()}
         self.assertEqual(reached, {"a": (False, True), "b": (True, False), "c": (False, True)})
         self.assertEqual((fleet._off(inside), fleet._off(outside)), (True, False))
+        fleet.heap.clear()
+        fleet._fault(Fault("cut", 0, 1, (1,), 0.0), False)
+        told = sorted(arguments[0] for _, _, call, arguments in fleet.heap if call == fleet._told_news)
+        self.assertEqual((fleet.cuts, told), (set(), list(range(9))))  # what was missed is told again
 
     def test_what_a_pause_holds_up_is_done_after_it(self):
         fleet, _ = self.made("herd")
--- a/thymeknot/laboratory/fleet.py
+++ b/thymeknot/laboratory/fleet.py
@@ -499,6 +499,8 @@
         elif fault.kind == "cut":
             zones = {self.day.zones[at] for at in fault.what}
             self.cuts = self.cuts | zones if begins else self.cuts - zones
+            if not begins:
+                self._announce()  # news comes again and again: what was missed is told then
         elif fault.kind == "silent":
             for pod in self.pods.values():
                 pod.silent = begins and int(pod.name[1:].split("-")[0]) in fault.what
--- a/thymeknot/laboratory/rules.py
+++ b/thymeknot/laboratory/rules.py
@@ -69,6 +69,9 @@
             del self.open[key]
         for held in (self.gone, self.kept, self.starts):
             held.pop(instance, None)
+        for held in (self.taken_at, self.tried_at):  # what an earlier life took is no allowance of this one
+            for key in [key for key in held if key[0] == instance]:
+                del held[key]
 
     def ended(self, now):
         """At the end of a day: whatever is open past its time was lost."""
