--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,101 @@
+"""What a person reads: the logs of a fleet in sums, a day as a page, a comparison with its intervals."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from thymeknot.command.summary import SPAN_MOST, Summary
+from thymeknot.laboratory import crowds
+from thymeknot.laboratory.experiments import crowd_figures
+from thymeknot.laboratory.fleet import Fleet, balancer
+from thymeknot.laboratory.report import written
+from thymeknot.laboratory.watched import Watched
+
+SMALL = {"instances": 12, "pods": 9, "seconds": 12, "load": 0.4}
+
+
+def line(event, at=100.0, **fields):
+    return json.dumps({"at": at, "event": event, **fields}).encode() + b"\n"
+
+
+def ran(*words):
+    return subprocess.run([sys.executable, "-m", "thymeknot", *words], capture_output=True, text=True, timeout=120)
+
+
+class Logs(unittest.TestCase):
+    def test_what_the_logs_of_two_say_together(self):
+        summary = Summary(5.0)
+        for whose, text in (("a", line("turned away", deferred={"OVER_LIMIT": 3}, abandoned={"TIME_OVER": 1})),
+                            ("b", b"6.916 " + line("turned away", 101, deferred={"OVER_LIMIT": 2})),
+                            ("b", line("vote", 107, verdict=1, outcome="full")),
+                            ("a", line("vote", verdict=1, outcome="done")),
+                            ("a", line("fault", at_line="x.py:3")), ("a", line("ready"))):
+            summary.feed(whose, text)
+        self.assertEqual(summary.figures(), {
+            "sidecars": 2, "turned_away": {"deferred OVER_LIMIT": 5, "abandoned TIME_OVER": 1},
+            "busiest": {"a": 4, "b": 2}, "votes": {"on full": 1, "on done": 1}, "votes_full_share": 0.5, "faults": {"fault x.py:3": 1},
+            "unread_lines": 0})
+        self.assertEqual([at for at, _ in summary.stretches()], [0.0, 5.0])
+
+    def test_what_can_not_be_read_is_counted_and_nothing_grows_without_a_bound(self):
+        summary = Summary(0.1)
+        for text in (b"", b"no\n", b"{\n", b"[1]\n", b'{"event":3,"at":1}\n', b'{"event":"vote"}\n', b"\xff{}\n"):
+            summary.feed("a", text)
+        self.assertEqual((summary.unread, summary.figures()["votes"]), (7, {}))
+        for odd in (3, None, "x", [1], {"X": "y"}):
+            summary.feed("a", line("turned away", deferred=odd))
+        self.assertEqual(summary.figures()["turned_away"], {})
+        summary.feed("a", line("vote", verdict=9, outcome=None))
+        for at in range(SPAN_MOST + 50):
+            summary.feed("a", line("vote", at, verdict=0, outcome="done"))
+        self.assertLessEqual(len(summary.spans), SPAN_MOST)
+
+    def test_the_command(self):
+        with tempfile.NamedTemporaryFile(suffix=".log") as log:
+            log.write(line("turned away", deferred={"BY_LOT": 2}))
+            log.flush()
+            told = ran("logs", "--json", log.name)
+        self.assertEqual([json.loads(one) for one in told.stdout.splitlines()][0], {"at": 0.0, "deferred BY_LOT": 2})
+        self.assertEqual(ran("logs", "/nowhere.log").returncode, 2)
+
+
+class Pages(unittest.TestCase):
+    def test_watching_changes_nothing_and_counts_all(self):
+        day, _ = crowds.drawn(3, "herd", **SMALL)
+        plain, watched = Fleet(day, balancer).play(), Watched(day, balancer).play()
+        self.assertEqual(plain.figures(), watched.figures())
+        self.assertEqual(sum(watched.how["done"]), plain.ends["done"])
+        self.assertEqual(sum(sum(one) for one in watched.sent.values()), sum(plain.by_pod.values()))
+
+    def test_a_page_has_a_picture_for_each_policy_and_its_figures(self):
+        day, _ = crowds.drawn(3, "zone", **SMALL)
+        with tempfile.TemporaryDirectory() as folder:
+            found = written(day, {"now": balancer, "<now>": balancer}, folder, "zone & more")
+            with open(os.path.join(folder, "index.html"), encoding="utf-8") as page:
+                text = page.read()
+            for picture in ("day-0.png", "day-1.png"):
+                with open(os.path.join(folder, picture), "rb") as source:
+                    self.assertEqual(source.read(4), b"\x89PNG")
+                self.assertIn(picture, text)
+        self.assertEqual(found["now"], found["<now>"])
+        self.assertIn(str(found["now"]["service"]), text)
+        self.assertTrue("zone &amp; more" in text and "<now>" not in text)
+
+    def test_a_comparison_says_what_one_day_can_not(self):
+        one = {"kind": "calm", "good": True, "needless": 0.2, "service": 0.8, "worst_10s": 0.7, "worth": 0.6,
+               "recover_s": 9, "good_back": False, "bad_released": False, "bad_kept": False, "behind": 0.1,
+               "rules_broken": [], "breaches": []}
+        told = crowd_figures([(one, {**one, "needless": 0.1, "rules_broken": [4]})])
+        self.assertEqual(told["needless_share"], {"before": 0.2, "now": 0.1, "gap": -0.1, "low": None, "high": None})
+        self.assertEqual((told["overload_served"], told["bad_kept"], told["rules_broken"]), (None, None, [[], [4]]))
+        for words in (["lab", "fleet", "now", "now", "--kinds", "no"], ["lab", "report", "nowhere", "--kind", "no"]):
+            self.assertEqual(ran(*words).returncode, 2)
+
+    def test_the_measurement_in_short(self):
+        told = subprocess.run([sys.executable, "-m", "measure.fleet", "--short", "--kinds", "calm", "--workers", "2"],
+                              capture_output=True, text=True, timeout=120)
+        figures = json.loads(told.stdout.splitlines()[-1])
+        self.assertEqual((figures["rules_broken"], figures["days"]), ([[], []], 1), told.stderr)
--- a/thymeknot/command/main.py
+++ b/thymeknot/command/main.py
@@ -179,6 +179,22 @@
     context.exit(ring.main(["show", name, file]))
 
 
+@thymeknot.command()
+@click.argument("files", nargs=-1, required=True, type=click.File("rb"))
+@click.option("--every", default=5.0, show_default=True, type=click.FloatRange(0.1), help="seconds of a stretch")
+@click.option("--json", "plain", is_flag=True, help="lines of JSON")
+def logs(files, every, plain):
+    """What the logs of a fleet say together: a FILE for each sidecar."""
+    from .summary import Summary
+    summary = Summary(every)
+    for source in files:
+        for line in source:
+            summary.feed(source.name, line)
+    for at, counts in summary.stretches():
+        _show({"at": at, **counts}, plain)
+    _show(summary.figures(), plain)
+
+
 @thymeknot.command()
 @click.option("--at", "place", default="127.0.0.1:6379", metavar="ADDRESS", show_default=True, help="a sidecar")
 @click.option("--rate", default=100.0, show_default=True, type=click.FloatRange(0.01), help="requests a second; of a "
@@ -266,6 +282,59 @@
     click.echo(f"rules broken: {broken or 'none'}")
 
 
+@lab.command("fleet")
+@click.argument("one")
+@click.argument("two")
+@click.option("--kinds", default="herd,zone", show_default=True,
+              help="of calm, roll, herd, zone, split, join, overload")
+@click.option("--days", default=4, show_default=True, help="of each kind")
+@click.option("--instances", default=60, show_default=True)
+@click.option("--pods", default=36, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--workers", default=os.cpu_count() or 1, show_default="all cores")
+def lab_fleet(one, two, kinds, days, instances, pods, seed, workers):
+    """Two policies on the same days of a whole fleet: two less one with its interval."""
+    from ..laboratory import experiments
+    kinds = _kinds(kinds)
+    with click.progressbar(length=2 * days * len(kinds), label="days", file=click.get_text_stream("stderr")) as bar:
+        try:
+            pairs = experiments.crowds_compared(one, two, kinds, range(seed, seed + days), {
+                "instances": instances, "pods": pods}, workers, lambda done, count: bar.update(done - bar.pos))
+        except experiments.Unknown as error:
+            raise click.UsageError(str(error)) from None
+    click.echo(_json(experiments.crowd_figures(pairs)))
+
+
+def _kinds(text):
+    from ..laboratory import crowds
+    wrong = [kind for kind in text.split(",") if kind not in crowds.KINDS]
+    if wrong:
+        raise click.UsageError(f"{', '.join(wrong)}: none of {', '.join(crowds.KINDS)}")
+    return text.split(",")
+
+
+@lab.command("report")
+@click.argument("folder", type=click.Path(file_okay=False))
+@click.option("--kind", default="herd", show_default=True)
+@click.option("--policy", "names", multiple=True, default=("now",), show_default=True, help="again for each")
+@click.option("--instances", default=60, show_default=True)
+@click.option("--pods", default=36, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+def lab_report(folder, kind, names, instances, pods, seed):
+    """A page with pictures of one day of a fleet, played with each policy, in FOLDER."""
+    from ..laboratory import crowds, experiments
+    _kinds(kind)
+    try:
+        from ..laboratory import report
+        policies = {name: experiments.policy(name) for name in names}
+    except ImportError as error:
+        raise click.UsageError(f"{error.name} is missing: pip install 'thymeknot[laboratory]'") from None
+    except experiments.Unknown as error:
+        raise click.UsageError(str(error)) from None
+    day, _ = crowds.drawn(seed, kind, instances=instances, pods=pods)
+    click.echo(_json(report.written(day, policies, folder, f"{kind}, seed {seed}")))
+
+
 @lab.command("search")
 @_size
 @click.option("--days", default=24, show_default=True)
--- a/thymeknot/laboratory/experiments.py
+++ b/thymeknot/laboratory/experiments.py
@@ -1,6 +1,7 @@
 """Experiments: days by seed, played with each policy on all cores, kept as they come; one that was ended half-way goes
 on where it was. Every result holds what it takes to play it again: seed, size, policy, version."""
 
+import math
 import multiprocessing
 import os
 import subprocess
@@ -103,6 +104,31 @@
     return list(zip(found[::2], found[1::2]))
 
 
+def crowd_figures(pairs):
+    """What pairs of results say: means of both, and the second less the first with its 95% interval, by figure."""
+    def told(some, name):
+        before, now = ([float(one[at][name]) for one in some] for at in (0, 1))
+        if not some:
+            return None
+        gap = numbers.paired(now, before)
+        low, high = (round(one, 4) if math.isfinite(one) else None for one in (gap.low, gap.high))  # None: one day
+        return {"before": round(sum(before) / len(before), 4), "now": round(sum(now) / len(now), 4),
+                "gap": round(gap.mean, 4), "low": low, "high": high}
+
+    def which(name, value):
+        return [pair for pair in pairs if pair[0][name] == value]
+    kinds, usual = sorted({pair[0]["kind"] for pair in pairs}), [
+        pair for pair in pairs if pair[0]["kind"] != "overload"]
+    return {"needless_share": told(usual, "needless"), "overload_served": told(which("kind", "overload"), "service"),
+            **{name: told(pairs, name) for name in ("service", "worst_10s", "worth", "recover_s")},
+            "good_back": told(which("good", True), "good_back"),
+            **{name: told(which("good", False), name) for name in ("bad_released", "bad_kept")},
+            "rules_broken": [sorted({rule for pair in pairs for rule in pair[at]["rules_broken"]}) for at in (0, 1)],
+            "breaches": [one for pair in pairs for one in pair[1]["breaches"]][:5],
+            "by_kind": {kind: {name: told(which("kind", kind), name) for name in ("service", "needless", "behind")}
+                        for kind in kinds}}
+
+
 def key_of(task):
     return orjson.dumps([task[0], task[1], sorted(task[2].items())]).decode()
 
