--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -36,8 +36,8 @@
             summary.feed(whose, text)
         self.assertEqual(summary.figures(), {
             "sidecars": 2, "turned_away": {"deferred OVER_LIMIT": 5, "abandoned TIME_OVER": 1},
-            "busiest": {"a": 4, "b": 2}, "votes": {"on full": 1, "on done": 1}, "votes_full_share": 0.5, "faults": {"fault x.py:3": 1},
-            "unread_lines": 0})
+            "busiest": {"a": 4, "b": 2}, "votes": {"on full": 1, "on done": 1}, "votes_full_share": 0.5,
+            "faults": {"fault x.py:3": 1}, "unread_lines": 0})
         self.assertEqual([at for at, _ in summary.stretches()], [0.0, 5.0])
 
     def test_what_can_not_be_read_is_counted_and_nothing_grows_without_a_bound(self):
