--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -23,6 +23,7 @@
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
 LOOKED_AT = 16              # connections that may make room for another: the eldest
 CROWDED, IDLE_LEAST = 1 / 3, 2_000  # of the places for clients; tenths of a millisecond
+ASK_SPREAD, ASK_SPREAD_MOST = 500, 40_000  # for each sidecar, and in all: within it lists are asked for at a start
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
@@ -124,7 +125,9 @@
         """The first moment of the decisions: the list as last known, and the news."""
         self._listing(self.start.known)
         self.tell(self.start.news)
-        self.watch.start()
+        # Where lists are asked for, all ask one service: a fleet that starts at once must not come there at once.
+        spread = min(ASK_SPREAD * self.terms.balancers, ASK_SPREAD_MOST) if self.terms.subscribes else 0
+        self.watch.start_within(spread) if spread else self.watch.start()
         self.stream.start()
         self._refusals()
 
@@ -404,8 +407,7 @@
         return read
 
     def _subscribe(self, action):
-        if action.on:  # the watch always stands; what is due as the answer is the list
-            self._fetch(action)
+        pass  # the watch stands, or is asked for as often as discovery bears: a call beside it would be one too many
 
     def _fetch(self, action):
         fetched = self.discovery.call(discovery.fetch(self.discovery.host), self.terms.vote_wait)
