Slowness of all by mean times, from a fifth of the ramp on; late leavers are no places

Ruled out: calls refused by the platform (2 to 3%), votes that expire, doubts by failures (2 of 40). Change: places are those ready now where earlier machines stay; a pod that was met on trial keeps its first start; mean times of lane and machine are followed, and the sum takes times over the usual mean less 1.3, three times at most; blame from 0.15 of the ramp; marked repeats are left out of the traffic that excuses. How often lists are asked for is now a pure module of its own, thymeknot/asking.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,7 +8,7 @@
 
 from .helpers import LANES, NOW, balancer, ended, news, pod, sent, taken
 
-USUAL = {("read", "std"): (500, 100)}
+USUAL = {("read", "std"): (900, 100, 500)}
 
 
 def judging(rate=50.0):
@@ -86,7 +86,7 @@
 class FailuresFound(unittest.TestCase):
     def test_one_slow_machine_does_not_send_a_build_back(self):
         made = balancer(told=news())
-        made.marks["read", "std"] = (500, 100)
+        made.marks["read", "std"] = (500, 100, 300)
         judged(made, i.DONE, "old-1", 20, latency=100)
         judged(made, i.DONE, "new-1", 60, latency=5000)
         self.assertNotEqual(made._verdict(), i.BACK)
@@ -151,7 +151,7 @@
 
     def test_slow_pods_together_do_but_not_within_one_second(self):
         made = balancer(pod("old-1"), *(pod(f"new-{n}", 2) for n in range(4)), told=news())
-        made.marks["read", "std"] = (500, 100)
+        made.marks["read", "std"] = (500, 100, 300)
         verdicts = []
         for _ in range(3):
             judged(made, i.DONE, "old-1", 20, latency=100)
@@ -164,7 +164,7 @@
 
     def test_cold_slowness_and_time_outs_prove_nothing(self):
         made = balancer(pod("old-1"), pod("new-1", 2, started=NOW - 1), told=news())
-        made.marks["read", "std"] = (500, 100)
+        made.marks["read", "std"] = (500, 100, 300)
         judged(made, i.DONE, "old-1", 20, latency=100)
         judged(made, i.DONE, "new-1", 20, latency=5000)
         judged(made, i.EXPIRED, "new-1", 20)
@@ -216,15 +216,58 @@
 
     def test_more_traffic_excuses_slowness_of_all(self):
         made = judging(rate=10.0)
-        made.arrivals.add(NOW, 100)
+        made.fresh.add(NOW, 100)
         judged(made, i.DONE, "old-1", 60, latency=5000)
         self.assertIsNone(made.ill_since)
         judged(made, i.EXPIRED, "old-1", 60)
         self.assertIsNotNone(made.ill_since)
 
+    def test_repeats_of_clients_excuse_nothing(self):
+        for repeat, excused in ((False, True), (True, False)):
+            made = judging(rate=10.0)
+            for number in range(100):
+                made.handle(NOW, [taken(str(number))._replace(repeat=repeat)])
+            self.assertEqual(made._busier() > 1.5, excused)
+
+    def test_mean_times_speak_before_nine_in_ten_are_over_the_mark(self):
+        for times, slow in ((1.2, False), (1.9, True)):  # spread as work is: few are far above the mean
+            made = judging()
+            for share in (0.4, 0.6, 0.8, 1.0, 1.3, 1.9) * 12:
+                judged(made, i.DONE, "old-1", latency=int(500 * times * share))
+            self.assertEqual(made.ill_since is not None, slow)
+
+    def test_a_stage_of_a_fifth_of_the_ramp_is_blamed_too(self):
+        # With three stages the second one ends there: nothing moved on and nothing was sent back, for good.
+        for ramp, back in ((0.08, False), (0.2, True)):
+            made = judging()
+            made.ramp = ramp
+            judged(made, i.DONE, "old-1", 60, latency=5000)
+            made.now += 5 * SECOND
+            judged(made, i.DONE, "old-1", 1, latency=5000)
+            self.assertEqual(made._verdict() == i.BACK, back)
+
+    def test_pods_of_a_build_that_was_taken_off_are_no_places_of_the_next(self):
+        # News comes before the list: what drains by then was counted, and half of the sidecars never voted.
+        earlier, late = [pod(f"o-{n}") for n in range(40)], [pod(f"g-{n}", 2) for n in range(40)]
+        made = balancer(*earlier, *late, told=news(3, build=2))
+        made.handle(NOW, [news(0, i.WITHDRAWN, 0.0, 2), news(0, build=3)])
+        gone = tuple(one._replace(condition=i.DRAINING) for one in late)
+        made.handle(NOW, [i.PodList(i.CHANGES, (*gone, *(pod(f"n-{n}", 3, NOW) for n in range(4))))])
+        made.now += 9 * SECOND
+        self.assertEqual(made._verdict(), i.ON)
+
+    def test_a_trials_pod_that_starts_again_is_not_new(self):
+        pods = [pod("old-1"), pod("old-2"), pod("new-1", 2, NOW), pod("new-2", 2, NOW)]
+        for again, vote in ((pod("new-1", 2, NOW + 8 * SECOND), i.ON), (pod("new-3", 2, NOW + 8 * SECOND), i.NO_VOTE)):
+            made = balancer(*pods, told=news())
+            made._verdict()
+            made.handle(NOW + 7 * SECOND, [i.PodList(i.CHANGES, (pods[2]._replace(condition=i.GONE),))])
+            made.handle(NOW + 9 * SECOND, [i.PodList(i.CHANGES, (again,))])
+            self.assertEqual(made._verdict(), vote)
+
     def test_a_quiet_instance_does_not_take_chance_for_usual(self):
         made = balancer(told=news())
-        made.usual = {("read", "std"): (500, 19)}, 50.0, 0.0
+        made.usual = {("read", "std"): (900, 19, 500)}, 50.0, 0.0
         judged(made, i.DONE, "old-1", 60, latency=5000)
         self.assertIsNone(made.ill_since)
 
@@ -240,6 +283,7 @@
             made = balancer(told=news())
             made.places = places
             made.arrivals.add(NOW, 8 * rate)
+            made.fresh.add(NOW, 8 * rate)
             made._settle()
             self.assertEqual(made.usual is not None, judges)
 
--- a/tests/test_overbooked.py
+++ b/tests/test_overbooked.py
@@ -9,7 +9,6 @@
 from thymeknot.memory.deadlines import Deadlines
 from thymeknot.protocol.calls import KeptStream
 from thymeknot.records import Chance
-from thymeknot.sidecar import ASK_SPREAD
 
 from .test_sidecar import Network
 
@@ -66,7 +65,7 @@
 
 
 class Askings(unittest.TestCase):
-    def all_at_once(self, spread, seconds, lives=()):
+    def all_at_once(self, asking, seconds, lives=()):
         """Forty kept streams on one service; the first of them die and start again at the moments of lives."""
         clock = Clock()
         deadlines = Deadlines(lambda: int(clock.seconds() * 10_000), clock.callLater, lambda *fault: self.fail(fault))
@@ -74,7 +73,7 @@
 
         def started(seed):
             stream = KeptStream(service, Chance(seed << 33), 10 ** 9, lambda: b"", lambda: lambda content: None, log)
-            stream.start_within(spread)
+            stream.start_among(asking)
             return stream
         streams, steps = [started(seed) for seed in range(1, 41)], int(seconds * 20)
         for step in range(steps):
@@ -86,7 +85,7 @@
         return service, sum(stream.stream is not None for stream in streams)
 
     def test_forty_that_start_at_once_all_have_a_list_before_long(self):
-        service, have = self.all_at_once(40 * ASK_SPREAD, 20)
+        service, have = self.all_at_once(40, 20)
         self.assertEqual(have, 40)
         self.assertLess(service.turned_away, 80)
 
@@ -96,7 +95,7 @@
         self.assertLess(service.turned_away, 120)
 
     def test_seven_in_ten_that_die_and_start_again(self):
-        self.assertEqual(self.all_at_once(40 * ASK_SPREAD, 40, lives=(20.0,))[1], 40)
+        self.assertEqual(self.all_at_once(40, 40, lives=(20.0,))[1], 40)
 
     def test_one_alone_asks_again_at_once_where_no_connection_came_up(self):
         network = Network()
--- /dev/null
+++ b/thymeknot/asking/pace.py
@@ -0,0 +1,48 @@
+"""When one of many asks a service again: each has only its own outcomes to go by, and their sum must come down.
+
+Times are whole tenths of a millisecond. Source: docs/design/vast.md.
+"""
+
+SECOND = 10_000
+AGAIN = 2_000, 8_000        # after an asking that the service had no part in; by chance, so that a crowd spreads
+LONGEST = 8 * SECOND        # between two askings at most: what is told late must still be told
+STEADY = 2 * SECOND         # what ends sooner after its asking was refused, though it had begun
+SPREAD, SPREAD_MOST = 500, 4 * SECOND  # for each that asks, and in all: within it all ask first
+
+FRESH, TURNED_AWAY = "fresh", "turned away"
+REFUSED, LOST, STOOD = "refused", "lost", "stood"
+# (state, input) -> next state, what the count of refusals in a row becomes. A refusal says that all ask too much;
+# a link that is cut or an answer that is spoilt says nothing of that, and changes nothing.
+PACE = {
+    (FRESH, REFUSED): (TURNED_AWAY, 1), (FRESH, LOST): (FRESH, 0), (FRESH, STOOD): (FRESH, 0),
+    (TURNED_AWAY, REFUSED): (TURNED_AWAY, 1), (TURNED_AWAY, LOST): (TURNED_AWAY, 0),
+    (TURNED_AWAY, STOOD): (FRESH, None),
+}
+
+
+class Pace:
+    """One for each service that is asked. draw() gives chance from 0 to 1, seeded from outside."""
+
+    def __init__(self, draw):
+        self.draw, self.state, self.refusals = draw, FRESH, 0
+
+    def first(self, asking):
+        """How long to wait before the first asking, where so many ask."""
+        return int(self.draw() * min(SPREAD_MOST, SPREAD * asking))
+
+    def ended(self, how, age=0):
+        """An asking, or what it brought, ended: REFUSED, LOST or STOOD. age: since it was asked for; what was refused
+        after it had stood for a while was not turned away. Gives how long to wait."""
+        if how == REFUSED and age >= STEADY:
+            how = STOOD
+        self.state, step = PACE[self.state, how]
+        self.refusals = 0 if step is None else self.refusals + step
+        return self.wait()
+
+    def wait(self):
+        """Four times what is usual after the first refusal, twice that after each further one, up to the longest."""
+        least, most = AGAIN
+        wait = least + int(self.draw() * (most - least))
+        if self.state == FRESH:
+            return wait
+        return min(wait << min(self.refusals + 1, 10), int(LONGEST * (0.5 + self.draw() / 2)))
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -12,7 +12,7 @@
 
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE, LISTED = 2 * SECOND, 0.8, 0.75  # of a stage's pods: listed, for a vote for on
-P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0, "all": 3.0}, {"failed": 0.01, "slow": 0.1}
+P1_OVER_P0, P0_FLOOR = {"failed": 5.0, "slow": 5.0}, {"failed": 0.01, "slow": 0.1}
 FALSE_BACK, FALSE_ON, SLOW_STRICTER = 0.05, 0.2, 10
 ON_BOUND = log(FALSE_ON / (1 - FALSE_BACK))
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR, AT_ONCE = 20, 3 * SECOND, 5 * SECOND // 2, 2 * SECOND
@@ -22,7 +22,7 @@
 COLD_FAILS, FREED_FAILS, TIMES, TIMES_MOST = 0.3, 0.15, 1.5, 3.0  # in tallies: may fail cold, freed; slow
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}  # slowness of all may pass; True: machines replaced
-BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.4, 0.25  # traffic that excuses; times that are slow; ramp
+BUSIER, MARGIN, BLAMED_FROM = 1.5, 1.3, 0.15  # traffic that excuses; mean times that are slow; ramp
 LOUD, SETTLED, MATURE, USUAL_SHED = 15, 3 * SECOND, 20, 0.05  # rate, age, outcomes, deferrals: the usual
 EARLIER, WAY_FAILS = ("all", "failed", "slow", "error", "way"), 0.02  # of its outcomes: an unsound way
 HOT_SHARE, HOT_LEAST, KEYS_MOST = 0.03, 8, 10_000  # of all with keys; lately; answered or failed, remembered
@@ -33,7 +33,7 @@
 RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
 SECOND_COPIES, RETRIES, COPY_AFTER = 0.05, 0.15, (3.0, 0.4)  # of all; times mean, goal of its lane: the later
 
-NEW, OUT, OVER = "new", "out", "over"
+NEW, OUT, OVER, ANY, USUAL, TRIAL, FREED, FALLEN = "new out over any usual trial freed fallen".split()
 # A transaction's life: (state, input) -> next state, effect. What is missing changes nothing.
 LIFE = {
     (NEW, "taken"): (OUT, "place"), (OUT, "given up"): (OVER, "turn_away"), (OUT, "left"): (OVER, "close"),
@@ -46,7 +46,6 @@
          i.RECALLED: "perhaps run", i.FULL: "unrun", i.UNCONNECTED: "unrun", i.UNSENT: "unrun"}
 
 
-ANY, USUAL, TRIAL, FREED, FALLEN = "any", "usual", "trial", "freed", "fallen"
 # The newest build's life here: (state, input) -> next state, effect. A build not met on trial is usual.
 BUILD = {
     (ANY, "offered"): (TRIAL, "begin"), (ANY, "met"): (USUAL, "begin"), (TRIAL, "moved"): (TRIAL, "go_on"),
@@ -74,9 +73,9 @@
         self.open, self.due, self.tokens, self.keys, self.keys_at = {}, {}, 0, {}, now
         self.most = [min(most, 1 + most * FEW / terms.balancers) for most in (20.0, 5.0)]  # it adds up
         self.retries, self.copies, self.admission = self.most[0] / 4, self.most[1] / 4, Admission(terms)
-        self.arrivals, self.shed, self.served = (Ring(span * SECOND, 2 * span) for span in (8, 8, 4))
+        self.arrivals, self.fresh, self.shed, self.served = (Ring(s * SECOND, 2 * s) for s in (8, 8, 8, 4))
         self.lost, self.warm_rate, self.means = 0.0, 0.0, self.admission.means
-        self.marks, self.taken, self.p0, self.pins = {}, {}, dict(P0_FLOOR), set()
+        self.marks, self.taken, self.p0, self.pins, self.met = {}, {}, dict(P0_FLOOR), set(), {}
         self.earlier = {what: Ring(8 * SECOND, 16) for what in EARLIER}
         # All share the allowed error; where many must err together, each may err more (Poisson tail's bound).
         needed = terms.votes_to_revert
@@ -95,8 +94,7 @@
         self.now, self.actions = now, []
         for event in events:
             self.subject = getattr(event, "id", None)
-            if type(event) in self.EVENTS:
-                self.EVENTS[type(event)](self, event)
+            self.EVENTS.get(type(event), lambda *_: None)(self, event)
         return self.actions if self.upkeep else self._tick(i.TimerDue(0)) or self.actions
 
     def _why(self, reason, *operands):
@@ -161,7 +159,7 @@
             return
         old, self.news = self.news, news
         if old is None or old.build != news.build:
-            self.pins = set()
+            self.pins, self.met = set(), {}
             self._sort()
             change = "offered" if news.phase == i.ON_TRIAL else "met"
         elif old.phase != news.phase:
@@ -221,7 +219,7 @@
             return
         share, build = known.share(self.now, self.terms), known.listed.build
         cell = tx.lane.name, known.listed.machine
-        mark, settled = self.marks.get(cell, (2.0 * latency, 0))
+        mark, settled, mean = self.marks.get(cell, (2.0 * latency, 0, latency))
         failed, way, judging = outcome != i.DONE, outcome == i.RESET, self.build in (TRIAL, FREED)
         slow = outcome == i.EXPIRED or (not failed and latency * share > mark)
         if judging and share == 1.0:
@@ -229,8 +227,9 @@
         if build < self.news.build or not judging:
             if share == 1.0 and outcome in (i.DONE, i.EXPIRED):
                 # The mark follows the latency that one answer in ten exceeds, quickly at first.
-                shift = (SLOW_QUANTILE if slow else SLOW_QUANTILE - 1) * max(0.05, 1 / (2 + 0.2 * settled))
-                self.marks[cell] = mark * (1 + shift), settled + 1
+                gain = max(0.05, 1 / (2 + 0.2 * settled))
+                rise = 1 + gain * (SLOW_QUANTILE - 1 + slow)
+                self.marks[cell] = mark * rise, settled + 1, mean + 0.4 * gain * (latency - mean)
             for what, one in zip(EARLIER, (1, failed and not way, slow, outcome == i.ERROR, way)):
                 self.earlier[what].add(self.now, one)
         elif build == self.news.build:
@@ -328,12 +327,12 @@
     def _judge_all(self, cell, outcome, latency):
         """A build can slow the earlier one in step with itself: all outcomes are tested against those before
         the offer. More traffic excuses longer times, but clients that repeat are more traffic too."""
-        mark, seen = self.usual[0].get(cell, (0, 0)) if self.usual else (0, 0)
+        _, seen, mean = self.usual[0].get(cell, (0, 0, 1)) if self.usual else (0, 0, 1)
         busier, deferred = self._busier(), cell is None and self.usual
         if (self.usual[2] > USUAL_SHED or busier > BUSIER) if deferred else seen < MATURE:
             return
-        slow = outcome == i.EXPIRED or latency > MARGIN * mark * (busier ** 2 if busier > BUSIER else 1)
-        bound, step = self.back_at["slow"], self._weight("all", slow, P0_FLOOR["slow"])
+        excused, bound = busier ** 2 if busier > BUSIER else 1, self.back_at["slow"]
+        step = (TIMES_MOST if outcome == i.EXPIRED else min(TIMES_MOST, latency / mean / excused)) - MARGIN
         self.all_slow = max(-bound / 2, min(1.5 * bound, self.all_slow + step))
         if self.all_slow < bound / 2:
             self.ill_since = None
@@ -344,17 +343,16 @@
         few = self.by_votes and 1 < len(self.sides[True]) <= FEW_PODS[1]
         return few and self.arrivals.total(self.now) >= 8 * LOUD
 
-    def _busier(self):  # the traffic of the last two seconds against the usual, chance allowed for
-        span = 4 * self.arrivals.width + self.now % self.arrivals.width
-        usual = self.usual[1] * span / SECOND if self.usual else 0
-        return (self.arrivals.total(self.now, False, 4) - 3) / (usual + 1) if usual else 1.0
+    def _busier(self):  # the traffic of two seconds without marked repeats, against the usual
+        span = (4 * self.fresh.width + self.now % self.fresh.width) / SECOND
+        return (self.fresh.total(self.now, False, 4) - 3) / (self.usual[1] * span + 1) if self.usual else 1.0
 
     def _settle(self):  # what was usual before the build came or, for one that started later, at first
-        age, taken = self.now - (self.born or self.now), self.arrivals.total(self.now)
+        age, taken = self.now - (self.born or self.now), self.fresh.total(self.now)
         rate = taken * SECOND / min(self.arrivals.span, age + 1)
         fit = age >= SETTLED and rate >= LOUD and self.terms.balancers < CROWD * self.places  # not in a crowd
         if self.build == TRIAL and self.usual is None and fit:
-            self.usual = dict(self.marks), rate, self.shed.total(self.now) / taken
+            self.usual = dict(self.marks), rate, self.shed.total(self.now) / self.arrivals.total(self.now)
 
     def _verdict(self):
         news, part = self.news, self.doubt
@@ -369,9 +367,10 @@
             return i.BACK if self.saying_back and news.phase in (i.ON_TRIAL, i.RELEASED) else i.NO_VOTE
         if self.terms.decided_by == i.BY_CLOCK or part > HOLD_PART:
             return i.HOLD if self.terms.decided_by == i.BY_CLOCK and part > HOLD_PART else i.NO_VOTE
-        # A list that lags hides the pods to judge. Hundreds of votes at once would be turned away.
-        started = [known.listed.started for known in self.pods.values() if known.listed.build == news.build]
-        listed = len(started) >= max(1, int(LISTED * self.terms.waves[news.stage] * self.places))
+        # A list that lags hides the pods to judge. One that starts again, as after a lost zone, was met.
+        started = [self.met.setdefault(one.listed.address, one.listed.started) for one in self.sides[True]]
+        places = self.places if self.terms.replaces else len(self.sides[False])  # others leave late
+        listed = len(started) >= max(1, int(LISTED * self.terms.waves[news.stage] * places))
         if not listed or self.now < max(started) + AFTER_START + self.offset:
             return i.NO_VOTE
         # A quiet instance never sees enough: with too little to hold the build it says on after a while.
@@ -416,6 +415,7 @@
         self.born = self.now if self.born is None else self.born  # with its first traffic
         self._ring(self.taken, lane).add(self.now)
         self.arrivals.add(self.now)
+        self.fresh.add(self.now, not event.repeat)
         if event.key:
             self.keys[event.key] = self.keys.get(event.key, 0) + 1
         self.retries = min(self.most[0], self.retries + RETRIES)
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -6,6 +6,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from ..asking.pace import LOST, REFUSED, Pace
 from . import http
 from .reached import NOT_CONNECTED, Broken, WholeWriter
 
@@ -92,7 +93,7 @@
                     self.owner.heard(self)
                     self.read(part.content)
         except Exception as error:  # what can't be read ends this connection alone
-            self.owner.ended(self, f"unreadable: {error}", refused=False)
+            self.owner.ended(self, f"unreadable: {error}", how=LOST)
             self.drop()
 
     def connectionLost(self, reason):
@@ -101,7 +102,7 @@
 
     def not_connected(self, broken):
         self.over = True
-        self.owner.ended(self, broken.reason, refused=False)
+        self.owner.ended(self, broken.reason, how=LOST)
 
     def dial_late(self):
         if self.transport is None:
@@ -166,20 +167,17 @@
 
     A silent one, or one at a former address, is kept until the one that was asked for beside it speaks: a link that
     was cut may come back, and what is told meanwhile may not be told again. ask() gives the bytes to ask with,
-    reader() what reads a stream. Where the peer itself turns the asking away, each time is asked for half as often as
-    the time before: a service that takes so many calls from all answers nobody while each asks again in a second."""
-
-    ASK_AGAIN = 2_000, 8_000    # tenths of a millisecond; by chance between them, so that a crowd spreads
-    LONGEST, STEADY = 80_000, 20_000  # between two askings, at most; what ends sooner after its asking was refused
+    reader() what reads a stream. How long it waits between two askings is Pace's: a service that takes so many calls
+    from all answers nobody while each asks again in a second."""
 
     def __init__(self, caller, chance, silence, ask, reader, log):
-        self.caller, self.deadlines, self.chance, self.silence = caller, caller.deadlines, chance, silence
+        self.caller, self.deadlines, self.silence, self.pace = caller, caller.deadlines, silence, Pace(chance.draw)
         self.ask, self.reader, self.log = ask, reader, log
-        self.stream, self.asked, self.last, self.again, self.refused = None, None, 0, None, 0
+        self.stream, self.asked, self.last, self.again = None, None, 0, None
 
-    def start_within(self, time):
-        """Asks for the first time at a moment by chance within this time, in tenths of a millisecond."""
-        self.again = self.deadlines.add(self.deadlines.clock() + int(self.chance.draw() * time), self._ask)
+    def start_among(self, asking):
+        """Asks for the first time when so many others may do the same."""
+        self.again = self.deadlines.add(self.deadlines.clock() + self.pace.first(asking), self._ask)
 
     def start(self):
         """Asks for a stream; until it speaks it is not the one that stands."""
@@ -190,7 +188,7 @@
 
     def move(self, caller):
         """Asks at another address, now and from now on."""
-        self.caller, asked, self.asked, self.refused = caller, self.asked, None, 0
+        self.caller, asked, self.asked = caller, self.asked, None
         if asked:
             asked.drop()
         if self.again is not None:
@@ -213,26 +211,19 @@
             asked, self.asked = self.asked, None
             asked.drop()
 
-    def ended(self, stream, reason, refused=True):
-        """refused: turned away by the peer, if it was soon; no connection, silence and what is spoilt are not."""
+    def ended(self, stream, reason, how=REFUSED):
+        """how: REFUSED where the peer ended it; no connection, silence and what is spoilt are LOST."""
         if stream is None or stream not in (self.stream, self.asked):
             return
-        soon = self.deadlines.clock() < stream.asked_at + self.STEADY or stream is self.asked
-        self.refused = self.refused + 1 if refused and soon else 0 if stream is self.stream else self.refused
-        self.log("stream ended", address=stream.caller.host, reason=reason, refused=self.refused)
+        now = self.deadlines.clock()
+        wait = self.pace.ended(how, now - stream.asked_at if stream is self.stream else 0)
+        self.log("stream ended", address=stream.caller.host, reason=reason, refusals=self.pace.refusals)
         if stream is self.stream:
             self.stream = None
         else:
             self.asked = None
-        if not self.asked:
-            self._ask_again()
-
-    def _ask_again(self):
-        if self.again is None:
-            least, most = self.ASK_AGAIN
-            wait = (least + int(self.chance.draw() * (most - least))) << (min(self.refused, 10) + bool(self.refused))
-            wait = min(wait, int(self.LONGEST * (0.5 + self.chance.draw() / 2)))
-            self.again = self.deadlines.add(self.deadlines.clock() + wait, self._ask)
+        if not self.asked and self.again is None:
+            self.again = self.deadlines.add(now + wait, self._ask)
 
     def _ask(self):
         self.again = None
@@ -250,5 +241,5 @@
 
     def _still_asked(self, asked):
         if asked is self.asked:
-            self.ended(asked, "says nothing", refused=False)
+            self.ended(asked, "says nothing", how=LOST)
             asked.drop()
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -23,7 +23,6 @@
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
 LOOKED_AT = 16              # connections that may make room for another: the eldest
 CROWDED, IDLE_LEAST = 1 / 3, 2_000  # of the places for clients; tenths of a millisecond
-ASK_SPREAD, ASK_SPREAD_MOST = 500, 40_000  # for each sidecar, and in all: within it lists are asked for at a start
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
@@ -126,8 +125,7 @@
         self._listing(self.start.known)
         self.tell(self.start.news)
         # Where lists are asked for, all ask one service: a fleet that starts at once must not come there at once.
-        spread = min(ASK_SPREAD * self.terms.balancers, ASK_SPREAD_MOST) if self.terms.subscribes else 0
-        self.watch.start_within(spread) if spread else self.watch.start()
+        self.watch.start_among(self.terms.balancers) if self.terms.subscribes else self.watch.start()
         self.stream.start()
         self._refusals()
 
