--- /dev/null
+++ b/thymeknot/laboratory/agents.py
@@ -0,0 +1,118 @@
+"""What a fleet shares beside its pods, emulated: a discovery that answers so many calls a second, and the connections
+that pods hold. Pure; times are tenths of a millisecond."""
+
+from collections import deque
+
+from ..asking.pace import LOST, REFUSED, Pace
+
+PATIENCE, ROOM = 20_000, 2.2    # a call waits in turn so long; waiting calls, in seconds of answers
+IDLE = 150_000                  # a connection that stands idle is closed
+
+
+class EarlierPace:
+    """As lists were asked for up to 9db9198: each again in a moment, and a second call beside it."""
+    beside = True
+
+    def __init__(self, draw):
+        self.draw = draw
+
+    def first(self, asking):
+        return 0
+
+    def ended(self, how, age=0):
+        return 2_000 + int(self.draw() * 6_000)
+
+
+class Discovery:
+    """Calls wait in turn; one that waits too long (which costs as much as an answer) or finds no room is turned away.
+    at(moment, call, *arguments) books what comes; told(instance, turn, whole) says whether this life of an instance is
+    there still, and gives it the list where whole."""
+
+    def __init__(self, rate, at, now, told):
+        self.step, self.room, self.at, self.now, self.told = int(10_000 / rate), int(rate * ROOM), at, now, told
+        self.waiting, self.calls, self.refused, self.standing = deque(), 0, 0, {}
+        self.at(self.step, self._next)
+
+    def begin(self, instance, turn, pace, asking):
+        """An instance starts: it asks for the list and the changes to it."""
+        self.standing.pop(instance, None)
+        self.at(self.now() + pace.first(asking), self._ask, instance, turn, pace, True)
+        if getattr(pace, "beside", False):
+            self.at(self.now(), self._ask, instance, turn, pace, False)
+
+    def _ask(self, instance, turn, pace, watch):
+        if not self.told(instance, turn, False):
+            return  # it has died since
+        self.calls += 1
+        if len(self.waiting) >= self.room:
+            self.at(self.now() + 500, self._turned_away, instance, turn, pace, watch)
+        else:
+            self.waiting.append((self.now(), instance, turn, pace, watch))
+
+    def _next(self):
+        if self.waiting:
+            at, instance, turn, pace, watch = self.waiting.popleft()
+            if self.now() > at + PATIENCE:
+                self._turned_away(instance, turn, pace, watch)
+            else:
+                if watch:
+                    self.standing[instance] = turn
+                self.told(instance, turn, True)
+        self.at(self.now() + self.step, self._next)
+
+    def _turned_away(self, instance, turn, pace, watch):
+        self.refused += 1
+        wait = pace.ended(REFUSED) if watch else 10_000 + int(pace.draw() * 10_000)
+        if watch or self.standing.get(instance) != turn:
+            self.at(self.now() + wait, self._ask, instance, turn, pace, watch)
+
+    def cut(self, instance, turn, pace):
+        """A watch that stood has ended by itself."""
+        self.standing.pop(instance, None)
+        self.at(self.now() + pace.ended(LOST), self._ask, instance, turn, pace, True)
+
+
+class Connections:
+    """Those of all instances to all pods. A pod holds so many at most, if any number is told."""
+
+    def __init__(self, most):
+        self.most, self.idle, self.held, self.made, self.refused = most, {}, {}, 0, 0
+
+    def take(self, now, line, pod):
+        """Whether a delivery on this line gets one: an idle one, or a new one where the pod has room."""
+        idle = self.idle.setdefault(line, [])
+        while idle:
+            if now <= idle.pop() + IDLE:
+                return True
+            self.held[pod] -= 1
+        if self.most and self.held.get(pod, 0) >= self.most and not self._expired(now, pod):
+            self.refused += 1
+            return False
+        self.held[pod], self.made = self.held.get(pod, 0) + 1, self.made + 1
+        return True
+
+    def _expired(self, now, pod):
+        """Drops what has stood idle for too long at this pod; whether that made room."""
+        before = self.held[pod]
+        for (_, _, of), idle in self.idle.items():
+            if of == pod:
+                self.held[pod] -= sum(now > at + IDLE for at in idle)
+                idle[:] = [at for at in idle if now <= at + IDLE]
+        return self.held[pod] < before
+
+    def give(self, now, line, pod, good):
+        """A delivery has ended: its connection stands idle, or is closed."""
+        if good and line in self.idle:
+            self.idle[line].append(now)
+        else:
+            self.held[pod] -= 1
+
+    def drop(self, gone):
+        """The instances or pods that this names have gone, with all that they held."""
+        for line in [line for line in self.idle if gone(line)]:
+            self.held[line[2]] -= len(self.idle.pop(line))
+
+
+def pace_of(policy, draw):
+    """The pace at which instances of this policy ask: the policy's own, or today's."""
+    return getattr(policy, "pace", Pace)(draw)
--- a/thymeknot/laboratory/crowds.py
+++ b/thymeknot/laboratory/crowds.py
@@ -9,6 +9,10 @@
 from .days import SECOND, WAVES, Day, Fault, LaneMix, Offer
 
 KINDS = ("calm", "roll", "herd", "zone", "split", "join", "overload")
+# Some forty instances by sixty pods, three stages, two builds, a trouble of its own beside each day's. Lists are asked
+# for on the first, of a discovery that takes few calls.
+VAST = ("herd-vast", "zone-vast", "join-vast")
+BESIDE = ("slow all", "burst", "calls", "discovery", "network", "pods")
 LANES = (
     LaneMix(i.Lane("fetch", i.RETRIABLE, i.GROUP_ALL, 5 * SECOND, 8_000, 20_000, 1.0, 0.0), 0.55, 1_200, 0.8),
     LaneMix(i.Lane("sync", i.RETRIABLE, i.GROUP_ALL, 5 * SECOND, 25_000, 75_000, 1.0, 0.2), 0.22, 2_900, 0.8),
@@ -66,6 +70,67 @@
     return (Fault("burst", begin, end + 4 * SECOND, (), 2.6),), begin, end + 4 * SECOND
 
 
+def _vast_faults(kind, chance, instances, pods, span):
+    """As _faults, for the vast kinds."""
+    begin = int(chance.uniform(0.3, 0.5) * span)
+    slow = chance.random() < 0.5
+    bad = Fault("pods" if slow else "ill", 0, span, _some(chance, pods, 1 / 8),
+                float(chance.uniform(1.5, 3)) if slow else float(chance.uniform(0.3, 0.7)))
+    pauses = Fault("pause", begin // 2, span, _some(chance, pods, 0.4 if kind == "join-vast" else 0.3),
+                   float(chance.uniform(0.3, 0.9)) * SECOND)
+    name, at = str(chance.choice(BESIDE)), int(chance.uniform(0.15, 0.6) * span)
+    sizes = {"slow all": chance.uniform(1.3, 2.5), "burst": chance.uniform(1.2, 1.6), "calls": 0.0, "pods":
+             chance.uniform(1.3, 2), "discovery": chance.uniform(1, 3) * SECOND, "network": chance.uniform(0.02, 0.08)}
+    beside = Fault(name, at, at + int(chance.uniform(4, 10) * SECOND), _some(chance, pods, 0.3), float(sizes[name]))
+    if kind == "herd-vast":
+        kill = Fault("kill", begin, begin + 1, _some(chance, instances, 0.7), float(chance.uniform(0.3, 1)) * SECOND)
+        return (pauses, kill, beside), begin, begin + 5 * SECOND
+    if kind == "zone-vast":
+        zone, end = int(chance.integers(0, 3)), begin + int(chance.uniform(4, 7) * SECOND)
+        there = tuple(one for one in range(instances) if one % 3 == zone)
+        return (bad, beside, Fault("zone", begin, end, (zone,), 0.0),
+                Fault("kill", begin, begin + 1, there, float(end - begin))), begin, end
+    return (pauses, bad, beside), begin, span
+
+
+def vast(seed, kind="herd-vast", instances=40, pods=60, seconds=44, load=0.55, good=None):
+    """A day of one of the VAST kinds, as drawn(): (day, (begin, end) of the worst of it). good: of both builds."""
+    chance = np.random.Generator(np.random.PCG64([seed, 100 + VAST.index(kind)]))
+    span, cold, cold_from, cores = seconds * SECOND, int(chance.uniform(1.9, 4) * SECOND), 0.35, 2
+    speeds = tuple(float(one) for one in chance.uniform(0.85, 1.1, pods))
+    work = sum(one.share * one.work / 2 for one in LANES) / SECOND
+    rate = load * float(chance.uniform(0.85, 1.1)) * sum(speeds) * cores / work
+    shares = chance.lognormal(0, 0.6, instances)
+    calls, boot = instances * float(chance.uniform(0.3, 0.6)), int(chance.uniform(1.3, 2.0) * SECOND)
+    # Work and goals are of one size: what comes late by half is late.
+    lanes = tuple(one._replace(work=one.work / 2, lane=one.lane._replace(
+        latency_goal=int(one.work / 2 * float(chance.uniform(5, 9))), outer_limit=int(one.work * 10)))
+        for one in LANES)
+    offers = []
+    for number in range(2):
+        fine, how = bool(chance.random() < 0.5) if good is None else good, int(chance.integers(0, 4))
+        fails, slow, shared = chance.uniform(0.1, 0.5), chance.uniform(2, 3.5), chance.uniform(1.5, 3.5)
+        at = int((chance.uniform(3, 5) + number * seconds * 0.45) * SECOND)
+        offers.append(Offer(
+            at, 2 + number, fine, float(fails) if not fine and how in (0, 3) else 0.0,
+            float(slow) if not fine and how == 1 else float(chance.uniform(0.92, 1.1)), 0,
+            0.3 if not fine and how == 3 else 0.0, float(shared) if not fine and how == 2 else 0.0))
+    faults, begin, end = _vast_faults(kind, chance, instances, pods, span)
+    held = terms(instances, cold, cold_from, calls, lanes)._replace(
+        waves=(0.08, 0.25, 1.0), guarded_stages=1, subscribes=kind == "herd-vast")
+    return Day(seed, span, instances, pods, ("a", "b", "c"), cores, speeds, 32, rate,
+               tuple(float(one) for one in shares / shares.sum()), lanes, 12_000, 0.75, 4, 1, 0.6, (12, 0.5), 0.0005,
+               2_500, 4_000, int(0.8 * SECOND), boot, cold, cold_from, tuple(offers), faults, held,
+               advance=math.ceil(ADVANCE * instances), caps=(0.16, 0.5, 1.0),
+               lists=float(chance.uniform(0.15, 0.3)) * instances if kind == "herd-vast" else 0.0,
+               connections=int(instances * chance.uniform(1.3, 2.5))), (begin, end)
+
+
+def of_kind(seed, kind, **size):
+    """A day of any kind."""
+    return (vast if kind in VAST else drawn)(seed, kind, **size)
+
+
 def drawn(seed, kind="herd", instances=200, pods=100, seconds=40, load=0.5, good=None):
     """A day of one of the KINDS; rate follows from load, the share of what all pods can do. good: of the build
     offered; drawn with a half if None. Gives (day, (begin, end) of the worst of it)."""
--- a/thymeknot/laboratory/days.py
+++ b/thymeknot/laboratory/days.py
@@ -18,7 +18,8 @@
 
 
 class Fault(NamedTuple):
-    """kind: pods, ill, network, discovery, platform, kill, burst; pause, silent, zone, cut, lost answers.
+    """kind: pods, ill, network, discovery, platform, kill, burst; pause, silent, zone, cut, lost answers, slow all,
+    calls.
     what: whom it strikes; size: how hard."""
     kind: str
     begin: int
@@ -36,6 +37,7 @@
     slow: float
     after: int
     load: float
+    shared: float = 0.0         # slows all pods, in step with its part of the deliveries
 
 
 class Day(NamedTuple):
@@ -67,6 +69,9 @@
     faults: tuple
     terms: i.Terms
     advance: int = 0            # votes that move a build on; half of the instances if 0
+    caps: tuple = (0.08, 0.2, 0.5, 1.0, 1.0)  # of the stages
+    lists: float = 0.0          # calls a second that discovery answers; 0: it tells all unasked
+    connections: int = 0        # that a pod holds at most; 0: as many as come
 
 
 LANES = (
--- a/thymeknot/laboratory/experiments.py
+++ b/thymeknot/laboratory/experiments.py
@@ -13,6 +13,7 @@
 
 from .. import interface
 from . import crowds, days, numbers
+from .agents import EarlierPace
 from .fleet import Fleet, balancer
 from .policies import TEXTBOOK
 
@@ -54,8 +55,14 @@
         setattr(holder, name, module)
         exec(compile(code, f"{revision}:{name}.py", "exec"), module.__dict__)
     made = holder.balance.Balancer
-    _versions[revision] = lambda terms, seed, now: made(terms, seed, now)
-    return _versions[revision]
+    _versions[revision] = version = lambda terms, seed, now: made(terms, seed, now)
+    try:  # and how often it asks for lists
+        code, pace = text("asking/pace"), types.ModuleType(f"{package}.pace")
+        exec(compile(code, f"{revision}:asking/pace.py", "exec"), pace.__dict__)
+        version.pace = pace.Pace
+    except Unknown:
+        version.pace = EarlierPace
+    return version
 
 
 def policy(name):
@@ -80,9 +87,12 @@
 def crowd_played(task):
     """One day of a whole fleet (policy, kind, seed, size of crowds.drawn): what its decisions are judged by."""
     name, kind, seed, size = task
-    day, (_, end) = crowds.drawn(seed, kind, **size)
+    day, (_, end) = crowds.of_kind(seed, kind, **size)
     fleet, offer = Fleet(day, policy(name)).play(), day.offers[0]
     turned_away, needless = fleet.needless()
+    if kind in crowds.VAST:
+        return {"policy": name, "kind": kind, "seed": seed, "needless": needless, "turned_away": turned_away,
+                "recover_s": fleet.recovered(end), **vast_figures(fleet)}
     back = fleet.news[2] in (interface.GOING_BACK, interface.WITHDRAWN)
     return {"policy": name, "kind": kind, "seed": seed, "good": offer.good, "worth": fleet.worth(),
             "service": fleet.service(), "worst_10s": fleet.worst(), "turned_away": turned_away, "needless": needless,
@@ -93,6 +103,50 @@
             "breaches": [list(one) for one in fleet.checker.broken[:5]]}
 
 
+VAST_FIGURES = ("worth", "service", "worst_10s", "behind", "harm", "needless", "handshakes_per_transaction",
+                "lists_per_instance", "calls_refused_share", "cold_overrun")
+
+
+def vast_figures(fleet):
+    """What a day of a vast kind is judged by. Shares, but for lists_per_instance (calls in all) and cold_overrun (the
+    most that a cold pod was sent, over what pushes it over)."""
+    asked, good = max(1e-9, fleet.scores["asked"]), [one.build for one in fleet.day.offers if one.good]
+    bad, votes = [one.build for one in fleet.day.offers if not one.good], fleet.votes_asked
+    return {"worth": fleet.worth(), "service": fleet.service(), "worst_10s": fleet.worst(),
+            "behind": fleet.scores["behind"] / asked, "harm": fleet.scores["harm"] / asked,
+            "handshakes_per_transaction": fleet.connections.made / max(1, fleet.dispatched),
+            "lists_per_instance": fleet.discovery.calls / fleet.day.instances if fleet.discovery else 0.0,
+            "calls_refused_share": votes["full"] / max(1, votes["asked"]), "cold_overrun": fleet.checker.overrun,
+            "good_back": sum(build in fleet.sent_back for build in good), "good": len(good), "bad": len(bad),
+            "bad_released": sum(build in fleet.released for build in bad),
+            "good_released": sum(build in fleet.released for build in good),
+            "rules_broken": fleet.checker.rules_broken(),
+            "breaches": [list(one) for one in fleet.checker.broken[:5]]}
+
+
+def vast_compared(pairs):
+    """As crowd_figures, by kind, of the vast kinds alone."""
+    told = {}
+    for kind in sorted({pair[0]["kind"] for pair in pairs}):
+        some = [pair for pair in pairs if pair[0]["kind"] == kind]
+        told[kind] = {name: gap_of(some, name) for name in VAST_FIGURES}
+        for name, of in (("good_back", "good"), ("good_released", "good"), ("bad_released", "bad")):
+            told[kind][name] = {when: f"{sum(one[at][name] for one in some)} of {sum(one[at][of] for one in some)}"
+                                for at, when in enumerate(("before", "now"))}
+    return told
+
+
+def gap_of(some, name):
+    """Means before and now, and the difference with its 95% interval over the same days (None: one day)."""
+    before, now = ([float(one[at][name]) for one in some] for at in (0, 1))
+    if not some:
+        return None
+    gap = numbers.paired(now, before)
+    low, high = (round(one, 4) if math.isfinite(one) else None for one in (gap.low, gap.high))
+    return {"before": round(sum(before) / len(before), 4), "now": round(sum(now) / len(now), 4),
+            "gap": round(gap.mean, 4), "low": low, "high": high}
+
+
 def crowds_compared(one, two, kinds, seeds, size, workers, told=lambda done, count: None):
     """Two policies on the same days of these kinds: a list of pairs of results, in the order of the days."""
     tasks = [(name, kind, seed, size) for kind in kinds for seed in seeds for name in (one, two)]
@@ -106,17 +160,10 @@
 
 def crowd_figures(pairs):
     """What pairs of results say: means of both, and the second less the first with its 95% interval, by figure."""
-    def told(some, name):
-        before, now = ([float(one[at][name]) for one in some] for at in (0, 1))
-        if not some:
-            return None
-        gap = numbers.paired(now, before)
-        low, high = (round(one, 4) if math.isfinite(one) else None for one in (gap.low, gap.high))  # None: one day
-        return {"before": round(sum(before) / len(before), 4), "now": round(sum(now) / len(now), 4),
-                "gap": round(gap.mean, 4), "low": low, "high": high}
+    told = gap_of
 
     def which(name, value):
-        return [pair for pair in pairs if pair[0][name] == value]
+        return [pair for pair in pairs if pair[0].get(name) == value]
     kinds, usual = sorted({pair[0]["kind"] for pair in pairs}), [
         pair for pair in pairs if pair[0]["kind"] != "overload"]
     return {"needless_share": told(usual, "needless"), "overload_served": told(which("kind", "overload"), "service"),
--- a/thymeknot/laboratory/fleet.py
+++ b/thymeknot/laboratory/fleet.py
@@ -12,7 +12,8 @@
 
 from .. import interface as i
 from ..records import Chance
-from .days import CAPS, SECOND, WAVES
+from .agents import Connections, Discovery, pace_of
+from .days import SECOND
 from .pods import DOWN, DRAINING, UP, Build, Pod
 from .rules import Checker
 
@@ -53,11 +54,13 @@
 
 class Job:
     """A delivery on its way or at a pod."""
-    __slots__ = ("instance", "turn", "name", "number", "lane", "key", "work", "sent_at", "pod", "over", "build")
+    __slots__ = ("instance", "turn", "name", "number", "lane", "key", "work", "sent_at", "pod", "over", "build",
+                 "linked")
 
     def __init__(self, instance, turn, name, number, lane, key, work, sent_at, pod, build):
         self.instance, self.turn, self.name, self.number, self.lane, self.key = instance, turn, name, number, lane, key
         self.work, self.sent_at, self.pod, self.over, self.build = work, sent_at, pod, False, build
+        self.linked = False         # whether it has a connection
 
 
 class Transaction:
@@ -88,7 +91,7 @@
         self.checker = Checker({one.lane.name: one.lane for one in day.lanes}, GRACE, 3 * SECOND, 3.0,
                                guarded=day.terms.guarded_stages, cold=day.cold, cold_from=day.cold_from,
                                overload=day.terms.overload_for)
-        self.news = [1, len(WAVES) - 1, i.RELEASED, 1.0]
+        self.news = [1, len(day.terms.waves) - 1, i.RELEASED, 1.0]
         self.votes, self.moved_at, self.trial = {}, 0, None
         self.transactions, self.balancers, self.turns = {}, {}, [0] * day.instances
         self.scores = {"asked": 0.0, "earned": 0.0, "harm": 0.0, "behind": 0.0}
@@ -99,9 +102,12 @@
         self.lost, self.votes_wait = set(), day.terms.vote_wait
         self.lost_answers, self.cuts, self.up_to = 0.0, set(), {}
         self.spans = [[0.0, 0.0] for _ in range(day.span // SECOND + 20)]
-        self.ends, self.latencies, self.by_pod, self.released = {}, {}, {}, []
+        self.ends, self.latencies, self.by_pod, self.released, self.sent_back = {}, {}, {}, [], []
         self.slow_news = self.slow_list = 0
         self.loss, self.burst = day.loss, 1.0
+        self.connections, self.dispatched, self.trial_share, self.slow_all = Connections(day.connections), 0, 0.0, 1.0
+        self.calls_down = False
+        self.discovery = Discovery(day.lists, self.at, lambda: self.now, self._watch) if day.lists else None
 
     def at(self, moment, call, *arguments):
         self.count += 1
@@ -139,9 +145,27 @@
                 self.checker.listed(self.now, instance, pod.name, "draining")
         build, stage, phase, cap = self.news
         self.checker.cap(self.now, instance, build, cap, stage, PHASES[phase])
+        if self.discovery:  # what it knows is of before, until it gets the list
+            chance = Chance(self.day.seed * 77 + instance * 13 + self.turns[instance] << 33)
+            pace = pace_of(self.policy, chance.draw)
+            self.discovery.begin(instance, self.turns[instance], pace, self.day.instances)
         self._tell(instance, i.PodList(i.REMEMBERED, listed))
         self._tell(instance, i.News(build, stage, phase, False, i.DONE, cap, 0))
 
+    def _watch(self, instance, turn, whole):
+        """Whether this life of it is still there; whole: it gets the list."""
+        there = self.turns[instance] == turn and self.balancers.get(instance) is not None
+        if there and whole:
+            entries = [self._entry(pod) for pod in self.pods.values() if pod.state in (UP, DRAINING)]
+            self._note_list(instance, entries)
+            self._tell(instance, i.PodList(i.WHOLE, tuple(entries)))
+        return there
+
+    def _note_list(self, instance, entries):
+        for entry in entries:
+            self.checker.listed(self.now, instance, entry.address, "ready" if entry.condition == i.READY else "gone")
+            self.checker.started(instance, entry.address, entry.started)
+
     def _entry(self, pod, condition=None):
         condition = condition or (i.READY if pod.state == UP else i.DRAINING)
         return i.Pod(pod.name, pod.zone, 1.0, 0, condition, pod.started, "m", pod.build.number)
@@ -272,6 +296,12 @@
             else:
                 self.at(ends, self._end, job, i.EXPIRED, None)
             return
+        job.linked = self.connections.take(self.now, line, action.pod)
+        self.dispatched += 1
+        self.trial_share += 0.002 * ((build == self.news[0]) - self.trial_share)
+        if not job.linked:
+            self.at(min(ends, self.now + 10), self._end, job, i.UNCONNECTED, False)
+            return
         if self.losses.next() < self.loss or pod.state == DOWN:
             self.at(min(ends, self.now + 2500), self._end, job, i.UNCONNECTED, False)
             return
@@ -280,6 +310,8 @@
 
     def _reach(self, job):
         pod = self.pods.get(job.pod)
+        shared = self.builds[self.news[0]].shared if self.news[2] in (i.ON_TRIAL, i.RELEASED) else 0.0
+        job.work *= self.slow_all * (1 + shared * self.trial_share)
         took = pod.take(self.now, job) if pod else False
         if took is False:
             self.at(self.now + max(1, round(self.delays.next())), self._end, job, i.FULL, False)
@@ -313,6 +345,9 @@
         if job.over:
             return
         job.over = True
+        if job.linked:
+            self.connections.give(self.now, (job.instance, job.turn, job.pod), job.pod,
+                                  outcome in (i.DONE, i.ERROR, i.FULL))
         instance = job.instance
         if self.turns[instance] != job.turn or self.balancers.get(instance) is None:
             return
@@ -340,10 +375,10 @@
     def _told_list(self, instance, entries):
         if self.balancers.get(instance) is None:
             return
+        if self.discovery and self.discovery.standing.get(instance) != self.turns[instance]:
+            return  # nothing is told to those without a watch; they get the whole list with the next one
         entries = [entry for entry in entries if entry.condition != i.READY or entry.address in self.pods]
-        for entry in entries:
-            self.checker.listed(self.now, instance, entry.address, "ready" if entry.condition == i.READY else "gone")
-            self.checker.started(instance, entry.address, entry.started)
+        self._note_list(instance, entries)
         self._tell(instance, i.PodList(i.CHANGES, entries))
 
     def _announce(self):
@@ -363,8 +398,11 @@
     def _offer(self, offer):
         if self.news[2] == i.ON_TRIAL:  # it takes off what is still on trial
             self._back()
-        self.builds[offer.build] = Build(offer.build, offer.fails, offer.slow, offer.after, None, offer.load)
-        self.news = [offer.build, 0, i.ON_TRIAL, CAPS[0]]
+            self.sent_back.pop()  # not by votes
+        self.builds[offer.build] = Build(offer.build, offer.fails, offer.slow, offer.after, None, offer.load,
+                                         offer.shared)
+        self.trial_share = 0.0
+        self.news = [offer.build, 0, i.ON_TRIAL, self.day.caps[0]]
         self.votes, self.trial = {}, offer
         self.newest_good = offer.build if offer.good else self.newest_good
         self._stage()
@@ -372,7 +410,7 @@
     def _stage(self):
         build, stage = self.news[0], self.news[1]
         self._announce()
-        wanted = max(1, round(WAVES[stage] * self.day.pods))
+        wanted = max(1, round(self.day.terms.waves[stage] * self.day.pods))
         running = sum(pod.build.number == build for pod in self.pods.values())
         boots = [int(self.day.boot * (0.7 + 0.6 * self.misc.random())) for _ in range(running, wanted)]
         for at, boot in zip(range(running, wanted), boots):
@@ -392,7 +430,7 @@
         self._list(self._entry(pod))
 
     def _vote(self, instance, turn, vote):
-        if self.turns[instance] != turn or self._off(instance):
+        if self.turns[instance] != turn or self._off(instance) or self.calls_down:
             self.at(self.now + self.votes_wait, self._told_vote, instance, turn, i.EXPIRED)
             return
         self.votes_asked["asked"] += 1
@@ -431,8 +469,8 @@
         elif (self.news[2] == i.ON_TRIAL and live.count(i.ON) >= max(1, self.day.advance or self.day.instances // 2)
               and self.now >= self.moved_at + self.day.stage_least):
             self.votes = {}
-            if stage + 1 < len(WAVES):
-                self.news[1:] = [stage + 1, i.ON_TRIAL, CAPS[stage + 1]]
+            if stage + 1 < len(self.day.caps):
+                self.news[1:] = [stage + 1, i.ON_TRIAL, self.day.caps[stage + 1]]
                 self._stage()
             else:
                 self.news[2:] = [i.RELEASED, 1.0]
@@ -442,6 +480,7 @@
 
     def _back(self):
         build = self.news[0]
+        self.sent_back.append(build)
         self.news[2:] = [i.GOING_BACK, 0.0]
         self._announce()
         earlier = [pod for pod in self.pods.values() if pod.build.number < build and pod.state == UP]
@@ -470,6 +509,7 @@
 
     def _gone(self, pod):
         pod.state = DOWN
+        self.connections.drop(lambda line: line[2] == pod.name)
         self.pods.pop(pod.name, None)
         self._list(self._entry(pod, i.GONE))
 
@@ -494,6 +534,10 @@
             self.slow_news = int(fault.size) if begins else 0
         elif fault.kind == "burst":
             self.burst = fault.size if begins else 1.0
+        elif fault.kind == "slow all":
+            self.slow_all = fault.size if begins else 1.0
+        elif fault.kind == "calls":
+            self.calls_down = begins
         elif fault.kind == "lost answers":
             self.lost_answers = fault.size if begins else 0.0
         elif fault.kind == "cut":
@@ -513,6 +557,7 @@
                 self.balancers[instance] = None
                 self.turns[instance] += 1
                 self.checker.killed(self.now, instance)
+                self.connections.drop(lambda line, one=instance: line[0] == one)
                 for key in [key for key in self.transactions if key[0] == instance]:
                     del self.transactions[key]
                 self.at(self.now + int(fault.size * (0.5 + self.misc.random())), self._start, instance)
@@ -537,6 +582,7 @@
                 fresh = Pod(pod.name, pod.zone, pod.cores, pod.speed, pod.queue_most, pod.build, self.now,
                             self.day.cold, self.day.cold_from)
                 pod.state = DOWN
+                self.connections.drop(lambda line, one=pod.name: line[2] == one)
                 self.pods[pod.name] = fresh
                 self._list(self._entry(fresh))
 
--- a/thymeknot/laboratory/pods.py
+++ b/thymeknot/laboratory/pods.py
@@ -11,10 +11,11 @@
 
 class Build:
     """What a build's pods do to a delivery. fails: share; slow: times the work; after: seconds from the start on."""
-    __slots__ = ("number", "fails", "slow", "after", "lane", "load")
+    __slots__ = ("number", "fails", "slow", "after", "lane", "load", "shared")
 
-    def __init__(self, number, fails=0.0, slow=1.0, after=0, lane=None, load=0.0):
+    def __init__(self, number, fails=0.0, slow=1.0, after=0, lane=None, load=0.0, shared=0.0):
         self.number, self.fails, self.slow, self.after, self.lane, self.load = number, fails, slow, after, lane, load
+        self.shared = shared
 
     def strikes(self, pod, now, lane):
         """Whether its fault acts on this delivery now."""
--- a/thymeknot/laboratory/rules.py
+++ b/thymeknot/laboratory/rules.py
@@ -19,7 +19,7 @@
         self.gone = defaultdict(dict)
         self.taken_at, self.tried_at, self.caps = defaultdict(list), defaultdict(list), defaultdict(list)
         self.kept = defaultdict(dict)
-        self.cold_work, self.starts = defaultdict(list), defaultdict(dict)
+        self.cold_work, self.starts, self.overrun = defaultdict(list), defaultdict(dict), 0.0
 
     def _broke(self, rule, now, text):
         self.broken.append((rule, now, text))
@@ -129,6 +129,7 @@
         total = sum(one for at, one, _ in sent if at > begin)
         known = sum(one for at, one, told in sent if at > begin and told)
         least = self.multiple * share * capacity * self.overload
+        self.overrun = max(self.overrun, total / (least * 1.1 + 4 * work))
         if total > least * 1.1 + 4 * work and known >= total * 2 / 3:
             self._broke(4, now, f"{pod}: {total:.0f} of work in {self.overload}, {least:.0f} push it over")
 
