--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -256,6 +256,54 @@
         made.now += 9 * SECOND
         self.assertEqual(made._verdict(), i.ON)
 
+    def test_one_lost_zone_is_not_the_build_two_are(self):
+        # A trial's pods are new: there connections fail in 0.25 s, where the earlier build's time out much later.
+        pods = [pod(f"old-{n}", zone="abc"[n % 3]) for n in range(9)]
+        pods += [pod(f"new-{n}", 2, zone="abc"[n % 3]) for n in range(9)]
+        for zones, doubt, vote in ((1, 0.4, i.ON), (2, 0.9, i.NO_VOTE), (3, 1.0, i.BACK)):
+            made = balancer(*pods, told=news(), votes_to_revert=10, balancers=40)
+            judged(made, i.DONE, "old-1", 60)
+            for number in range(9):
+                if number % 3 < zones:
+                    judged(made, i.ERROR, f"new-{number}", 6)
+            self.assertEqual((made._verdict(), made.doubt >= doubt, made.doubt > 0.5), (vote, True, zones > 1))
+
+    def test_without_zones_all_failures_count(self):
+        pods = [pod(f"old-{n}") for n in range(9)] + [pod(f"new-{n}", 2) for n in range(9)]
+        made = balancer(*pods, told=news(), votes_to_revert=10, balancers=40)
+        judged(made, i.DONE, "old-1", 60)
+        for number in range(3):
+            judged(made, i.ERROR, f"new-{number}", 6)
+        self.assertEqual(made._verdict(), i.BACK)
+
+    def test_connections_that_fail_at_both_builds_are_not_the_new_ones(self):
+        for earlier, vote in ((5, i.NO_VOTE), (0, i.BACK)):
+            made = balancer(pod("old-1"), pod("old-2"), *(pod(f"new-{n}", 2) for n in range(6)), told=news())
+            judged(made, i.DONE, "old-1", 60)
+            judged(made, i.UNCONNECTED, "old-2", earlier)
+            for number in range(6):
+                made.now = NOW + number * SECOND // 4
+                judged(made, i.UNCONNECTED, f"new-{number}")
+            self.assertEqual(made._verdict() == i.BACK, vote == i.BACK)
+
+    def test_a_storm_that_is_over_does_not_hide_a_bad_build(self):
+        made = balancer(told=news())
+        judged(made, i.DONE, "old-1", 30)
+        judged(made, i.EXPIRED, "old-1", 30)
+        made.now += 3 * SECOND
+        judged(made, i.DONE, "old-1", 40)
+        judged(made, i.DONE, "new-1")
+        self.assertLess(made.p0["failed"], 0.02)
+        judged(made, i.EXPIRED, "old-1", 40)  # and while it lasts it is the rate
+        judged(made, i.DONE, "new-1")
+        self.assertGreater(made.p0["failed"], 0.4)
+
+    def test_a_vote_for_on_waits_until_the_newest_pods_are_warm_enough_to_judge(self):
+        for cold, age, vote in ((2, 1.0, i.NO_VOTE), (2, 1.5, i.ON), (40, 2.9, i.NO_VOTE), (40, 3.1, i.ON)):
+            made = balancer(pod("old-1"), pod("new-1", 2, NOW), told=news(), cold=cold * SECOND)
+            made.offset, made.clear_since, made.now = 0, NOW - 9 * SECOND, NOW + int(age * SECOND)
+            self.assertEqual(made._verdict(), vote, (cold, age))
+
     def test_a_trials_pod_that_starts_again_is_not_new(self):
         pods = [pod("old-1"), pod("old-2"), pod("new-1", 2, NOW), pod("new-2", 2, NOW)]
         for again, vote in ((pod("new-1", 2, NOW + 8 * SECOND), i.ON), (pod("new-3", 2, NOW + 8 * SECOND), i.NO_VOTE)):
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -3,12 +3,12 @@
 Make one Balancer(terms, seed, now) per sidecar and call handle(now, events) with the events of one moment, in
 order; it returns the actions. Types: interface.py; records: records.py; sources: docs/design.md."""
 
-from math import log
+from math import inf, log
 
 from . import interface as i
 from .admission import FEW, SECOND, Admission
 from .reasons import Reason as R
-from .records import Chance, Delivery, Ring, Transaction, merged
+from .records import Chance, Delivery, Ring, Transaction, merged, reached
 
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE, LISTED = 2 * SECOND, 0.8, 0.75  # of a stage's pods: listed, for a vote for on
@@ -18,7 +18,7 @@
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR, AT_ONCE = 20, 3 * SECOND, 5 * SECOND // 2, 2 * SECOND
 HOLD_PART, ONE_PERIOD = 0.5, 0.6  # of the back bound: holds; a period's tallies; a second's, one vote acts:
 ONE_SECOND = {("failed", True): 0.75, ("failed", False): 9.0, ("slow", True): 0.5, ("slow", False): 0.5}
-ONE_POD, FEW_PODS = {"failed": 0.55, "slow": 0.45}, (3, 5)  # one pod adds so much; few to the quiet, the loud
+ONE_POD, ONE_ZONE, ZONES = {"failed": 0.55, "slow": 0.45}, 0.45, 1.1  # one adds so much; all zones together
 COLD_FAILS, FREED_FAILS, TIMES, TIMES_MOST = 0.3, 0.15, 1.5, 3.0  # in tallies: may fail cold, freed; slow
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}  # slowness of all may pass; True: machines replaced
@@ -28,7 +28,7 @@
 HOT_SHARE, HOT_LEAST, KEYS_MOST = 0.03, 8, 10_000  # of all with keys; lately; answered or failed, remembered
 SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND  # an unreachable pod is passed over: at first, at most
 UPKEEP, UPKEEP_MOST, EXCHANGE = SECOND // 20, SECOND // 4, 4 * SECOND  # the second with hardly any traffic
-DRAWN, LOOK, CROWD = 6, 24, 0.75  # pods in use at least; looked at; sidecars a pod that make a crowd
+DRAWN, LOOK, CROWD, FEW_PODS = 6, 24, 0.75, (3, 5)  # pods in use; looked at; sidecars a pod; to quiet, loud
 COLD_PART, COLD_LEAST = 0.5, 4  # of what would push a cold pod over, what all instances use; and deliveries
 RATE_UP, RATE_DOWN = 4 * SECOND, 20 * SECOND  # how quickly what warm pods take is followed
 SECOND_COPIES, RETRIES, COPY_AFTER = 0.05, 0.15, (3.0, 0.4)  # of all; times mean, goal of its lane: the later
@@ -82,9 +82,10 @@
         together = needed * (FALSE_BACK if needed == 1 else 0.7 * FALSE_BACK ** (1 / needed))
         odds = (1 - FALSE_ON) / min(FALSE_BACK, together / terms.balancers)
         self.back_at = {"failed": log(odds), "slow": log(odds * SLOW_STRICTER)}
+        self.bounds = dict(self.back_at)
         # Each keeps to its part of the calls that the platform takes from all.
         self.turn_of_all = int(terms.balancers / terms.votes_per_s * SECOND)
-        self.in_turns = max(0, self.turn_of_all - AT_ONCE)
+        self.in_turns, self.age = max(0, self.turn_of_all - AT_ONCE), reached(WARM_ENOUGH, terms, AFTER_START)
         self.renew = min(0.8 * terms.vote_life, max(terms.vote_life // 2, self.turn_of_all))
         self.vote, self.vote_at, self.asked, self.ask_at, self.rows, self.rows_at = None, 0, None, now, [], 0
         self.news, self.build, self.by_votes = None, USUAL, terms.decided_by != i.BY_CLOCK
@@ -179,9 +180,9 @@
         self.ramped, self.clear_since = self.now, self.now
         # Each has its place: the first fit into what the platform takes at once, the others come one by one.
         turn = max(0.0, self.chance.draw() * self.turn_of_all - AT_ONCE)
-        self.offset = turn - min(self.in_turns, AFTER_START) / 2
+        self.offset = turn - min(self.in_turns, self.age) / 2
         self.sums = self.left = {"failed": max(0.0, self.sums.get("failed", 0.0)), "slow": 0.0}
-        self.by_pod = {key: had for key, had in self.by_pod.items() if key[0] == "failed"}
+        self.by_pod = {key: had for key, had in self.by_pod.items() if "failed" in key[0]}
         self.seen, self.doubt, self.swarm, self.bad_keys, self.saying_back = 0, 0.0, {}, set(), False
 
     def _climb(self):
@@ -193,8 +194,7 @@
             self.ramp, self.ramped = max(self.ramp, min(target, self.ramp + step)), self.now
 
     def _ring(self, rings, lane):
-        counted_as = lane.name if self.terms.by_lane else ""
-        return rings.setdefault(counted_as, Ring(self.terms.exposure_window, 120))
+        return rings.setdefault(self.terms.by_lane and lane.name, Ring(self.terms.exposure_window, 120))
 
     def _may_try(self, lane):
         """Rule 5, also for windows still to come: the later parts of this one must carry themselves."""
@@ -217,10 +217,10 @@
     def _judge(self, tx, known, outcome, latency):
         if self.news is None or outcome in (i.FULL, i.RECALLED, i.UNSENT):
             return
-        share, build = known.share(self.now, self.terms), known.listed.build
+        share, build, failed = known.share(self.now, self.terms), known.listed.build, outcome != i.DONE
         cell = tx.lane.name, known.listed.machine
         mark, settled, mean = self.marks.get(cell, (2.0 * latency, 0, latency))
-        failed, way, judging = outcome != i.DONE, outcome == i.RESET, self.build in (TRIAL, FREED)
+        way, judging = outcome in (i.RESET, i.UNCONNECTED), self.build in (TRIAL, FREED)
         slow = outcome == i.EXPIRED or (not failed and latency * share > mark)
         if judging and share == 1.0:
             self._judge_all(cell, outcome, latency)
@@ -244,20 +244,20 @@
             self.bad_keys.update([tx.key] if failed and len(self.bad_keys) < KEYS_MOST else [])
             self.seen += 1
             alone = outcome in (i.DONE, i.ERROR) and len(self.sides[True]) <= FEW_PODS[0] and not self._few()
-            self._add("failed", failed, None if alone else known.listed.address)
+            self._add("failed", failed, None if alone else known.listed)
             # A build may be slow and never fail. In a burst a pod's time hangs on the load more than on it.
             if compared and settled and share >= WARM_ENOUGH and self._busier() <= BUSIER:
-                self._add("slow", slow, known.listed.address)
+                self._add("slow", slow, known.listed)
 
     def _compare(self):
-        """Takes the earlier build's rates, the recent ones where higher: a storm of errors at both builds is
-        not the new one's. Tells whether enough of the earlier outcomes are recent."""
+        """Takes the earlier build's rates, the recent ones if many or higher: a storm at both builds is not
+        the new one's, and one that is over hides nothing. Tells whether enough of the outcomes are recent."""
         for back, least in ((16, BASELINE), (4, 1)):
             seen = self.earlier["all"].total(self.now, False, back)
             for what, floor in P0_FLOOR.items() if seen >= least else ():
                 seen = max(seen, 2 * BASELINE if what == "slow" else 2)  # in a storm one failure will do
                 rate = max(floor, min(0.6, self.earlier[what].total(self.now, False, back) / seen))
-                self.p0[what] = rate if back == 16 else max(rate, self.p0[what])
+                self.p0[what] = rate if back == 16 or seen >= MATURE else max(rate, self.p0[what])
         return self.earlier["all"].total(self.now, False, 4) >= BASELINE
 
     def _weight(self, what, bad, p0):
@@ -267,14 +267,16 @@
     def _add(self, what, bad, pod=None):
         step = self._weight(what, bad, self.p0[what])
         if pod:
-            # A single machine may be ill by itself, and what ails many for a moment comes in swarms.
-            had, second = self.by_pod.get((what, pod), 0.0), self.now // SECOND
+            # A machine may be ill by itself, a zone be lost; what ails many for a moment comes in swarms.
+            had, zone = self.by_pod.get((what, pod.address), 0.0), (what + " in", pod.zone)
             bound, (last, room) = ONE_POD[what] * self.back_at[what], self.swarm.get(what, (None, 0.0))
-            if last != second:
+            if last != self.now // SECOND:
                 room = ONE_SECOND[what, self.terms.votes_to_revert == 1] * self.back_at[what]
-            step = max(min(step, bound - had, room), -bound - had)
-            self.by_pod[what, pod] = had + step
-            self.swarm[what] = second, room - max(0.0, step)
+            zones, there = len({one.listed.zone for one in self.sides[True]}), self.by_pod.get(zone, 0.0)
+            top = self.bounds[what] * (max(ONE_ZONE, ZONES / zones) if zones > 1 and not self._few() else inf)
+            step = max(min(step, bound - had, room, max(0.0, top - there)), -bound - had)
+            self.by_pod[what, pod.address], self.by_pod[zone] = had + step, max(-top, there + step)
+            self.swarm[what] = self.now // SECOND, room - max(0.0, step)
         self._book(what, step)
 
     def _book(self, what, step):
@@ -286,10 +288,9 @@
         # A sum that rests tries anew with each chance failure: the more of them, the higher the bound.
         seen, pods = self.arrivals.total(self.now), len(self.sides[True])
         many = self.by_votes and pods > FEW_PODS[1] and seen >= 8 * LOUD
-        bound = self.back_at["failed"] + log(max(1, many * self.p0["failed"] * seen))
-        self.doubt = max(self.left["failed"] / bound, self.left["slow"] / self.back_at["slow"])
-        if self.doubt > HOLD_PART:
-            self.clear_since = self.now
+        self.bounds["failed"] = self.back_at["failed"] + log(max(1, many * self.p0["failed"] * seen))
+        self.doubt = max(self.left[what] / bound for what, bound in self.bounds.items())
+        self.clear_since = self.now if self.doubt > HOLD_PART else self.clear_since
 
     def _tallied(self, event):
         self.rows_at = self.rows_at if self.rows else self.now
@@ -371,7 +372,7 @@
         started = [self.met.setdefault(one.listed.address, one.listed.started) for one in self.sides[True]]
         places = self.places if self.terms.replaces else len(self.sides[False])  # others leave late
         listed = len(started) >= max(1, int(LISTED * self.terms.waves[news.stage] * places))
-        if not listed or self.now < max(started) + AFTER_START + self.offset:
+        if not listed or self.now < max(started) + self.age + self.offset:
             return i.NO_VOTE
         # A quiet instance never sees enough: with too little to hold the build it says on after a while.
         wait = self.offset + QUIET_FOR * (1 if self.left["failed"] <= 0 else 2)
@@ -380,8 +381,6 @@
 
     def _cast(self):
         """Casts, renews and withdraws the vote; an unanswered one is asked again."""
-        if self.news is None or self.now < self.ask_at:
-            return
         wanted, age = (self.news.build, self.news.stage, self._verdict()), self.now - self.vote_at
         vote, stands = self.vote, self.vote is not None and age < self.terms.vote_life
         if wanted[2] == i.NO_VOTE:
@@ -510,8 +509,8 @@
         tx.sent.append(Delivery(known, self.now))
         ends = tx.ends if tx.lane.late_earnings > 0 or self.now >= tx.goal else min(tx.ends, tx.goal)
         if self.say:
-            pod, cost = known.listed, self._cost(known)
-            self._why(R.SENT, pod.address, pod.build, new, ends - self.now, cost)
+            pod = known.listed
+            self._why(R.SENT, pod.address, pod.build, new, ends - self.now, self._cost(known))
         self.actions.append(i.Deliver(tx.id, known.listed.address, max(1, ends - self.now)))
         if len(tx.sent) == 1 and self.terms.second_copies and tx.lane.effect == i.RETRIABLE:
             goal, self.tokens = tx.lane.latency_goal, self.tokens + 1
@@ -636,7 +635,8 @@
         self._climb()
         if self.rows and self.now >= self.rows_at + UPKEEP_MOST:  # a period's rows do not come all at once
             self._weigh_tallies()
-        self._cast()
+        if self.news and self.now >= self.ask_at:
+            self._cast()
         if self.now >= self.exchange_at:
             self.exchange_at = self.now + EXCHANGE
             for new in self.drawn:
--- a/thymeknot/records.py
+++ b/thymeknot/records.py
@@ -104,3 +104,8 @@
         else:
             pods[pod.address] = Known(pod, span)
     return pods
+
+
+def reached(part, terms, most):
+    """How long after its start a pod has this part of its capacity at the latest; no more than most."""
+    return min(most, terms.cold * max(0.0, part - terms.cold_from) / max(1e-9, 1 - terms.cold_from))
