--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -32,10 +32,13 @@
                             ("b", b"6.916 " + line("turned away", 101, deferred={"OVER_LIMIT": 2})),
                             ("b", line("vote", 107, verdict=1, outcome="full")),
                             ("a", line("vote", verdict=1, outcome="done")),
-                            ("a", line("fault", at_line="x.py:3")), ("a", line("ready"))):
+                            ("a", line("fault", at_line="x.py:3")), ("a", line("ready")),
+                            ("a", line("stream ended", refusals=3)), ("b", line("stream ended", refusals=0)),
+                            ("b", line("stream silent"))):
             summary.feed(whose, text)
         self.assertEqual(summary.figures(), {
-            "sidecars": 2, "turned_away": {"deferred OVER_LIMIT": 5, "abandoned TIME_OVER": 1},
+            "sidecars": 2, "starts": 1, "streams": {"refused": 1, "ended": 1, "silent": 1},
+            "turned_away": {"deferred OVER_LIMIT": 5, "abandoned TIME_OVER": 1},
             "busiest": {"a": 4, "b": 2}, "votes": {"on full": 1, "on done": 1}, "votes_full_share": 0.5,
             "faults": {"fault x.py:3": 1}, "unread_lines": 0})
         self.assertEqual([at for at, _ in summary.stretches()], [0.0, 5.0])
--- a/thymeknot/command/summary.py
+++ b/thymeknot/command/summary.py
@@ -27,7 +27,8 @@
 
     def __init__(self, every=5.0):
         self.every, self.begun, self.unread, self.sidecars = every, None, 0, set()
-        self.reasons, self.votes, self.faults, self.by = Counter(), Counter(), Counter(), Counter()
+        self.reasons, self.votes, self.faults, self.by, self.streams = (Counter() for _ in range(5))
+        self.starts = 0
         self.spans = {}
 
     def feed(self, whose, line):
@@ -63,15 +64,30 @@
         self.votes[f"{name} {outcome}"] += 1
         span[f"vote {name} {outcome}"] += 1
 
+    def _stream(self, whose, event, span):
+        """Lists and news that ended, and whether the peer turned the asking away: the same for all is one cause."""
+        refusals = event.get("refusals")
+        how = "refused" if isinstance(refusals, int) and refusals else "ended"
+        if event["event"] == "stream silent":
+            how = "silent"
+        self.streams[how] += 1
+        span[f"stream {how}"] += 1
+
+    def _started(self, whose, event, span):
+        self.starts += 1
+        span["started"] += 1
+
     def _fault(self, whose, event, span):
         self.faults[f"{event['event']} {event.get('at_line', '')}".strip()] += 1
 
-    EVENTS = {"turned away": _turned_away, "vote": _vote, "fault": _fault, "overdue": _fault}
+    EVENTS = {"turned away": _turned_away, "vote": _vote, "fault": _fault, "overdue": _fault, "stream ended": _stream,
+              "stream silent": _stream, "list not fetched": _stream, "ready": _started}
 
     def figures(self):
         asked = sum(self.votes.values())
         full = sum(count for name, count in self.votes.items() if name.endswith(" full"))
-        return {"sidecars": len(self.sidecars), "turned_away": dict(self.reasons.most_common()),
+        return {"sidecars": len(self.sidecars), "starts": self.starts, "streams": dict(self.streams.most_common()),
+                "turned_away": dict(self.reasons.most_common()),
                 "busiest": dict(self.by.most_common(BUSIEST)), "votes": dict(self.votes.most_common()),
                 "votes_full_share": round(full / asked, 3) if asked else None, "faults": dict(self.faults),
                 "unread_lines": self.unread}
--- a/thymeknot/laboratory/crowds.py
+++ b/thymeknot/laboratory/crowds.py
@@ -108,12 +108,13 @@
         for one in LANES)
     offers = []
     for number in range(2):
-        fine, how = bool(chance.random() < 0.5) if good is None else good, int(chance.integers(0, 4))
+        fine, how = bool(chance.random() < 0.5) if good is None else good, int(chance.integers(0, 5))
         fails, slow, shared = chance.uniform(0.1, 0.5), chance.uniform(2, 3.5), chance.uniform(1.5, 3.5)
+        late = int(chance.uniform(2.5, 6) * SECOND) if how == 4 and not fine else 0
         at = int((chance.uniform(3, 5) + number * seconds * 0.45) * SECOND)
         offers.append(Offer(
-            at, 2 + number, fine, float(fails) if not fine and how in (0, 3) else 0.0,
-            float(slow) if not fine and how == 1 else float(chance.uniform(0.92, 1.1)), 0,
+            at, 2 + number, fine, float(fails) if not fine and how in (0, 3, 4) else 0.0,
+            float(slow) if not fine and how in (1, 4) else float(chance.uniform(0.92, 1.1)), late,
             0.3 if not fine and how == 3 else 0.0, float(shared) if not fine and how == 2 else 0.0))
     faults, begin, end = _vast_faults(kind, chance, instances, pods, span)
     held = terms(instances, cold, cold_from, calls, lanes)._replace(
