One zone adds 0.9 of the bound, not 0.45: a quiet instance needed three failures for two

At fault: _add cuts a quiet instance's first failure in a zone from 0.58 to 0.45. Change: ONE_ZONE 0.9, so one zone alone never makes up the whole and any second evidence does.

--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -18,7 +18,7 @@
 ENOUGH_OUTCOMES, AFTER_START, QUIET_FOR, AT_ONCE = 20, 3 * SECOND, 5 * SECOND // 2, 2 * SECOND
 HOLD_PART, ONE_PERIOD = 0.5, 0.6  # of the back bound: holds; a period's tallies; a second's, one vote acts:
 ONE_SECOND = {("failed", True): 0.75, ("failed", False): 9.0, ("slow", True): 0.5, ("slow", False): 0.5}
-ONE_POD, ONE_ZONE, ZONES = {"failed": 0.55, "slow": 0.45}, 0.45, 1.1  # one adds so much; all zones together
+ONE_POD, ONE_ZONE = {"failed": 0.55, "slow": 0.45}, 0.9  # one of them adds so much: never the whole
 COLD_FAILS, FREED_FAILS, TIMES, TIMES_MOST = 0.3, 0.15, 1.5, 3.0  # in tallies: may fail cold, freed; slow
 BASELINE, WARM_ENOUGH, SLOW_QUANTILE = 5, 0.75, 0.9  # outcomes, and warmth, that say something
 ILL_FOR = {False: 5 * SECOND, True: 12 * SECOND}  # slowness of all may pass; True: machines replaced
@@ -273,7 +273,7 @@
             if last != self.now // SECOND:
                 room = ONE_SECOND[what, self.terms.votes_to_revert == 1] * self.back_at[what]
             zones, there = len({one.listed.zone for one in self.sides[True]}), self.by_pod.get(zone, 0.0)
-            top = self.bounds[what] * (max(ONE_ZONE, ZONES / zones) if zones > 1 and not self._few() else inf)
+            top = self.bounds[what] * (ONE_ZONE if zones > 1 and not self._few() else inf)
             step = max(min(step, bound - had, room, max(0.0, top - there)), -bound - had)
             self.by_pod[what, pod.address], self.by_pod[zone] = had + step, max(-top, there + step)
             self.swarm[what] = self.now // SECOND, room - max(0.0, step)
