One overbooked service, in the laboratory, for the emulator and the tests of asking

Review: the service that turns calls away was written twice, in laboratory/agents.py and as a stand-in of the tests, and the same forty were played on both; Discovery.cut was called by nobody. Now Service is the one, Discovery asks it, and the kept streams of the tests dial it.

--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,103 @@
+"""How often one of many asks a service that takes few calls from all, and what the laboratory has of such services."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from thymeknot import interface as i
+from thymeknot.asking.pace import AGAIN, FRESH, LONGEST, LOST, REFUSED, SPREAD_MOST, STEADY, STOOD, TURNED_AWAY, Pace
+from thymeknot.laboratory.agents import IDLE, Connections, Service
+from thymeknot.memory.deadlines import Deadlines
+from thymeknot.protocol.calls import KeptStream
+from thymeknot.records import Chance
+
+from .test_sidecar import Network, Transport
+
+HEAD = b"HTTP/1.1 %d X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"
+
+
+class Waits(unittest.TestCase):
+    def test_a_refusal_makes_it_rarer_and_what_stands_makes_it_usual(self):
+        pace = Pace(lambda: 0.5)
+        for how, age, wait, state in (
+                (LOST, 0, 5_000, FRESH), (REFUSED, STEADY, 5_000, FRESH), (REFUSED, STEADY - 1, 20_000, TURNED_AWAY),
+                (REFUSED, 0, 40_000, TURNED_AWAY), (REFUSED, 0, 60_000, TURNED_AWAY), (REFUSED, 0, 60_000, TURNED_AWAY),
+                (LOST, 0, 60_000, TURNED_AWAY), (STOOD, 0, 5_000, FRESH), (REFUSED, 0, 20_000, TURNED_AWAY)):
+            self.assertEqual((pace.ended(how, age), pace.state), (wait, state))
+
+    @given(st.lists(st.tuples(st.sampled_from((REFUSED, LOST, STOOD)), st.integers(0, 10 * STEADY)), max_size=60),
+           st.integers(1, 2 ** 60), st.integers(1, 10_000))
+    def test_it_is_asked_again_within_bounds_whatever_comes(self, ends, seed, asking):
+        pace = Pace(Chance(seed).draw)
+        self.assertTrue(0 <= pace.first(asking) <= SPREAD_MOST)
+        for how, age in ends:
+            self.assertTrue(AGAIN[0] <= pace.ended(how, age) <= LONGEST)
+
+
+class Overbooked(Service):
+    """The laboratory's service as kept streams dial it."""
+
+    def __init__(self, rate, clock):
+        self.deadlines = Deadlines(lambda: int(clock.seconds() * 10_000), clock.callLater, lambda *fault: None)
+        super().__init__(rate, self.deadlines.add, self.deadlines.clock)
+        self.host = "discovery"
+
+    def dial(self, stream, failed, late):
+        stream.makeConnection(Transport())
+        self.call(lambda good: stream.over or stream.dataReceived(HEAD % (200 if good else 503)))
+        stream.transport.abortConnection = lambda: stream.over or stream.connectionLost(self)
+
+    def getErrorMessage(self):
+        return "ended"
+
+
+class Askings(unittest.TestCase):
+    def started(self, service, asking, seed):
+        stream = KeptStream(service, Chance(seed << 33), 10 ** 9, lambda: b"", lambda: lambda content: None,
+                            lambda *line, **fields: None)
+        stream.start_among(asking)
+        return stream
+
+    def test_forty_have_a_list_before_long_from_a_service_of_eight_calls_a_second(self):
+        for asking, seconds, kill_at, refused in ((40, 20, None, 80), (0, 30, None, 120), (40, 40, 20.0, 160)):
+            clock = Clock()
+            service = Overbooked(8, clock)
+            streams = [self.started(service, asking, seed) for seed in range(1, 41)]
+            for step in range(seconds * 20):
+                clock.advance(0.05)
+                for at in range(28 if step / 20 == kill_at else 0):
+                    streams[at].start = lambda: None  # its process is gone
+                    streams[at] = self.started(service, asking, step + at + 1)
+            self.assertEqual(sum(stream.stream is not None for stream in streams), 40)
+            self.assertLess(service.refused, refused)
+
+    def test_a_cut_link_is_tried_as_usual_and_no_call_is_made_beside_the_watch(self):
+        network = Network()
+        for _ in range(10):
+            network.refuse(-1)
+            for _ in range(9):
+                network.reactor.advance(0.1)
+        asked = len(network.reactor.tcpClients)
+        self.assertGreaterEqual(asked, 11)
+        network.sidecar._carry_out([i.Subscribe(True)])
+        self.assertEqual(len(network.reactor.tcpClients), asked)
+
+
+class Held(unittest.TestCase):
+    def test_connections_are_used_again_refused_and_expire(self):
+        some, line, other = Connections(1), (0, 1, "p"), (1, 1, "p")
+        for now, of, taken, good in ((0, line, True, True), (20, line, True, True), (40, other, False, None),
+                                     (40 + IDLE, other, True, False), (60 + IDLE, line, True, None)):
+            self.assertEqual(some.take(now, of, "p"), taken)
+            if good is not None:
+                some.give(now + 10, of, "p", good)
+        self.assertEqual((some.made, some.refused, some.held["p"]), (3, 1, 1))
+        some.drop(lambda line: line[0] == 0)
+        some.give(70 + IDLE, line, "p", True)  # what its process held is gone with it
+        self.assertEqual(some.held["p"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeknot/laboratory/agents.py
+++ b/thymeknot/laboratory/agents.py
@@ -3,9 +3,10 @@
 
 from collections import deque
 
-from ..asking.pace import LOST, REFUSED, Pace
+from ..asking.pace import REFUSED, Pace
 
 PATIENCE, ROOM = 20_000, 2.2    # a call waits in turn so long; waiting calls, in seconds of answers
+NO_ROOM = 500                   # until one is told that there is none
 IDLE = 150_000                  # a connection that stands idle is closed
 
 
@@ -23,15 +24,40 @@
         return 2_000 + int(self.draw() * 6_000)
 
 
-class Discovery:
-    """Calls wait in turn; one that waits too long (which costs as much as an answer) or finds no room is turned away.
-    at(moment, call, *arguments) books what comes; told(instance, turn, whole) says whether this life of an instance is
-    there still, and gives it the list where whole."""
+class Service:
+    """Answers so many calls a second, in turn. One that finds no room, or has waited too long (which costs as much as
+    an answer), is turned away. at(moment, call, *arguments) books what comes, now() is the time."""
+
+    def __init__(self, rate, at, now):
+        self.step, self.room, self.at, self.now = int(10_000 / rate), int(rate * ROOM), at, now
+        self.waiting, self.calls, self.refused = deque(), 0, 0
+        self.at(self.now() + self.step, self._next)
+
+    def call(self, end):
+        """end(good) is called once: whether it was answered."""
+        self.calls += 1
+        if len(self.waiting) >= self.room:
+            self.refused += 1
+            self.at(self.now() + NO_ROOM, end, False)
+        else:
+            self.waiting.append((self.now(), end))
+
+    def _next(self):
+        self.at(self.now() + self.step, self._next)
+        if self.waiting:
+            since, end = self.waiting.popleft()
+            good = self.now() <= since + PATIENCE
+            self.refused += not good
+            end(good)
+
+
+class Discovery(Service):
+    """Lists that are asked for. told(instance, turn, whole): whether this life of an instance is there still; gives it
+    the list where whole."""
 
     def __init__(self, rate, at, now, told):
-        self.step, self.room, self.at, self.now, self.told = int(10_000 / rate), int(rate * ROOM), at, now, told
-        self.waiting, self.calls, self.refused, self.standing = deque(), 0, 0, {}
-        self.at(self.step, self._next)
+        super().__init__(rate, at, now)
+        self.told, self.standing = told, {}
 
     def begin(self, instance, turn, pace, asking):
         """An instance starts: it asks for the list and the changes to it."""
@@ -41,35 +67,16 @@
             self.at(self.now(), self._ask, instance, turn, pace, False)
 
     def _ask(self, instance, turn, pace, watch):
-        if not self.told(instance, turn, False):
-            return  # it has died since
-        self.calls += 1
-        if len(self.waiting) >= self.room:
-            self.at(self.now() + 500, self._turned_away, instance, turn, pace, watch)
-        else:
-            self.waiting.append((self.now(), instance, turn, pace, watch))
-
-    def _next(self):
-        if self.waiting:
-            at, instance, turn, pace, watch = self.waiting.popleft()
-            if self.now() > at + PATIENCE:
-                self._turned_away(instance, turn, pace, watch)
-            else:
-                if watch:
-                    self.standing[instance] = turn
+        def ended(good):
+            if good and watch:
+                self.standing[instance] = turn
+            if good:
                 self.told(instance, turn, True)
-        self.at(self.now() + self.step, self._next)
-
-    def _turned_away(self, instance, turn, pace, watch):
-        self.refused += 1
-        wait = pace.ended(REFUSED) if watch else 10_000 + int(pace.draw() * 10_000)
-        if watch or self.standing.get(instance) != turn:
-            self.at(self.now() + wait, self._ask, instance, turn, pace, watch)
-
-    def cut(self, instance, turn, pace):
-        """A watch that stood has ended by itself."""
-        self.standing.pop(instance, None)
-        self.at(self.now() + pace.ended(LOST), self._ask, instance, turn, pace, True)
+            elif watch or self.standing.get(instance) != turn:
+                wait = pace.ended(REFUSED) if watch else 10_000 + int(pace.draw() * 10_000)
+                self.at(self.now() + wait, self._ask, instance, turn, pace, watch)
+        if self.told(instance, turn, False):  # else it has died since
+            self.call(ended)
 
 
 class Connections:
