A whole list that names nobody or is older than the last is not believed

Need: a list of discovery that is stale or empty, above all during a restart, replaced all that was known. Whether it is believed is a table of its own, asking/belief.py: an older one told twice in a row is believed (a service that counts anew), an empty one never while pods are known, another address counts for itself, changes are always taken. What is not believed ends its stream alone with its cause in the log, and is asked for again by the pace of refusals. Tests: which lists are believed, and seven spoilt ones on the watch of a sidecar that has just started.

--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -7,13 +7,14 @@
 from twisted.internet.task import Clock
 
 from thymeknot import interface as i
+from thymeknot.asking.belief import Belief
 from thymeknot.asking.pace import AGAIN, FRESH, LONGEST, LOST, REFUSED, SPREAD_MOST, STEADY, STOOD, TURNED_AWAY, Pace
 from thymeknot.laboratory.agents import IDLE, Connections, Service
 from thymeknot.memory.deadlines import Deadlines
 from thymeknot.protocol.calls import KeptStream
 from thymeknot.records import Chance
 
-from .test_sidecar import Network, Transport
+from .test_sidecar import Network, Transport, entry
 
 HEAD = b"HTTP/1.1 %d X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"
 
@@ -85,6 +86,33 @@
         self.assertEqual(len(network.reactor.tcpClients), asked)
 
 
+class Lists(unittest.TestCase):
+    def test_which_lists_are_believed(self):
+        for told, believed in (
+                ([("a", 7, True, 3), ("a", 7, True, 3), ("a", 9, False, 0), ("a", 8, True, 3)], [1, 1, 1, 0]),
+                ([("a", 7, True, 3), ("a", 6, True, 3), ("a", 6, True, 3), ("a", 7, True, 3)], [1, 0, 1, 1]),
+                ([("a", 7, True, 3), ("a", 8, True, 0), ("a", 8, True, 0), ("a", 8, True, 3)], [1, 0, 0, 1]),
+                ([("a", 7, True, 3), ("a", 6, True, 3), ("a", 8, True, 3), ("a", 7, True, 3)], [1, 0, 1, 0]),
+                ([("a", 7, True, 3), ("b", 2, True, 3), ("b", 1, False, 1), ("a", 7, True, 3)], [1, 1, 1, 1])):
+            belief = Belief()
+            self.assertEqual([belief.doubt(*one, 3) is None for one in told], [bool(one) for one in believed], told)
+        self.assertIsNone(Belief().doubt("a", 1, True, 0, 0))  # with nothing known, nobody is news
+
+    def test_a_list_that_would_take_all_that_is_known_ends_its_stream_alone(self):
+        for spoilt in (b'{"version":6,"full":true,"servers":[]}', b'{"version":6,"full":true,"servers":[', b"nonsense",
+                       b'{"version":8,"full":true,"servers":[]}', b'{"version":8,"full":true}', b"\xff\x00",
+                       b'{"version":6,"full":true,"servers":[{"id":"s-9","addr":"127.0.0.1:9","state":"Ready"}]}'):
+            network = Network(entry("s-1"))
+            stream, held = network.connect(0), (dict(network.sidecar.listed), network.sidecar.version)
+            stream.dataReceived(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            stream.dataReceived(b"%x\r\n%s\n\r\n" % (len(spoilt) + 1, spoilt))
+            self.assertEqual((network.sidecar.listed, network.sidecar.version), held, spoilt)
+            self.assertTrue(stream.transport.disconnected and not network.faults)
+            for _ in range(40):
+                network.reactor.advance(0.1)
+            self.assertEqual([port for _, port, *_ in network.reactor.tcpClients].count(2), 2)
+
+
 class Held(unittest.TestCase):
     def test_connections_are_used_again_refused_and_expire(self):
         some, line, other = Connections(1), (0, 1, "p"), (1, 1, "p")
--- a/thymeknot/asking/__init__.py
+++ b/thymeknot/asking/__init__.py
@@ -1,1 +1,2 @@
-"""How often one of many may ask a service that takes only so many calls from all. Pure: no input or output."""
+"""How often one of many asks a service that takes only so many calls from all, and whether what it tells is believed.
+Pure: no input or output."""
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -93,7 +93,7 @@
                     self.owner.heard(self)
                     self.read(part.content)
         except Exception as error:  # what can't be read ends this connection alone
-            self.owner.ended(self, f"unreadable: {error}", how=LOST)
+            self.owner.ended(self, f"unreadable: {error}", how=getattr(error, "how", LOST))
             self.drop()
 
     def connectionLost(self, reason):
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -5,6 +5,7 @@
 import orjson
 
 from .. import interface as i
+from ..asking.pace import REFUSED
 from . import http
 
 PATH = "/v1/servers"
@@ -17,6 +18,11 @@
     """What came is no list. The text names the faulty key."""
 
 
+class Unbelieved(Unreadable):
+    """A list that reads well and would take all that is known. The peer is asked again less and less often."""
+    how = REFUSED
+
+
 class Listing(NamedTuple):
     version: int
     pods: i.PodList
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -6,6 +6,7 @@
 from twisted.internet.protocol import Factory
 
 from . import interface as i
+from .asking.belief import Belief
 from .balance import Balancer
 from .memory.pools import Pools
 from .memory.slots import Slots
@@ -90,7 +91,7 @@
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
         self.transactions, self.by_id = Slots(), {}
         self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
-        self.inbox, self.deciding, self.port, self.emptied = [], False, None, None
+        self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.gossip = self.why = None  # hear of ends, lists and answers, where an operator's file has them
         self.refusals = Refusals(logs.log)
         self.balancer = Balancer(self.terms, start.seed, self.clock(), self.refusals.hear)
@@ -122,7 +123,7 @@
 
     def begin(self):
         """The first moment of the decisions: the list as last known, and the news."""
-        self._listing(self.start.known)
+        self._listing(self.start.known, self.discovery.address)
         self.tell(self.start.news)
         # Where lists are asked for, all ask one service: a fleet that starts at once must not come there at once.
         self.watch.start_among(self.terms.balancers) if self.terms.subscribes else self.watch.start()
@@ -357,7 +358,12 @@
 
     # The list of pods.
 
-    def _listing(self, listing):
+    def _listing(self, listing, source):
+        """Takes up a list that this address told; one that is not believed is an Unbelieved, and changes nothing."""
+        whole, names = listing.pods.kind != i.CHANGES, len(listing.pods.pods)
+        doubt = self.belief.doubt(source, listing.version, whole, names, len(self.listed))
+        if doubt:
+            raise discovery.Unbelieved(doubt)
         self.version = listing.version
         before, self.listed = self.listed, dict(self.listed) if listing.pods.kind == i.CHANGES else {}
         changed = set()
@@ -396,12 +402,12 @@
             self.deciding = deciding
 
     def _watch_reader(self):
-        lines = http.Lines()
+        lines, source = http.Lines(), self.discovery.address
 
         def read(content):
             for line in lines.feed(content):
                 if line.strip():
-                    self._listing(discovery.read_json(line, self.epoch))
+                    self._listing(discovery.read_json(line, self.epoch), source)
         return read
 
     def _subscribe(self, action):
@@ -415,7 +421,7 @@
         try:
             if not isinstance(end, Reply) or end.status != 200:
                 raise discovery.Unreadable(str(end))
-            self._listing(discovery.read_json(end.body, self.epoch))
+            self._listing(discovery.read_json(end.body, self.epoch), self.discovery.address)
         except discovery.Unreadable as error:
             logs.log("list not fetched", error=str(error))
             self.tell(i.PodList(i.MISSED, ()))
