A client's connection ends sending only when nothing waits unread, and its leaving is noticed

Causes, each seen in a test over real sockets with the loop stepped by hand, red with the program as it was: - client.py, finish and give_way: all that was parsed was answered, and bytes that waited unread in the machine were not asked for. A request between the last answer and the close was lost (also in an eviction). - sidecar.py, finish: the loop's port takes as many connections at a turn as came at the last ones, often one; of 30 accepted by the machine 29 were reset as the listener closed. - client.py, connectionLost at the end of reading: an answer given in the same turn was dropped where the client had only shut its sending side. - client.py, _read_on: a connection that is not read (over 64 in hand) did not notice that its client had left; 73 transactions went on. - sidecar.py, opened: with all places busy new connections were held off until a client left, not until one rested. - sidecar.py, take: what was taken after SIGTERM on connections that stay open was not bound by the kill. The walk of left over what decisions change was ruled out as a fault: it walks a copy, and looks at each once more.

Change: an end in steps (all written, nothing waits unread, sending ends in that moment, the close 0.2 s later, so that no reset can destroy the last answer); the client's leaving is asked for every 0.1 s where nothing is read; the port is emptied before it closes; a request taken after the stop has its answer before the kill.

Tests of closes that looked at the transport's close look at the end of sending and at the close 0.2 s later instead: the close comes later by design, and both are checked.

--- /dev/null
+++ b/tests/test_ends_clients.py
@@ -0,0 +1,275 @@
+"""Ends of clients' connections: real sockets and the loop's own transports, the loop stepped by hand, so that what
+waits unread in the machine does so every time."""
+
+import socket
+import unittest
+
+from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.protocol import Factory
+from twisted.internet.tcp import Server
+
+from tests.helpers import command
+from tests.test_sidecar import ANSWER, Network, entry
+from thymeknot import interface as i
+from thymeknot.protocol.client import LINGERS, LOOKS, MOST_WAITING, ClientConnection
+
+PING, PONG = command("PING"), b"+PONG\r\n"
+
+
+def query(name, left=5000):
+    return command("SVC.QUERY", "key", name, f"c=read,d={left}")
+
+
+class Real(Network):
+    """A sidecar whose clients come over real connections; all else is in memory, and so is time."""
+
+    def __init__(self, *entries, **more):
+        super().__init__(*entries, **more)
+        self.loop, self.listener = EPollReactor(), socket.create_server(("127.0.0.1", 0))
+
+    def step(self, times=3):
+        for _ in range(times):
+            self.loop.iterate(0)
+
+    def pass_on(self, units):
+        """So many tenths of a millisecond; deadlines go once more round the loop."""
+        for _ in range(2):
+            self.reactor.advance(units / 10_000 / 2)
+            self.reactor.advance(0)
+        self.step()
+
+    def opens(self):
+        """(the client's socket, the sidecar's connection)."""
+        near = socket.create_connection(self.listener.getsockname(), timeout=5)
+        far, address = self.listener.accept()
+        far.setblocking(False)
+        connection = ClientConnection(self.sidecar)
+        transport = Server(far, connection, address, None, 0, self.loop)
+        transport.startReading()
+        connection.makeConnection(transport)
+        return near, connection
+
+    def close(self):
+        self.listener.close()
+        for client in self.sidecar.clients:
+            client.transport.abortConnection()
+        self.step()
+        for reader in self.loop.removeAll():
+            reader.connectionLost(None)
+
+
+def all_of(near):
+    """What the client reads up to the end of its connection, or up to a reset, which is told by an ending."""
+    got = b""
+    try:
+        while more := near.recv(65536):
+            got += more
+    except ConnectionResetError:
+        return got + b"RESET"
+    return got
+
+
+class OverSockets(unittest.TestCase):
+    def network(self, *entries, **more):
+        network = Real(*entries, **more)
+        self.addCleanup(network.close)
+        return network
+
+    def opens(self, network):
+        near, connection = network.opens()
+        self.addCleanup(near.close)
+        return near, connection
+
+    def test_a_request_that_waits_unread_as_the_last_answer_goes_out_is_answered_before_the_close(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        near.sendall(PING)
+        connection.finish = lambda: None  # until it is told
+        network.step()
+        del connection.finish
+        near.sendall(PING)      # in the machine: the loop does not turn before the end is asked for
+        connection.finish()
+        network.step()
+        network.pass_on(2 * LINGERS)
+        self.assertEqual(all_of(near), PONG * 2)
+
+    def test_one_that_is_read_in_the_turn_in_which_all_was_answered_is_answered_too(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        connection.finish()
+        connection.dataReceived(PING)  # before the loop has come to writing
+        network.step()
+        network.pass_on(2 * LINGERS)
+        self.assertEqual(all_of(near), PONG)
+
+    def test_what_crosses_the_end_is_not_read_and_the_answers_before_it_are_not_reset(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        near.sendall(PING)
+        network.step()
+        connection.finish()
+        network.step()
+        near.sendall(PING)      # sending has ended: its client reads that, and asks elsewhere
+        network.step()
+        self.assertEqual(all_of(near), PONG)
+        network.pass_on(2 * LINGERS)
+        self.assertEqual(len(network.sidecar.clients), 0)
+
+    def test_an_error_behind_good_commands_is_told_whatever_comes_behind_it(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        near.sendall(PING + b"nonsense\r\n")
+        network.step(1)
+        near.sendall(b"more" * 20_000)  # unread as the connection ends
+        network.step(9)
+        network.pass_on(2 * LINGERS)
+        self.assertEqual(all_of(near), PONG + b"-ERR syntax: neither an array nor a string begins here\r\n")
+        self.assertEqual(len(network.sidecar.clients), 0)
+
+    def test_a_client_that_shuts_its_sending_side_still_gets_what_is_answered(self):
+        network = self.network()
+        near, _ = self.opens(network)
+        near.sendall(PING)
+        near.shutdown(socket.SHUT_WR)  # both are there as the loop turns
+        network.step(9)
+        self.assertEqual(all_of(near), PONG)
+        self.assertEqual(len(network.sidecar.clients), 0)
+
+    def test_and_what_it_waits_for_is_sent_on_no_more(self):
+        network = self.network(entry("s-1"))
+        near, _ = self.opens(network)
+        near.sendall(query("01"))
+        near.shutdown(socket.SHUT_WR)
+        network.step(9)
+        late = network.connect()
+        self.assertEqual((late.transport.value(), len(network.sidecar.transactions)), (b"", 0))
+
+    def test_who_leaves_while_it_is_not_read_from_is_noticed(self):
+        """A connection with too much in hand is not read, so its end is not either."""
+        for leaves in (lambda near: near.close(), lambda near: near.shutdown(socket.SHUT_WR)):
+            network = self.network(*(entry(f"s-{at}") for at in range(9)))
+            near, connection = self.opens(network)
+            near.sendall(b"".join(query(f"{at}") for at in range(MOST_WAITING + 9)))
+            network.step()
+            near.sendall(PING)  # unread, before the end
+            leaves(near)
+            network.step()
+            self.assertFalse(connection.reading)
+            self.assertGreater(len(network.sidecar.transactions), MOST_WAITING // 2)
+            network.pass_on(2 * LOOKS)
+            self.assertEqual(len(network.sidecar.transactions), 0)
+            dialled = len(network.dialled())
+            self.assertEqual([network.connect(at - dialled).transport.value() for at in range(dialled)],
+                             [b""] * dialled)
+
+    def test_an_evicted_connection_frees_its_descriptor_at_once(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        near.sendall(PING)
+        network.step()
+        connection.give_way()
+        network.step()
+        self.assertEqual((all_of(near), len(network.sidecar.clients)), (PONG, 0))
+
+    def test_one_to_be_evicted_that_speaks_in_the_same_turn_is_heard(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        near.sendall(PING)
+        network.step()
+        near.sendall(PING)
+        connection.give_way()
+        network.step()
+        self.assertEqual(all_of(near), PONG * 2)
+
+    def test_all_that_the_machine_has_accepted_is_taken_before_the_listener_closes(self):
+        network, factory = self.network(), Factory()
+        factory.noisy, factory.buildProtocol = False, lambda address: ClientConnection(network.sidecar)
+        port = network.sidecar.port = network.loop.listenTCP(0, factory, interface="127.0.0.1")
+        address = "127.0.0.1", port.getHost().port
+        first = socket.create_connection(address)
+        self.addCleanup(first.close)
+        network.step(9)         # the port has learnt that one comes at a time
+        crowd = [socket.create_connection(address, timeout=5) for _ in range(30)]
+        for near in crowd:
+            self.addCleanup(near.close)
+            near.sendall(PING)
+        emptied = []
+        network.sidecar.finish(lambda: emptied.append(True))
+        self.assertEqual(len(network.sidecar.clients), 31)
+        network.step(9)
+        network.pass_on(400)
+        network.pass_on(2 * LINGERS)
+        network.step(9)
+        self.assertEqual([all_of(near) for near in crowd], [PONG] * 30)
+        self.assertEqual(emptied, [True])
+
+
+class Stopping(unittest.TestCase):
+    def test_what_is_taken_after_the_stop_has_its_answer_before_the_kill(self):
+        network = Network(entry("s-1"))
+        client = network.ask("01")
+        network.sidecar.port, network.sidecar.drained = None, True
+        network.sidecar.finish(lambda: None, network.sidecar.clock() + 5_000)
+        network.ask("02", connection=client)
+        network.reactor.advance(0.6)
+        network.reactor.advance(0)
+        self.assertEqual([held.id for held in network.sidecar.transactions], ["01"])
+        network.ask("03", connection=client)   # the kill may come at any moment
+        self.assertEqual([held.id for held in network.sidecar.transactions], ["01"])
+        connection = network.connect(network.streams)
+        connection.resumeProducing()
+        connection.dataReceived(ANSWER)
+        self.assertEqual(client.transport.value(), b"$1\r\nv\r\n-BUSY 500\r\n-BUSY\r\n")
+        self.assertEqual(network.closes(client), [(True, True)])
+
+    def test_new_connections_that_were_held_off_are_taken_once_one_rests(self):
+        class Port:
+            on = True
+
+            def stopReading(self):
+                self.on = False
+
+            def startReading(self):
+                self.on = True
+        network = Network(entry("s-1"), sockets=64)
+        network.sidecar.port = Port()
+        clients = [network.ask(f"{at}") for at in range(network.sidecar.most_clients)]
+        self.assertEqual((len(network.sidecar.transactions) > 2, network.sidecar.port.on), (True, True))
+        busy = [client for client in clients if client.places]
+        for client in clients:
+            if client not in busy:
+                client.dataReceived(command("SVC.QUERY", "key", f"again{id(client)}", "c=read,d=5000")[:9])
+                client.transport.stale = True
+        network.client()
+        self.assertFalse(network.sidecar.port.on)
+        connection = network.connect(network.streams)
+        connection.resumeProducing()
+        connection.dataReceived(ANSWER)
+        self.assertTrue(network.sidecar.port.on)
+
+
+class Leaving(unittest.TestCase):
+    def test_those_of_one_client_may_be_removed_and_others_sent_while_it_is_told(self):
+        """The walk over what it had goes on over what the decisions change at each."""
+        network = Network(entry("s-1"), entry("s-2"))
+        client = network.client()
+        for at in range(6):
+            network.ask(f"{at}", connection=client)
+        other, decide = network.ask("other"), network.sidecar.balancer.handle
+
+        def handle(now, events):
+            if type(events[0]) is i.ClientLeft:  # another of its own ends at the same moment, and a new one comes
+                last = network.sidecar._held("5")
+                for attempt in [attempt for attempt in last.attempts if attempt.out] if last else ():
+                    attempt.give_up()
+                network.ask(f"new{events[0].id}")
+            return decide(now, events)
+        network.sidecar.balancer.handle = handle
+        client.connectionLost(None)
+        self.assertEqual({held.id for held in network.sidecar.transactions} & {f"{at}" for at in range(6)}, set())
+        self.assertIn("other", {held.id for held in network.sidecar.transactions})
+        self.assertEqual((network.faults, len(other.places)), ([], 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,6 +1,7 @@
 """Between network and decisions, without a network: deliveries that wait, bounds, faults, deadlines."""
 
 import copy
+import socket
 import time
 import unittest
 
@@ -32,6 +33,9 @@
             "known": {"version": 7, "full": True, "servers": list(entries)}}
 
 
+STANDS = socket.socketpair()  # a connection whose other side is there
+
+
 class Transport(StringTransport):
     ended = disconnected = stale = False
 
@@ -52,6 +56,14 @@
     def setTcpNoDelay(self, enabled):
         pass
 
+    def fileno(self):
+        return STANDS[0].fileno()
+
+    def startWriting(self):
+        """As the network's own: once all is written, who is registered to be asked for more is asked."""
+        if self.producer and not self.streaming:
+            self.producer.resumeProducing()
+
     def registerProducer(self, producer, streaming):
         super().registerProducer(producer, streaming)
         if not streaming:  # as the network's own does: a pull producer is asked at once
@@ -80,6 +92,13 @@
         connection.dataReceived(command("SVC.QUERY", "key", name, f"c={lane},d={left}"))
         return connection
 
+    def closes(self, *clients):
+        """Whether sending has ended there, and a while later the connection."""
+        ended = [client.transport.ended for client in clients]
+        self.reactor.advance(0.2)
+        self.reactor.advance(0)
+        return [(end, client.transport.disconnecting) for end, client in zip(ended, clients)]
+
     def dialled(self):
         """The ports of pods that were dialled."""
         return [port for _, port, *_ in self.reactor.tcpClients[self.streams:]]
@@ -256,12 +275,12 @@
         for _ in range(2):
             network.reactor.advance(2.5)
             network.reactor.advance(0)
-        self.assertEqual([one.transport.disconnecting for one in (silent, half, idle)], [True, True, False])
+        self.assertEqual(network.closes(silent, half, idle), [(True, True), (True, True), (False, False)])
         self.assertRegex(half.transport.value(), b"^-ERR")
         idle.dataReceived(command("PING")[:5])
         network.reactor.advance(2.5)
         network.reactor.advance(0)
-        self.assertTrue(idle.transport.disconnecting)
+        self.assertEqual(network.closes(idle), [(True, True)])
 
     def test_who_does_not_read_is_not_read_from_and_is_ended_in_time(self):
         network = Network(entry("s-1"))
@@ -326,12 +345,13 @@
                          [True] + [False] * (len(clients) - 1))
 
     def test_a_connection_that_is_to_close_still_answers_a_command_that_has_begun(self):
-        client, ping = Network().client(), command("PING")
+        network, ping = Network(), command("PING")
+        client = network.client()
         client.dataReceived(ping[:5])
         client.finish()
-        self.assertFalse(client.transport.disconnecting)
+        self.assertEqual(network.closes(client), [(False, False)])
         client.dataReceived(ping[5:])
-        self.assertEqual((client.transport.value(), client.transport.disconnecting), (b"+PONG\r\n", True))
+        self.assertEqual((client.transport.value(), network.closes(client)), (b"+PONG\r\n", [(True, True)]))
 
     def test_an_idle_connection_is_retired_before_the_pod_does_it(self):
         network = Network(entry("s-1"))
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -1,16 +1,23 @@
 """A client's connection: commands in, answers out in the order of the commands."""
 
+import socket
 from collections import deque
 from typing import NamedTuple, Optional
 
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
+from zope.interface import implementer
 
 from . import resp
+from .reached import has_left, nothing_waits
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
 MOST_WAITING = 64           # commands in hand on one connection; beyond it, it is not read on
 SPEAKS_WITHIN = 25_000      # tenths of a millisecond: for a first command, and for one that has begun
 READS_WITHIN = 100_000      # for a client that has stopped reading its answers, or does not read the last ones
+LINGERS = 2_000             # from the end of sending to the close: a close over unread bytes resets, which may
+                            # destroy the last answer on its way
+LOOKS = 1_000               # how often one that is not read from is asked whether its client is still there
 
 
 class Command(NamedTuple):
@@ -54,16 +61,23 @@
                    told.get(b"r") == b"1")
 
 
+@implementer(IHalfCloseableProtocol)
 class ClientConnection(Protocol):
-    """Its owner is asked to take(connection, place, command) and told of left(connection).
+    """Its owner is asked to take(connection, place, command), told of gone(connection), once its client waits for
+    nothing more, and of left(connection).
 
-    It is a producer of its transport: a client that does not read its answers is not read from either."""
+    It is a producer of its transport: a client that does not read its answers is not read from either.
+
+    Between requests it may be closed, but a request that was read is owed its answer. So the end goes in steps: all
+    is written, then the machine is asked whether a request waits unread, and in the same moment sending ends; nothing
+    is read from there on, and what crosses that is sent once more by its client."""
 
     def __init__(self, owner):
         self.owner, self.parser, self.deadlines = owner, resp.Parser(), owner.deadlines
         self.slot, self.first, self.places = None, 0, deque()
         self.sound, self.closing, self.reading, self.used_at = True, False, True, 0
-        self.spoke, self.blocked, self.ended, self.due, self.last = False, False, False, None, None
+        self.spoke, self.blocked, self.ended, self.flushing, self.gone = False, False, False, False, False
+        self.due, self.last, self.looking, self.linger = None, None, None, LINGERS
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -72,11 +86,25 @@
         self.owner.opened(self)
 
     def connectionLost(self, reason):
-        self.sound = False
-        for deadline in (self.due, self.last):
+        self.sound, self.gone = False, True
+        for deadline in (self.due, self.last, self.looking):
             self.deadlines.cancel(deadline)
         self.owner.left(self)
 
+    def readConnectionLost(self):
+        """The client has shut its sending side. It has gone as far as can be told, and what waits is not sent on;
+        what is answered already still goes out, for it may be reading."""
+        if self.gone:
+            return
+        self.sound, self.gone = False, True
+        self.owner.gone(self)
+        self.first += len(self.places)
+        self.places.clear()
+        self.finish()
+
+    def writeConnectionLost(self):
+        """Sending ends by shutdown alone, not by the transport."""
+
     def _expect(self, within):
         """A whole command within this time, or the connection is closed; one that stands idle later is not."""
         self.due = self.deadlines.add(self.deadlines.clock() + within, self._says_nothing)
@@ -95,6 +123,8 @@
         self._end_within(READS_WITHIN)
 
     def resumeProducing(self):
+        if self.ended:  # nothing is left to write
+            return self._shut() if self.flushing else None
         self.blocked = False
         self._read_on()
         if not self.closing:
@@ -110,10 +140,23 @@
 
     def _read_on(self):
         """Reads as long as what is in hand and what is not read are within bounds."""
+        if self.ended or self.gone:
+            return
         reading = not self.blocked and len(self.places) <= (MOST_WAITING if self.reading else MOST_WAITING // 2)
         if reading != self.reading:
             self.reading = reading
             (self.transport.resumeProducing if reading else self.transport.pauseProducing)()
+            if not reading and self.looking is None:
+                self._look()
+
+    def _look(self):
+        """One that is not read from would not notice that its client has left."""
+        self.looking = None
+        if self.reading or self.gone:
+            return
+        if has_left(self.transport):
+            return self.readConnectionLost()
+        self.looking = self.deadlines.add(self.deadlines.clock() + LOOKS, self._look)
 
     def idle(self):
         return not self.places and not self.parser.held
@@ -121,6 +164,8 @@
     def dataReceived(self, data):
         if not self.sound:
             return
+        if self.flushing:  # it was read in the same turn in which all had been answered
+            self._go_on()
         try:
             for message in self.parser.feed(data):
                 self._command(message)
@@ -170,9 +215,12 @@
         self._read_on()
         if self.closing:
             self.finish()
+        elif self.owner.held_off and not self.places:
+            self.owner.rested()
 
     def give_way(self):
-        """Closes for want of places: half a first command is not waited for."""
+        """Closes for want of places, at once: half a first command is not waited for."""
+        self.linger = 0
         self.finish()
         if not self.ended:
             self.transport.abortConnection()
@@ -180,8 +228,37 @@
     def finish(self):
         """Closes once everything owed is answered; a command that has begun to come is waited for."""
         self.closing = True
-        if not self.ended and (self.idle() or (not self.sound and not self.places)):
+        if not self.ended and not self.places and (not self.sound or self.idle()):
             self.ended = True
-            self.transport.unregisterProducer()  # else a transport that waits for more never closes
-            self.transport.loseConnection()
+            self.transport.unregisterProducer()
+            self.transport.registerProducer(self, False)  # asked for more exactly when nothing is left to write
+            self.flushing = True
             self._end_within(READS_WITHIN)
+            self.transport.startWriting()
+
+    def _go_on(self):
+        """A request has come before the end: it is read and answered first."""
+        self.ended = self.flushing = self.blocked = False
+        self.deadlines.cancel(self.last)
+        self.last = None
+        self.transport.unregisterProducer()
+        self.transport.registerProducer(self, True)
+
+    def _shut(self):
+        """Ends sending if nothing waits unread, in one moment; what is not sound is read on, unheard."""
+        if self.sound and not nothing_waits(self.transport):
+            self._go_on()
+            self.reading = False  # also where the client's slow reading had stopped it
+            return self._read_on()
+        self.flushing = False
+        self.transport.unregisterProducer()
+        try:
+            self.transport.getHandle().shutdown(socket.SHUT_WR)
+        except OSError:
+            return self.transport.abortConnection()
+        if self.gone or not self.linger:
+            return self.transport.loseConnection()
+        if self.sound:
+            self.transport.pauseProducing()
+        self.deadlines.cancel(self.last)
+        self.last = self.deadlines.add(self.deadlines.clock() + self.linger, self.transport.loseConnection)
--- a/thymeknot/protocol/reached.py
+++ b/thymeknot/protocol/reached.py
@@ -1,5 +1,6 @@
 """How far an attempt came, as a value, and the writing that knows it."""
 
+import select
 import socket
 from typing import NamedTuple
 
@@ -24,6 +25,13 @@
     return False
 
 
+def has_left(transport):
+    """Whether the peer has shut its sending side or is gone, whatever waits unread before that."""
+    poll = select.poll()
+    poll.register(transport.getHandle(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class WholeWriter:
     """For protocols that must know when the last byte of what they write has gone to the network.
 
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -10,6 +10,8 @@
 STOPS = signal.SIGTERM, signal.SIGINT
 SERVES_ON = 0.5             # seconds after SIGTERM in which new connections still come
 LAST = 0.05                 # and for what the last answers need to go out
+SPARED, COUNTED = 6_500, 30_000  # after SIGTERM the kill comes no sooner than so long after the longest deadline, which
+                                 # counts as this at most: tenths of a millisecond, 50 ms less than the platform gives
 
 
 def clock():
@@ -64,7 +66,8 @@
     def stop():
         extra.leave()
         logs.log("stopping", clients=len(sidecar.clients), transactions=len(sidecar.transactions))
-        reactor.callLater(SERVES_ON, sidecar.finish, emptied)
+        longest = max(lane.outer_limit for lane in start.terms.lanes.values())
+        reactor.callLater(SERVES_ON, sidecar.finish, emptied, clock() + min(longest, COUNTED) + SPARED)
 
     def reconfigure():
         try:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -95,6 +95,7 @@
         self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
+        self.killed = None          # by then the process may be ended from outside, once it was told to stop
         self.gossip = self.why = self.fleet = None  # hear of ends, lists and answers, where an operator's file has them
         self.refusals = Refusals(logs.log)
         self.balancer = Balancer(self.terms, start.seed, self.clock(), self.refusals.hear)
@@ -143,20 +144,30 @@
         host, port = self.start.listen
         self.port = self.reactor.listenTCP(port, factory, backlog=512, interface=host)
 
-    def finish(self, emptied):
-        """Takes no more: closes each client's connection once it is owed nothing, then calls emptied."""
-        self.emptied = emptied
+    def finish(self, emptied, killed=None):
+        """Takes no more: closes each client's connection once it is owed nothing, then calls emptied. killed: the
+        moment by which the process may be ended from outside: what is still taken has its answer before that."""
+        self.emptied, self.killed = emptied, killed
         if not self.drained:
-            self.port.doRead()  # what the machine has accepted already is taken, too
+            self._accept_all()
             self.drained = maybeDeferred(self.port.stopListening)
+        self.deadlines.cancel(self.finishing)
         self.finishing = self.deadlines.add(self.clock() + READ_FIRST, self._finish_clients)
 
+    def _accept_all(self):
+        """What the machine has accepted already is taken too; the loop's port takes but some at a time."""
+        for _ in range(self.start.sockets):
+            before = self.port.sessionno
+            self.port.doRead()
+            if self.port.sessionno == before:
+                return
+
     drain = finish          # for a while: a fleet's permit lets it go out, and `undrain` brings it back
 
     def undrain(self, listens, failed):
         """Takes new work again, and calls listens(), or failed(why); what was on its way to an end still ends."""
         self.deadlines.cancel(self.finishing)
-        closed, self.drained, self.emptied, self.held_off = self.drained, None, None, False
+        closed, self.drained, self.emptied, self.killed, self.held_off = self.drained, None, None, None, False
 
         def closed_before(_):
             try:
@@ -246,19 +257,26 @@
             self.port.stopReading()
             logs.seldom("clients held off", connections=len(self.clients))
 
-    def left(self, connection):
-        self.clients.remove(connection.slot)
-        if self.held_off and len(self.clients) < self.most_clients and self.emptied is None:
+    def rested(self):
+        """A connection is idle: if new ones are held off, the next of them finds whom to take the place of."""
+        if self.held_off and self.emptied is None:
             self.held_off = False
             self.port.startReading()
-        if connection.places:
-            for held in self.transactions:
-                if held.connection is connection and not held.over:
-                    held.over = True
-                    if self.why is not None:
-                        self.why.ended(held.id, self.why.left)
-                    self.tell(i.ClientLeft(held.id))
-                    self._let_go(held)
+
+    def gone(self, connection):
+        """Its client waits for nothing more."""
+        for held in self.transactions if connection.places else ():
+            if held.connection is connection and not held.over:
+                held.over = True
+                if self.why is not None:
+                    self.why.ended(held.id, self.why.left)
+                self.tell(i.ClientLeft(held.id))
+                self._let_go(held)
+
+    def left(self, connection):
+        self.clients.remove(connection.slot)
+        self.gone(connection)
+        self.rested()
         self._if_emptied()
 
     def take(self, connection, place, command):
@@ -272,6 +290,10 @@
         # Nothing is earned after the lane's outer limit: no client has a transaction held for longer.
         connection.used_at = self.clock()
         left = min(command.left * 10, self.terms.lanes[command.lane].outer_limit)
+        if self.killed is not None:
+            left = min(left, self.killed - connection.used_at)
+            if left <= 0:
+                return connection.answer(place, resp.failure(BUSY))
         held = Held(name, command, connection, place, connection.used_at + left)
         held.slot = self.by_id[name] = self.transactions.add(held)
         held.deadline = self.deadlines.add(held.ends + OVERDUE, self._overdue, held)
