An attempt given up when half written or half closed ends once, not twice

Cause: Attempt.give_up ended the connection first; where not all was written, or where ending the sending raised since the other side had reset it, PodConnection.drop told the attempt of its failure at once, and that ended it (sidecar.py, _came_back); give_up then ended it again. The transaction's count of what is out fell below what is out: it was let go while another attempt was out, or never (seen: ends counted ('01', 0, 'unconnected') twice, ('01', 0, 'reset') and then ('01', 0, 'expired')).

Change: an attempt that is given up is no longer out before its connection is ended.

Tests: tests/test_ends_pods.py, OneEnd; the first two fail with the line taken out. The other two ruled out: an answer that has come and a deadline of the same turn (the answer wins), a late answer with more behind it.

--- /dev/null
+++ b/tests/test_ends_pods.py
@@ -0,0 +1,91 @@
+"""What is still owed when an attempt, a connection or a dial to a pod ends: each order is stepped by hand."""
+
+import unittest
+
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from tests.test_sidecar import ANSWER, Network, Transport, entry
+from thymeknot import interface as i
+
+
+class Broken(Transport):
+    """A transport whose other side has reset it, which the loop has not got to yet."""
+
+    def shutdown(self, how):
+        raise OSError
+
+
+def counted(network):
+    """Has each attempt's end counted, beside what is done with it."""
+    ends, ended = [], network.sidecar.ended
+
+    def count(attempt, outcome, answer=None):
+        ends.append((attempt.held.id, attempt.number, outcome))
+        return ended(attempt, outcome, answer)
+    network.sidecar.ended = count
+    return ends
+
+
+def pass_on(network, seconds):
+    network.reactor.advance(seconds)
+    network.reactor.advance(0)
+
+
+class OneEnd(unittest.TestCase):
+    def test_what_is_written_in_part_ends_once_whoever_ends_it(self):
+        for end, outcome in (("time", i.UNCONNECTED), ("client", i.RECALLED)):
+            network = Network(entry("s-1"))
+            ends, client = counted(network), network.ask(left=200)
+            connection = network.connect()
+            if end == "time":
+                pass_on(network, 0.2)
+            else:
+                client.connectionLost(Failure(ConnectionLost()))
+            self.assertTrue(connection.transport.disconnected)
+            self.assertEqual(ends, [("01", 0, outcome)])
+            self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
+
+    def test_what_is_given_up_as_the_other_side_closes_ends_once(self):
+        for end, outcome in (("time", i.EXPIRED), ("client", i.RECALLED)):
+            network = Network(entry("s-1"))
+            ends, client = counted(network), network.ask(left=200)
+            connection = network.connect()
+            connection.resumeProducing()
+            connection.transport.__class__ = Broken
+            if end == "time":
+                pass_on(network, 0.2)
+            else:
+                client.connectionLost(Failure(ConnectionLost()))
+            connection.connectionLost(Failure(ConnectionLost()))
+            self.assertEqual(ends, [("01", 0, outcome)])
+            self.assertEqual((len(network.sidecar.transactions), len(network.sidecar.pools)), (0, 0))
+
+    def test_an_answer_that_has_come_goes_before_a_deadline_of_the_same_turn(self):
+        network, turns = Network(entry("s-1")), []
+        deadlines, wake = network.sidecar.deadlines, network.sidecar.deadlines.wake
+        # A loop reads its sockets between two calls that are due: what is due at once comes a turn later.
+        deadlines.wake = lambda seconds, *call: (turns.append(call) if not seconds else wake(seconds, *call))
+        client = network.ask(left=200)
+        connection = network.connect()
+        connection.resumeProducing()
+        network.reactor.advance(0.2)
+        self.assertEqual((len(turns), client.transport.value()), (1, b""))
+        connection.dataReceived(ANSWER)
+        turns[0][0](*turns[0][1:])
+        self.assertEqual(client.transport.value(), b"$1\r\nv\r\n")
+
+    def test_what_was_given_up_binds_its_key_once_and_what_follows_answers_nobody(self):
+        network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+        client = network.ask(left=200)
+        connection = network.connect()
+        connection.resumeProducing()
+        pass_on(network, 0.2)
+        network.sidecar.balancer.pins.clear()
+        connection.dataReceived(ANSWER + ANSWER)
+        self.assertEqual(network.sidecar.balancer.pins, {"key"})
+        self.assertTrue(connection.transport.disconnected)
+        self.assertEqual(client.transport.value().count(b"\r\n"), 1)
+        connection.connectionLost(Failure(ConnectionLost()))
+        pass_on(network, 6)
+        self.assertEqual((network.faults, len(network.sidecar.pools)), ([], 0))
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -77,6 +77,7 @@
     def give_up(self, outcome=None):
         """Ends it, as a time-out where nothing else is said. What was written may be answered yet, unread."""
         written = self.connection is not None and self.connection.written
+        self.out = False  # its one end is this: what its connection says of its own is none
         self.sidecar.pools.give_up(self, self.connection)
         if written:
             self.sidecar.answered_unheard(self)
