Nothing is sent on a connection to a pod that is ending, and an answer outlives what follows it

Cause: PodConnection.drop of an idle connection (bytes on it that nothing asked for) left it in its pool until the loop told of its loss a turn later; what was sent in that turn was written to it (pools.py, send) and failed as never connected, for which the pod is passed over. Its buffers, and by `begun` the attempt it answered last with the whole command, were kept by each idle connection (seen: the attempt in the connection's fields). An exception in what follows an answer (pod.py, _read: ready, before the Deferred is told) cost the answer itself.

Change: drop tells its owner, who takes the connection out of the idle ones; what was answered is let go; the Deferred is told in any case.

Tests: tests/test_ends_pods.py, Ending: three of the four fail without the change; the fourth, a pod's end that the loop has not read yet, is ruled out (the machine is asked before each writing).

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -32,6 +32,10 @@
     network.reactor.advance(0)
 
 
+def pods_dialled(network):
+    return [port for port in network.dialled() if port > 7000]
+
+
 class OneEnd(unittest.TestCase):
     def test_what_is_written_in_part_ends_once_whoever_ends_it(self):
         for end, outcome in (("time", i.UNCONNECTED), ("client", i.RECALLED)):
@@ -89,3 +93,61 @@
         connection.connectionLost(Failure(ConnectionLost()))
         pass_on(network, 6)
         self.assertEqual((network.faults, len(network.sidecar.pools)), ([], 0))
+
+
+class Ending(unittest.TestCase):
+    """A connection is lost a turn of the loop after its end was settled."""
+
+    def idle(self):
+        network = Network(entry("s-1"))
+        network.ask("01")
+        connection = network.connect()
+        connection.resumeProducing()
+        connection.dataReceived(ANSWER)
+        pass_on(network, 0.1)
+        connection.transport.clear()
+        return network, connection
+
+    def test_what_is_sent_while_an_idle_connection_ends_goes_on_another(self):
+        for end in ("more", "told idle time", "pod gone"):
+            network, connection = self.idle()
+            if end == "more":
+                connection.dataReceived(ANSWER)
+            elif end == "pod gone":
+                network.sidecar.pools.retire("s-1")
+            else:
+                for _ in range(13):
+                    pass_on(network, 1)
+            self.assertTrue(connection.transport.disconnecting or connection.transport.disconnected)
+            network.ask("02")
+            self.assertEqual((connection.transport.value(), pods_dialled(network)), (b"", [7001, 7001]), end)
+            connection.connectionLost(Failure(ConnectionLost()))
+            self.assertEqual(network.faults, [])
+
+    def test_an_end_that_the_loop_has_not_read_is_seen(self):
+        network, connection = self.idle()
+        connection.transport.recv = lambda most, flags: b""
+        network.ask("02")
+        self.assertEqual((connection.transport.value(), pods_dialled(network)), (b"", [7001, 7001]))
+
+    def test_a_connection_that_stands_idle_keeps_nothing_of_what_was_answered(self):
+        network = Network(entry("s-1"))
+        network.ask("01")
+        connection = network.connect()
+        connection.resumeProducing()
+        attempt = connection.begun.__self__
+        connection.dataReceived(ANSWER)
+        self.assertIs(attempt.out, False)
+        self.assertNotIn(attempt, [getattr(held, "__self__", held) for held in vars(connection).values()])
+
+    def test_a_fault_in_what_comes_after_an_answer_costs_no_answer(self):
+        network = Network(entry("s-1"))
+        client = network.ask("01")
+        connection = network.connect()
+        connection.resumeProducing()
+        network.sidecar.pools.ready = lambda _: 1 / 0
+        faults, network.sidecar.pools.fault = [], lambda *fault: faults.append(fault)
+        connection.dataReceived(ANSWER)
+        self.assertEqual((client.transport.value(), connection.transport.disconnected, len(faults)),
+                         (b"$1\r\nv\r\n", True, 1))
+        self.assertEqual(len(network.sidecar.transactions), 0)
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -96,12 +96,16 @@
         else:
             connection.drop("its pod has gone or moved")
 
+    def ending(self, connection):
+        """It ends: no delivery goes on it any more."""
+        if connection in connection.connector.pool.idle:
+            connection.connector.pool.idle.remove(connection)
+
     def lost(self, connection):
+        self.ending(connection)
         self.connections.remove(connection.slot)
         for deadline in connection.deadlines:
             self.deadlines.cancel(deadline)
-        if connection in connection.connector.pool.idle:
-            connection.connector.pool.idle.remove(connection)
 
     def _look(self, connection):
         if self.connections.get(connection.slot) is not connection:
@@ -140,8 +144,7 @@
 
     def _close(self, connections):
         for connection in connections:
-            if connection in connection.connector.pool.idle:
-                connection.connector.pool.idle.remove(connection)
+            self.ending(connection)
             connection.transport.loseConnection()
 
     def _retire_eldest(self):
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -35,7 +35,7 @@
 
 
 class PodConnection(WholeWriter, Protocol):
-    """Its owner is told of made(connection), ready(connection) and lost(connection)."""
+    """Its owner is told of made(connection), ready(connection), ending(connection) and lost(connection)."""
 
     def __init__(self, owner, connector):
         self.owner, self.connector, self.parser = owner, connector, resp.Parser(MOST_VALUE)
@@ -82,17 +82,21 @@
             return self.drop(wrong or "unreadable answer") if wrong or messages else None
         waiting, self.waiting = self.waiting, None
         # Too late for the client, but it tells that the transaction ran; or with more than belongs to it.
-        if self.given_up or wrong or len(messages) > 1 or self.parser.held or not self.clean():
-            self.transport.abortConnection()
-        else:
-            self.owner.ready(self)
-        waiting.callback(answer)
+        try:
+            if self.given_up or wrong or len(messages) > 1 or self.parser.held or not self.clean():
+                self.drop("more came than was asked for, or the end")
+            else:
+                self.begun = nothing  # nor is what was answered kept by a connection that stands idle
+                self.owner.ready(self)
+        finally:  # whatever befalls the connection, this was answered
+            waiting.callback(answer)
 
     def drop(self, reason):
         """Ends the connection; a delivery still waiting on it has failed."""
+        self.owner.ending(self)  # it is lost a turn of the loop later: nothing is written to it until then
         self.transport.abortConnection()
+        self.parser, self.begun = resp.Parser(0), nothing  # what was read is not kept for as long as it is known
         self._broken(reason)
-        self.parser = resp.Parser(0)  # what was read is not kept for as long as a closed connection is known
 
     def give_up(self):
         """Ends the delivery at once, for another may be written next: one is out while its connection is open
