A connection to a pod rests for 20 ms after an answer before it carries another request

Cause: answers carry no id, and a second one may come some milliseconds late. PodConnection._read handed the connection to the next that waited at once (pools.py, ready), and send took the latest used first: a second answer that came when the next request was out on it was taken for that request's answer and went to another client. Looking at the socket before writing (clean) sees only what has come by then.

Change: REST, 20 ms from each answer: a connection stands idle and is not taken, whatever comes ends it; what waits gets it afterwards, the longest waiting first, by one deadline a pool. A new request meanwhile takes another idle one or dials; where no more may be opened the resting one may be retired. A dial that fails still fails the one that has waited longest: it never ran and is decided anew.

--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -8,6 +8,7 @@
 IDLE_PART = 0.8             # of the told idle time: then a connection is retired, before the pod does it
 LATE = 5_000                # what was given up is read from for so long: an answer may be on its way
 AGAIN = 10_000              # a connection is looked at no more often than that
+REST = 200                  # after an answer: a second one may come some milliseconds late, and answers carry no id
 
 
 class Pool:
@@ -15,7 +16,7 @@
 
     def __init__(self, pod, address):
         self.pod, self.address = pod, address
-        self.idle, self.waiting, self.dialling = [], deque(), 0
+        self.idle, self.waiting, self.dialling, self.due = [], deque(), 0, None
 
 
 class Pools:
@@ -31,22 +32,42 @@
         return len(self.connections) + self.dialling
 
     def send(self, pod, address, delivery):
-        """Takes the latest used idle connection, or dials. False where that would be one too many."""
+        """Takes the latest used idle connection that has rested, or dials. False where that would be one too many."""
         pool = self.by_pod.get(pod)
         if pool is None or pool.address != address:
             pool = self._move(pod, address)
-        while pool.idle:
-            connection = pool.idle.pop()
-            if connection.clean():
-                delivery.write_to(connection)
-                return True
-            connection.drop("more came than was asked for, or the end")
+        connection = None if pool.waiting else self._rested(pool)
+        if connection:
+            delivery.write_to(connection)
+            return True
         if len(self) >= self.most and not self._retire_eldest():
             return False
         pool.waiting.append(delivery)
         self._dial(pool)
+        self._serve(pool)
         return True
 
+    def _rested(self, pool):
+        """Takes the latest used idle connection on which nothing came while it rested; None where there is none."""
+        now = self.deadlines.clock()
+        for connection in pool.idle[::-1]:
+            if now < connection.rests_until:
+                continue
+            if connection.clean():
+                pool.idle.remove(connection)
+                return connection
+            connection.drop("more came than was asked for, or the end")
+        return None
+
+    def _serve(self, pool):
+        """The delivery that has waited longest is next, as soon as a connection has rested or come up."""
+        self.deadlines.cancel(pool.due)
+        pool.due = None
+        while pool.waiting and (connection := self._rested(pool)):
+            pool.waiting.popleft().write_to(connection)
+        if pool.waiting and pool.idle:
+            pool.due = self.deadlines.add(min(connection.rests_until for connection in pool.idle), self._serve, pool)
+
     def _move(self, pod, address):
         """A new pool for a pod, which takes over what waits at its former address."""
         self.retire(pod)
@@ -83,18 +104,21 @@
         """A connection has come up."""
         self._dialled(connection.connector)
         connection.slot = self.connections.add(connection)
-        self.ready(connection)
+        self._stand(connection, 0)
         self._look(connection)
 
     def ready(self, connection):
-        """The delivery that has waited longest is next; else the connection stands idle."""
+        """What it carried has been answered: it rests before it is used again, and what comes meanwhile ends it."""
+        self._stand(connection, REST)
+
+    def _stand(self, connection, rest):
+        """A connection stands idle, for what waits or is to come."""
         connection.used_at, pool = self.deadlines.clock(), connection.connector.pool
-        if pool.waiting:
-            pool.waiting.popleft().write_to(connection)
-        elif self.by_pod.get(pool.pod) is pool:
-            pool.idle.append(connection)
-        else:
-            connection.drop("its pod has gone or moved")
+        connection.rests_until = connection.used_at + rest
+        if self.by_pod.get(pool.pod) is not pool:
+            return connection.drop("its pod has gone or moved")
+        pool.idle.append(connection)
+        return self._serve(pool)
 
     def ending(self, connection):
         """It ends: no delivery goes on it any more."""
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -39,7 +39,7 @@
 
     def __init__(self, owner, connector):
         self.owner, self.connector, self.parser = owner, connector, resp.Parser(MOST_VALUE)
-        self.waiting, self.given_up, self.slot, self.used_at = None, False, None, None
+        self.waiting, self.given_up, self.slot, self.used_at, self.rests_until = None, False, None, None, None
         self.begun, self.deadlines = nothing, []
 
     def connectionMade(self):
