An attempt that waits is held to its window, its build and its client up to its last byte

Cause: what waited for a slow dial was written without asking again (sidecar.py, Attempt.write_to; pools.py, ready). _withdraw took back what waited when a list, a lower cap or a phase was told; it missed the end of the window in which a repeat of a fingerprinted request is known (seen over sockets: a repeat decided within a window of 300 ms, its connection up after it, was heard by the pod a second time), news of another newest build, a client that had gone where nothing may be recalled, and all that was written only in part. A second attempt of a binding request was held back by the decisions alone.

Change: each attempt has a latest moment at which its last byte may be written: for a fingerprinted class with an earlier attempt that may have run that one's moment and the window, as the decisions count them; for a binding one never; else the end of its time. It ends as not sent at that moment, or when its connection comes up and its pod, its build or its client does not stand any more. _withdraw takes back what is written in part, too: its connection is ended before the last byte, so it never ran. The decisions then answer, or decide anew.

Tests: tests/test_ends_pods.py, Held and HeldOverSockets (a pod whose connections come up only when it is told to). Ruled out, with tests that passed before: a binding request that was reset is not written again over sockets; drain, gone, restart, other build, lower cap, going back and withdrawn already took back what only waited; a newer build takes nothing back from the one before, as the decisions have it.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -2,6 +2,11 @@
 
 import queue
 import random
+import select
+import socket
+import struct
+import threading
+import time
 import unittest
 from unittest import mock
 
@@ -10,9 +15,10 @@
 
 from tests.helpers import PATIENCE, PodPeer, until, words_of
 from tests.test_sidecar import ANSWER, Network, Transport, entry
-from tests.test_sockets import READ, WithPods, value
+from tests.test_sockets import MARK, PAY, READ, WithPods, value
 from thymeknot import interface as i
 from thymeknot.memory import pools
+from thymeknot.protocol import discovery
 
 
 class Broken(Transport):
@@ -303,3 +309,208 @@
                     self.assertEqual(client.ask("SVC.QUERY", "a", name, READ), name.encode())
             # A pair that the machine held apart for longer than the rest goes on one connection, and is no case.
             until(lambda: pod.copies, two)
+
+
+class Held(unittest.TestCase):
+    """What waits for a connection, or is not written whole, is held to all terms up to its last byte."""
+
+    def again(self, lane="mark", window=10_000):
+        """A network whose request may have run once, 0.9 s ago, and is asked for again: it waits for its dial."""
+        network = Network(entry("s-1"))
+        lanes = network.sidecar.terms.lanes
+        lanes[lane] = lanes[lane]._replace(window=window)
+        client = network.ask("01", lane=lane)
+        connection = network.connect()
+        connection.resumeProducing()
+        pass_on(network, 0.9)
+        connection.connectionLost(Failure(ConnectionLost()))
+        return network, client
+
+    def test_a_repeat_is_not_written_after_the_window_in_which_it_is_known(self):
+        network, client = self.again()
+        self.assertEqual(pods_dialled(network), [7001, 7001])
+        pass_on(network, 0.09)
+        self.assertEqual(client.transport.value(), b"")
+        pass_on(network, 0.02)
+        self.assertRegex(client.transport.value(), b"^-ERR")  # and not -BUSY: it may have run
+        self.assertEqual(network.connect().transport.value(), b"")
+        self.assertEqual((len(network.sidecar.transactions), network.faults), (0, []))
+
+    def test_nor_where_its_connection_comes_up_before_that_deadline_is_due(self):
+        network, client = self.again()
+        network.sidecar.deadlines.clock = network.sidecar.clock = lambda: 1_010_000
+        self.assertEqual(network.connect().transport.value(), b"")
+        self.assertRegex(client.transport.value(), b"^-ERR")
+
+    def test_nor_its_last_byte(self):
+        network, client = self.again()
+        connection = network.connect()
+        self.assertNotEqual(connection.transport.value(), b"")
+        pass_on(network, 0.11)
+        self.assertTrue(connection.transport.disconnected)
+        self.assertRegex(client.transport.value(), b"^-ERR")
+
+    def test_within_the_window_it_is_and_has_all_its_time_for_the_answer(self):
+        network, client = self.again()
+        connection = network.connect()
+        connection.resumeProducing()
+        pass_on(network, 0.5)
+        connection.dataReceived(ANSWER)
+        self.assertEqual(client.transport.value(), b"$1\r\nv\r\n")
+
+    def test_a_binding_request_that_may_have_run_is_written_no_second_time_whatever_asks_for_it(self):
+        for reached in ("written", "in part", "not connected"):
+            network = Network(entry("s-1"))
+            network.sidecar.balancer.handle = lambda *_: []
+            network.ask("01", lane="pay")
+            network.sidecar._carry_out([i.Deliver("01", "s-1", 20_000)])
+            if reached == "not connected":
+                network.refuse()
+            else:
+                connection = network.connect()
+                if reached == "written":
+                    connection.resumeProducing()
+                connection.connectionLost(Failure(ConnectionLost()))
+            ends = counted(network)
+            network.sidecar._carry_out([i.Deliver("01", "s-1", 20_000)])
+            if reached == "written":
+                self.assertEqual((pods_dialled(network), ends), ([7001], [("01", 1, i.UNSENT)]))
+            else:
+                self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
+
+    def changed(self, change, written):
+        """(what waited or was written in part, as a pod saw it; whether its request is in hand still)."""
+        network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+        network.ask("01")
+        connection = network.connect() if written else None
+        change(network)
+        if connection is None:
+            return network.connect(network.streams).transport.value()
+        self.assertNotEqual(connection.transport.value(), b"")
+        return b"" if connection.transport.disconnected else connection.transport.value()
+
+    def test_what_was_told_since_takes_back_what_waits_and_what_is_written_in_part(self):
+        changes = {
+            "drain": lambda network: network.list(entry("s-1", build=42, state="Terminating")),
+            "gone from a whole list": lambda network: network.sidecar._listing(discovery.read_list(
+                {"version": 9, "full": True, "servers": [entry("s-2", build=42)]}, 0), "again"),
+            "gone": lambda network: network.list(entry("s-1", build=42, state="Gone")),
+            "restart": lambda network: network.list(entry("s-1", build=42, started_ms=5000)),
+            "other build": lambda network: network.list(entry("s-1", build=41)),
+            "lower cap": lambda network: network.sidecar.tell(i.News(42, 0, i.ON_TRIAL, False, i.DONE, 0.0, 0)),
+            "going back": lambda network: network.sidecar.tell(i.News(42, 0, i.GOING_BACK, False, i.DONE, 0.0, 0)),
+            "withdrawn": lambda network: network.sidecar.tell(i.News(42, 0, i.WITHDRAWN, False, i.DONE, 0.0, 0)),
+        }
+        for written in (False, True):
+            for name, change in changes.items():
+                self.assertEqual(self.changed(change, written), b"", (name, written))
+
+    def test_what_changes_nothing_for_it_takes_nothing_back(self):
+        changes = {
+            "the same list": lambda network: network.list(entry("s-1", build=42), entry("s-2", build=42)),
+            "higher stage": lambda network: network.sidecar.tell(i.News(42, 1, i.ON_TRIAL, False, i.DONE, 1.0, 0)),
+            "newer build": lambda network: network.sidecar.tell(i.News(43, 0, i.ON_TRIAL, False, i.DONE, 0.5, 0)),
+        }
+        for written in (False, True):
+            for name, change in changes.items():
+                self.assertNotEqual(self.changed(change, written), b"", (name, written))
+
+    def test_news_of_an_earlier_build_takes_back_what_waits_for_one_that_is_none_then(self):
+        back = i.News(41, 0, i.RELEASED, False, i.DONE, 1.0, 0)
+        self.assertEqual(self.changed(lambda network: network.sidecar.tell(back), False), b"")
+
+    def test_what_waits_for_a_client_that_has_gone_is_not_written_where_nothing_may_be_recalled(self):
+        network = Network(entry("s-1"))
+        network.sidecar.balancer.terms = network.sidecar.terms._replace(may_recall=False)
+        network.ask("01").connectionLost(Failure(ConnectionLost()))
+        self.assertEqual(network.connect().transport.value(), b"")
+        self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
+
+
+class HeldPod:
+    """A pod that takes connections only when it is told to: until then they do not come up."""
+
+    def __init__(self):
+        self.listener, self.fill, self.heard = socket.socket(), [], []
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+
+    def hold(self):
+        """Fills the queue of those that are to be accepted: the machine answers no further one."""
+        while not self.fill or select.select([], self.fill[-1:], [], 0.2)[1]:
+            self.fill.append(socket.socket())
+            self.fill[-1].setblocking(False)
+            self.fill[-1].connect_ex(self.listener.getsockname())
+
+    def take_one(self):
+        """The next connection, and the first command on it."""
+        connection, _ = self.listener.accept()
+        with connection.makefile("rb") as source:
+            words = words_of(source)
+        self.heard.append(words[2])
+        return connection
+
+    def release(self):
+        def serve(connection):
+            with connection, connection.makefile("rb") as source:
+                while (words := words_of(source)) is not None:
+                    self.heard.append(words[2])
+                    connection.sendall(value(words[2]))
+
+        def accept():
+            while True:
+                try:
+                    connection, _ = self.listener.accept()
+                except OSError:
+                    return
+                threading.Thread(target=serve, args=(connection,), daemon=True).start()
+        threading.Thread(target=accept, daemon=True).start()
+
+    def close(self):
+        self.listener.close()
+        for one in self.fill:
+            one.close()
+
+    entry = PodPeer.entry
+
+
+class HeldOverSockets(WithPods):
+    def held_pod(self):
+        pod = HeldPod()
+        self.addCleanup(pod.close)
+        return pod
+
+    def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(self):
+        pod, window = self.held_pod(), 0.3
+
+        def change(told):
+            told["settings"]["categories"][1]["window"] = int(window * 1e9)
+            told["settings"]["permissions"]["connect_timeout"] = 9_000_000_000
+        with self.program(pod.entry("s-1"), change=change).client() as client:
+            client.send("SVC.SUBMIT", "a", "01", MARK, "B")
+            connection = pod.take_one()
+            pod.hold()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()  # reset: it may have run
+            time.sleep(window + 0.1)  # it was decided before it was heard: its window is over, however long this takes
+            pod.release()
+            # The next one waits for the same dials, so where the repeat is written it is heard before the answer.
+            with self.subTest("answered"):
+                self.assertRegex(client.answer(), b"^-ERR")
+            self.assertEqual(client.ask("SVC.QUERY", "a", "02", READ), b"02")
+        self.assertEqual(pod.heard, [b"01", b"02"])
+
+    def test_a_binding_request_is_written_once_at_most_where_dials_are_held_and_connections_reset(self):
+        held, pod = self.held_pod(), self.pod(lambda words: None)
+        held.hold()
+        names = [b"%d" % at for at in range(10, 18)]
+        with self.program(held.entry("s-1", weight=9.0), pod.entry("s-2")).client() as client:
+            for name in names:
+                self.assertRegex(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), b"^-")
+            written = [pod.heard.get()[2] for _ in range(pod.heard.qsize())]
+            held.release()
+            until(lambda: held.heard, lambda: client.ask("SVC.QUERY", "b", f"{time.monotonic_ns()}", READ))
+        self.assertEqual(sorted(set(written)), sorted(written))
+        self.assertNotEqual(written, [])
+        self.assertEqual([name for name in held.heard if name in names], [])
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -21,7 +21,8 @@
 
 class Pools:
     """Carries deliveries to pods, one at a time on a connection. A delivery is asked to write_to(connection)
-    when it has one, and told not_connected(broken) when none comes up for it."""
+    when it has one, if it still may_be_written(), else to withdraw(), and told not_connected(broken) when none comes
+    up for it."""
 
     def __init__(self, reactor, deadlines, reach, most, fault):
         self.reactor, self.deadlines, self.reach = reactor, deadlines, reach
@@ -38,7 +39,7 @@
             pool = self._move(pod, address)
         connection = None if pool.waiting else self._rested(pool)
         if connection:
-            delivery.write_to(connection)
+            self._write(delivery, connection)
             return True
         if len(self) >= self.most and not self._retire_eldest():
             return False
@@ -61,13 +62,21 @@
 
     def _serve(self, pool):
         """The delivery that has waited longest is next, as soon as a connection has rested or come up."""
+        while pool.waiting:
+            if not pool.waiting[0].may_be_written():
+                pool.waiting.popleft().withdraw()
+            elif connection := self._rested(pool):
+                self._write(pool.waiting.popleft(), connection)
+            else:
+                break
         self.deadlines.cancel(pool.due)
-        pool.due = None
-        while pool.waiting and (connection := self._rested(pool)):
-            pool.waiting.popleft().write_to(connection)
         if pool.waiting and pool.idle:
             pool.due = self.deadlines.add(min(connection.rests_until for connection in pool.idle), self._serve, pool)
 
+    def _write(self, delivery, connection):
+        connection.delivery = delivery
+        delivery.write_to(connection)
+
     def _move(self, pod, address):
         """A new pool for a pod, which takes over what waits at its former address."""
         self.retire(pod)
@@ -113,7 +122,7 @@
 
     def _stand(self, connection, rest):
         """A connection stands idle, for what waits or is to come."""
-        connection.used_at, pool = self.deadlines.clock(), connection.connector.pool
+        connection.used_at, pool, connection.delivery = self.deadlines.clock(), connection.connector.pool, None
         connection.rests_until = connection.used_at + rest
         if self.by_pod.get(pool.pod) is not pool:
             return connection.drop("its pod has gone or moved")
@@ -150,9 +159,11 @@
             if delivery in pool.waiting:
                 pool.waiting.remove(delivery)
 
-    def waiting(self):
-        """The deliveries that are decided but wait for a connection."""
-        return [delivery for pool in self.by_pod.values() for delivery in pool.waiting]
+    def unwritten(self):
+        """The deliveries that are decided, but wait for a connection or are not written whole: none has run."""
+        return [delivery for pool in self.by_pod.values() for delivery in pool.waiting] + [
+            connection.delivery for connection in self.connections
+            if connection.waiting is not None and not connection.written]
 
     def retire(self, pod):
         """Closes the idle connections to a pod."""
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -40,7 +40,7 @@
     def __init__(self, owner, connector):
         self.owner, self.connector, self.parser = owner, connector, resp.Parser(MOST_VALUE)
         self.waiting, self.given_up, self.slot, self.used_at, self.rests_until = None, False, None, None, None
-        self.begun, self.deadlines = nothing, []
+        self.begun, self.deadlines, self.delivery = nothing, [], None
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -95,8 +95,9 @@
         """Ends the connection; a delivery still waiting on it has failed."""
         self.owner.ending(self)  # it is lost a turn of the loop later: nothing is written to it until then
         self.transport.abortConnection()
-        self.parser, self.begun = resp.Parser(0), nothing  # what was read is not kept for as long as it is known
         self._broken(reason)
+        # What was read and carried is not kept for as long as a closed connection is known.
+        self.parser, self.begun, self.delivery = resp.Parser(0), nothing, None
 
     def give_up(self):
         """Ends the delivery at once, for another may be written next: one is out while its connection is open
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -9,7 +9,7 @@
 
 from . import interface as i
 from .asking.belief import Belief
-from .balance import Balancer
+from .balance import PROOF, Balancer
 from .memory.pools import Pools
 from .memory.slots import Slots
 from .protocol import discovery, http, platform, resp
@@ -42,11 +42,40 @@
 
 class Attempt:
     """A delivery on its way, and its one end."""
-    __slots__ = ("sidecar", "held", "number", "pod", "at", "ends", "out", "connection", "deadline")
+    __slots__ = ("sidecar", "held", "number", "pod", "at", "ends", "out", "connection", "deadline", "write_by",
+                 "newest", "may_have_run")
 
     def __init__(self, sidecar, held, pod, at, ends):
         self.sidecar, self.held, self.number, self.pod = sidecar, held, len(held.attempts), pod
         self.at, self.ends, self.out, self.connection, self.deadline = at, ends, True, None, None
+        self.newest, self.may_have_run, self.write_by = sidecar.news and sidecar.news.build, True, self._write_by()
+
+    def _write_by(self):
+        """Until when its last byte may be written, by what earlier attempts may have done: a repeat is known as one
+        for its lane's window, counted as the decisions count it; a binding one may not be repeated at all."""
+        suspect = next((earlier for earlier in self.held.attempts if earlier.may_have_run), None)
+        lane = self.sidecar.terms.lanes[self.held.command.lane]
+        if suspect is None or lane.effect == i.RETRIABLE:
+            return self.ends
+        return min(self.ends, suspect.at + lane.window) if lane.effect == i.FINGERPRINTED else 0
+
+    def may_be_written(self):
+        """Whether what was decided holds still: it may have waited since, for a connection."""
+        pod, newest = self.pod, self.sidecar.news.build if self.sidecar.news else None
+        return (pod is not None and not self.held.over and self.sidecar.clock() < self.write_by
+                and self.sidecar._stands(pod) and (newest == self.newest or pod.build < newest))
+
+    def withdraw(self):
+        self.give_up(i.UNSENT)
+
+    def due(self):
+        """At the latest moment to be written by, and at the end of its time."""
+        if self.sidecar.clock() >= self.ends:
+            self.give_up()
+        elif self.connection is None or not self.connection.written:
+            self.withdraw()
+        else:
+            self.deadline = self.sidecar.deadlines.add(self.ends, self.due)
 
     def write_to(self, connection):
         self.connection = connection
@@ -324,10 +353,9 @@
         attempt = Attempt(self, held, self.listed.get(action.pod), now, min(now + action.time_out, held.ends))
         held.attempts.append(attempt)
         held.out += 1
-        if (held.over or attempt.pod is None or now >= attempt.ends
-                or attempt.number >= self.terms.max_deliveries):
+        if attempt.number >= self.terms.max_deliveries or not attempt.may_be_written():
             return self.ended(attempt, i.UNSENT)
-        attempt.deadline = self.deadlines.add(attempt.ends, attempt.give_up)
+        attempt.deadline = self.deadlines.add(attempt.write_by, attempt.due)
         if not self.pools.send(action.pod, self.addresses[action.pod], attempt):
             logs.seldom("no descriptor for a pod", connections=len(self.pools))
             return self.ended(attempt, i.UNSENT)
@@ -341,7 +369,7 @@
     def ended(self, attempt, outcome, answer=None):
         """The one end of an attempt. The first good answer goes to the client by itself."""
         held = attempt.held
-        attempt.out = False
+        attempt.out, attempt.may_have_run = False, PROOF[outcome] != "unrun"
         held.out -= 1
         if attempt.deadline is not None:
             self.deadlines.cancel(attempt.deadline)
@@ -412,13 +440,12 @@
             (now.started, now.build) == (pod.started, pod.build))
 
     def _withdraw(self, fails):
-        """Deliveries that still wait for a connection must not be carried past what was told since."""
+        """What is not written whole must not be carried past what was told since; until its last byte none runs."""
         deciding, self.deciding = self.deciding, True  # what they become is decided with the news at hand
         try:
-            for attempt in self.pools.waiting():
+            for attempt in self.pools.unwritten():
                 if fails(attempt.pod):
-                    self.pools.give_up(attempt, None)
-                    self.ended(attempt, i.UNSENT)
+                    attempt.withdraw()
         finally:
             self.deciding = deciding
 
