--- /dev/null
+++ b/tests/test_ends_pods.py
@@ -0,0 +1,516 @@
+"""What is still owed when an attempt, a connection or a dial to a pod ends: each order is stepped by hand."""
+
+import queue
+import random
+import select
+import socket
+import struct
+import threading
+import time
+import unittest
+from unittest import mock
+
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from tests.helpers import PATIENCE, PodPeer, until, words_of
+from tests.test_sidecar import ANSWER, Network, Transport, entry
+from tests.test_sockets import MARK, PAY, READ, WithPods, value
+from thymeknot import interface as i
+from thymeknot.memory import pools
+from thymeknot.protocol import discovery
+
+
+class Broken(Transport):
+    """A transport whose other side has reset it, which the loop has not got to yet."""
+
+    def shutdown(self, how):
+        raise OSError
+
+
+def counted(network):
+    """Has each attempt's end counted, beside what is done with it."""
+    ends, ended = [], network.sidecar.ended
+
+    def count(attempt, outcome, answer=None):
+        ends.append((attempt.held.id, attempt.number, outcome))
+        return ended(attempt, outcome, answer)
+    network.sidecar.ended = count
+    return ends
+
+
+def pass_on(network, seconds):
+    network.reactor.advance(seconds)
+    network.reactor.advance(0)
+
+
+def pods_dialled(network):
+    return [port for port in network.dialled() if port > 7000]
+
+
+class OneEnd(unittest.TestCase):
+    def test_what_is_written_in_part_ends_once_whoever_ends_it(self):
+        for end, outcome in (("time", i.UNCONNECTED), ("client", i.RECALLED)):
+            network = Network(entry("s-1"))
+            ends, client = counted(network), network.ask(left=200)
+            connection = network.connect()
+            if end == "time":
+                pass_on(network, 0.2)
+            else:
+                client.connectionLost(Failure(ConnectionLost()))
+            self.assertTrue(connection.transport.disconnected)
+            self.assertEqual(ends, [("01", 0, outcome)])
+            self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
+
+    def test_what_is_given_up_as_the_other_side_closes_ends_once(self):
+        for end, outcome in (("time", i.EXPIRED), ("client", i.RECALLED)):
+            network = Network(entry("s-1"))
+            ends, client = counted(network), network.ask(left=200)
+            connection = network.connect()
+            connection.resumeProducing()
+            connection.transport.__class__ = Broken
+            if end == "time":
+                pass_on(network, 0.2)
+            else:
+                client.connectionLost(Failure(ConnectionLost()))
+            connection.connectionLost(Failure(ConnectionLost()))
+            self.assertEqual(ends, [("01", 0, outcome)])
+            self.assertEqual((len(network.sidecar.transactions), len(network.sidecar.pools)), (0, 0))
+
+    def test_an_answer_that_has_come_goes_before_a_deadline_of_the_same_turn(self):
+        network, turns = Network(entry("s-1")), []
+        deadlines, wake = network.sidecar.deadlines, network.sidecar.deadlines.wake
+        # A loop reads its sockets between two calls that are due: what is due at once comes a turn later.
+        deadlines.wake = lambda seconds, *call: (turns.append(call) if not seconds else wake(seconds, *call))
+        client = network.ask(left=200)
+        connection = network.connect()
+        connection.resumeProducing()
+        network.reactor.advance(0.2)
+        self.assertEqual((len(turns), client.transport.value()), (1, b""))
+        connection.dataReceived(ANSWER)
+        turns[0][0](*turns[0][1:])
+        self.assertEqual(client.transport.value(), b"$1\r\nv\r\n")
+
+    def test_what_was_given_up_binds_its_key_once_and_what_follows_answers_nobody(self):
+        network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+        client = network.ask(left=200)
+        connection = network.connect()
+        connection.resumeProducing()
+        pass_on(network, 0.2)
+        network.sidecar.balancer.pins.clear()
+        connection.dataReceived(ANSWER + ANSWER)
+        self.assertEqual(network.sidecar.balancer.pins, {"key"})
+        self.assertTrue(connection.transport.disconnected)
+        self.assertEqual(client.transport.value().count(b"\r\n"), 1)
+        connection.connectionLost(Failure(ConnectionLost()))
+        pass_on(network, 6)
+        self.assertEqual((network.faults, len(network.sidecar.pools)), ([], 0))
+
+
+class Ending(unittest.TestCase):
+    """A connection is lost a turn of the loop after its end was settled."""
+
+    def idle(self):
+        network = Network(entry("s-1"))
+        network.ask("01")
+        connection = network.connect()
+        connection.resumeProducing()
+        connection.dataReceived(ANSWER)
+        pass_on(network, 0.1)
+        connection.transport.clear()
+        return network, connection
+
+    def test_what_is_sent_while_an_idle_connection_ends_goes_on_another(self):
+        for end in ("more", "told idle time", "pod gone"):
+            network, connection = self.idle()
+            if end == "more":
+                connection.dataReceived(ANSWER)
+            elif end == "pod gone":
+                network.sidecar.pools.retire("s-1")
+            else:
+                for _ in range(13):
+                    pass_on(network, 1)
+            self.assertTrue(connection.transport.disconnecting or connection.transport.disconnected)
+            network.ask("02")
+            self.assertEqual((connection.transport.value(), pods_dialled(network)), (b"", [7001, 7001]), end)
+            connection.connectionLost(Failure(ConnectionLost()))
+            self.assertEqual(network.faults, [])
+
+    def test_an_end_that_the_loop_has_not_read_is_seen(self):
+        network, connection = self.idle()
+        connection.transport.recv = lambda most, flags: b""
+        network.ask("02")
+        self.assertEqual((connection.transport.value(), pods_dialled(network)), (b"", [7001, 7001]))
+
+    def test_a_connection_that_stands_idle_keeps_nothing_of_what_was_answered(self):
+        network = Network(entry("s-1"))
+        network.ask("01")
+        connection = network.connect()
+        connection.resumeProducing()
+        attempt = connection.begun.__self__
+        connection.dataReceived(ANSWER)
+        self.assertIs(attempt.out, False)
+        self.assertNotIn(attempt, [getattr(held, "__self__", held) for held in vars(connection).values()])
+
+    def test_a_fault_in_what_comes_after_an_answer_costs_no_answer(self):
+        network = Network(entry("s-1"))
+        client = network.ask("01")
+        connection = network.connect()
+        connection.resumeProducing()
+        network.sidecar.pools.ready = lambda _: 1 / 0
+        faults, network.sidecar.pools.fault = [], lambda *fault: faults.append(fault)
+        connection.dataReceived(ANSWER)
+        self.assertEqual((client.transport.value(), connection.transport.disconnected, len(faults)),
+                         (b"$1\r\nv\r\n", True, 1))
+        self.assertEqual(len(network.sidecar.transactions), 0)
+
+
+class Late(unittest.TestCase):
+    """Answers carry no id: a second one, some milliseconds late, must not meet the next request."""
+
+    def answered(self, *more):
+        """A network whose first request was answered, while these others were asked or wait for a dial."""
+        network = Network(entry("s-1"))
+        clients = [network.ask("01")]
+        connection = network.connect()
+        connection.resumeProducing()
+        clients += [network.ask(name) for name in more]
+        connection.dataReceived(ANSWER)
+        connection.transport.clear()
+        return network, connection, clients
+
+    def test_a_second_answer_within_the_rest_answers_nobody(self):
+        for waits in (True, False):
+            network, connection, clients = self.answered(*["02"] * waits)
+            network.reactor.advance(0.01)
+            clients += [network.ask("02")] * (not waits)
+            connection.dataReceived(ANSWER.replace(b"v", b"w"))
+            network.reactor.advance(0.02)
+            self.assertTrue(connection.transport.disconnected)
+            self.assertEqual((connection.transport.value(), clients[1].transport.value()), (b"", b""))
+            other = network.connect()
+            other.resumeProducing()
+            other.dataReceived(ANSWER.replace(b"v", b"2"))
+            self.assertEqual(clients[1].transport.value(), b"$1\r\n2\r\n")
+            self.assertEqual(pods_dialled(network), [7001, 7001])
+
+    def test_after_its_rest_a_connection_is_used_again_and_none_is_dialled(self):
+        network, connection, _ = self.answered()
+        network.reactor.advance(0.02)
+        network.ask("02")
+        self.assertIn(b"$2\r\n02\r\n", connection.transport.value())
+        self.assertEqual(pods_dialled(network), [7001])
+
+    def test_who_has_waited_longest_gets_the_one_that_has_rested(self):
+        network, connection, _ = self.answered("02", "03")
+        network.reactor.advance(0.02)
+        self.assertIn(b"$2\r\n02\r\n", connection.transport.value())
+        self.assertIn(b"$2\r\n03\r\n", network.connect().transport.value())
+        self.assertEqual(network.connect(-2).transport.value(), b"")  # its dial is spare
+
+    def test_nobody_overtakes_who_waits(self):
+        network, connection, _ = self.answered("02")
+        network.sidecar.deadlines.clock = lambda: 1_000_200  # its rest is over, and its deadline has not come
+        network.ask("03")
+        self.assertIn(b"$2\r\n02\r\n", connection.transport.value())
+        self.assertIn(b"$2\r\n03\r\n", network.connect().transport.value())
+
+    def test_the_dial_of_one_that_waits_may_fail_while_another_rests(self):
+        network, connection, clients = self.answered("02")
+        network.refuse()
+        self.assertEqual(pods_dialled(network), [7001, 7001, 7001])  # never ran: asked for again
+        network.reactor.advance(0.02)
+        self.assertIn(b"$2\r\n02\r\n", connection.transport.value())
+
+    def test_one_that_rests_is_retired_where_no_more_may_be_opened(self):
+        network, connection, _ = self.answered()
+        network.sidecar.pools.most = 1
+        network.ask("02")
+        self.assertTrue(connection.transport.disconnecting)
+        self.assertEqual(pods_dialled(network), [7001, 7001])
+
+    def test_an_answer_before_the_last_byte_was_written_is_none(self):
+        network = Network(entry("s-1"))
+        client = network.ask("01", lane="pay")
+        connection = network.connect()
+        connection.dataReceived(ANSWER)
+        self.assertEqual((client.transport.value(), connection.transport.disconnected), (b"", True))
+        self.assertEqual(pods_dialled(network), [7001, 7001])  # it never ran, so a binding one may go again
+
+
+class Cost(unittest.TestCase):
+    def dials(self, rest, a_second, pods, took):
+        """Connections dialled in half a minute, of pods that take so many steps of 5 ms for an answer."""
+        network, chance, due, connected = Network(*(entry(f"s-{at}") for at in range(1, pods + 1))), \
+            random.Random(11), [], 0
+        client = network.client()
+        with mock.patch.object(pools, "REST", rest):
+            for step in range(6000):
+                if chance.random() < a_second / 200:
+                    network.ask(f"{step}", connection=client)
+                clients = [one for one in network.reactor.tcpClients[network.streams:] if one[1] > 7000]
+                for dialled in clients[connected:]:
+                    connection = dialled[2].buildProtocol(None)
+                    connection.makeConnection(Transport())
+                    connection.resumeProducing()
+                    due.append(connection)
+                connected = len(clients)
+                for connection in due:
+                    if connection.transport.disconnecting and not connection.transport.disconnected:
+                        connection.transport.disconnected = True
+                        connection.connectionLost(Failure(ConnectionLost()))
+                    elif connection.waiting is not None:
+                        if connection.transport.value():
+                            connection.transport.clear()
+                            connection.resumeProducing() if not connection.written else None
+                            connection.ends = step + took
+                        elif step >= connection.ends:
+                            connection.dataReceived(ANSWER)
+                network.reactor.advance(0.005)
+        self.assertEqual(network.faults, [])
+        return connected
+
+    def test_the_rest_costs_few_connections_where_requests_are_spread_over_pods(self):
+        before, after = (self.dials(rest, 20, 60, 20) for rest in (0, pools.REST))
+        self.assertLessEqual(after, 1.05 * before + 2, (before, after))
+
+
+class Twice(PodPeer):
+    """Answers a request; the next one that comes on another connection has it answer the first again, there, and
+    wait until that connection has been ended for it."""
+
+    def __init__(self):
+        self.last, self.copies, self.over = None, 0, queue.Queue()
+        super().__init__()
+
+    def serve(self, connection, source):
+        try:
+            while (words := words_of(source)) is not None:
+                last, self.last = self.last, connection
+                if last not in (None, connection):
+                    last.sendall(value(b"a second answer"))
+                    self.copies += 1
+                    while self.over.get(timeout=PATIENCE) is not last:
+                        pass
+                connection.sendall(value(words[2]))
+        finally:
+            self.over.put(connection)
+
+
+class LateOverSockets(WithPods):
+    def test_a_second_answer_goes_to_nobody_where_the_next_request_is_out(self):
+        pod = Twice()
+        self.addCleanup(pod.close)
+        with self.program(pod.entry("s-1")).client() as client:
+            names = iter(range(10, 100_000))
+
+            def two():
+                for name in (f"{next(names)}", f"{next(names)}"):
+                    self.assertEqual(client.ask("SVC.QUERY", "a", name, READ), name.encode())
+            # A pair that the machine held apart for longer than the rest goes on one connection, and is no case.
+            until(lambda: pod.copies, two)
+
+
+class Held(unittest.TestCase):
+    """What waits for a connection, or is not written whole, is held to all terms up to its last byte."""
+
+    def again(self, lane="mark", window=10_000):
+        """A network whose request may have run once, 0.9 s ago, and is asked for again: it waits for its dial."""
+        network = Network(entry("s-1"))
+        lanes = network.sidecar.terms.lanes
+        lanes[lane] = lanes[lane]._replace(window=window)
+        client = network.ask("01", lane=lane)
+        connection = network.connect()
+        connection.resumeProducing()
+        pass_on(network, 0.9)
+        connection.connectionLost(Failure(ConnectionLost()))
+        return network, client
+
+    def test_a_repeat_is_not_written_after_the_window_in_which_it_is_known(self):
+        network, client = self.again()
+        self.assertEqual(pods_dialled(network), [7001, 7001])
+        pass_on(network, 0.09)
+        self.assertEqual(client.transport.value(), b"")
+        pass_on(network, 0.02)
+        self.assertRegex(client.transport.value(), b"^-ERR")  # and not -BUSY: it may have run
+        self.assertEqual(network.connect().transport.value(), b"")
+        self.assertEqual((len(network.sidecar.transactions), network.faults), (0, []))
+
+    def test_nor_where_its_connection_comes_up_before_that_deadline_is_due(self):
+        network, client = self.again()
+        network.sidecar.deadlines.clock = network.sidecar.clock = lambda: 1_010_000
+        self.assertEqual(network.connect().transport.value(), b"")
+        self.assertRegex(client.transport.value(), b"^-ERR")
+
+    def test_nor_its_last_byte(self):
+        network, client = self.again()
+        connection = network.connect()
+        self.assertNotEqual(connection.transport.value(), b"")
+        pass_on(network, 0.11)
+        self.assertTrue(connection.transport.disconnected)
+        self.assertRegex(client.transport.value(), b"^-ERR")
+
+    def test_within_the_window_it_is_and_has_all_its_time_for_the_answer(self):
+        network, client = self.again()
+        connection = network.connect()
+        connection.resumeProducing()
+        pass_on(network, 0.5)
+        connection.dataReceived(ANSWER)
+        self.assertEqual(client.transport.value(), b"$1\r\nv\r\n")
+
+    def test_a_binding_request_that_may_have_run_is_written_no_second_time_whatever_asks_for_it(self):
+        for reached in ("written", "in part", "not connected"):
+            network = Network(entry("s-1"))
+            network.sidecar.balancer.handle = lambda *_: []
+            network.ask("01", lane="pay")
+            network.sidecar._carry_out([i.Deliver("01", "s-1", 20_000)])
+            if reached == "not connected":
+                network.refuse()
+            else:
+                connection = network.connect()
+                if reached == "written":
+                    connection.resumeProducing()
+                connection.connectionLost(Failure(ConnectionLost()))
+            ends = counted(network)
+            network.sidecar._carry_out([i.Deliver("01", "s-1", 20_000)])
+            if reached == "written":
+                self.assertEqual((pods_dialled(network), ends), ([7001], [("01", 1, i.UNSENT)]))
+            else:
+                self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
+
+    def changed(self, change, written):
+        """(what waited or was written in part, as a pod saw it; whether its request is in hand still)."""
+        network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+        network.ask("01")
+        connection = network.connect() if written else None
+        change(network)
+        if connection is None:
+            return network.connect(network.streams).transport.value()
+        self.assertNotEqual(connection.transport.value(), b"")
+        return b"" if connection.transport.disconnected else connection.transport.value()
+
+    def test_what_was_told_since_takes_back_what_waits_and_what_is_written_in_part(self):
+        changes = {
+            "drain": lambda network: network.list(entry("s-1", build=42, state="Terminating")),
+            "gone from a whole list": lambda network: network.sidecar._listing(discovery.read_list(
+                {"version": 9, "full": True, "servers": [entry("s-2", build=42)]}, 0), "again"),
+            "gone": lambda network: network.list(entry("s-1", build=42, state="Gone")),
+            "restart": lambda network: network.list(entry("s-1", build=42, started_ms=5000)),
+            "other build": lambda network: network.list(entry("s-1", build=41)),
+            "lower cap": lambda network: network.sidecar.tell(i.News(42, 0, i.ON_TRIAL, False, i.DONE, 0.0, 0)),
+            "going back": lambda network: network.sidecar.tell(i.News(42, 0, i.GOING_BACK, False, i.DONE, 0.0, 0)),
+            "withdrawn": lambda network: network.sidecar.tell(i.News(42, 0, i.WITHDRAWN, False, i.DONE, 0.0, 0)),
+        }
+        for written in (False, True):
+            for name, change in changes.items():
+                self.assertEqual(self.changed(change, written), b"", (name, written))
+
+    def test_what_changes_nothing_for_it_takes_nothing_back(self):
+        changes = {
+            "the same list": lambda network: network.list(entry("s-1", build=42), entry("s-2", build=42)),
+            "higher stage": lambda network: network.sidecar.tell(i.News(42, 1, i.ON_TRIAL, False, i.DONE, 1.0, 0)),
+            "newer build": lambda network: network.sidecar.tell(i.News(43, 0, i.ON_TRIAL, False, i.DONE, 0.5, 0)),
+        }
+        for written in (False, True):
+            for name, change in changes.items():
+                self.assertNotEqual(self.changed(change, written), b"", (name, written))
+
+    def test_news_of_an_earlier_build_takes_back_what_waits_for_one_that_is_none_then(self):
+        back = i.News(41, 0, i.RELEASED, False, i.DONE, 1.0, 0)
+        self.assertEqual(self.changed(lambda network: network.sidecar.tell(back), False), b"")
+
+    def test_what_waits_for_a_client_that_has_gone_is_not_written_where_nothing_may_be_recalled(self):
+        network = Network(entry("s-1"))
+        network.sidecar.balancer.terms = network.sidecar.terms._replace(may_recall=False)
+        network.ask("01").connectionLost(Failure(ConnectionLost()))
+        self.assertEqual(network.connect().transport.value(), b"")
+        self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
+
+
+class HeldPod:
+    """A pod that takes connections only when it is told to: until then they do not come up."""
+
+    def __init__(self):
+        self.listener, self.fill, self.heard = socket.socket(), [], []
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+
+    def hold(self):
+        """Fills the queue of those that are to be accepted: the machine answers no further one."""
+        while not self.fill or select.select([], self.fill[-1:], [], 0.2)[1]:
+            self.fill.append(socket.socket())
+            self.fill[-1].setblocking(False)
+            self.fill[-1].connect_ex(self.listener.getsockname())
+
+    def take_one(self):
+        """The next connection, and the first command on it."""
+        connection, _ = self.listener.accept()
+        with connection.makefile("rb") as source:
+            words = words_of(source)
+        self.heard.append(words[2])
+        return connection
+
+    def release(self):
+        def serve(connection):
+            with connection, connection.makefile("rb") as source:
+                while (words := words_of(source)) is not None:
+                    self.heard.append(words[2])
+                    connection.sendall(value(words[2]))
+
+        def accept():
+            while True:
+                try:
+                    connection, _ = self.listener.accept()
+                except OSError:
+                    return
+                threading.Thread(target=serve, args=(connection,), daemon=True).start()
+        threading.Thread(target=accept, daemon=True).start()
+
+    def close(self):
+        self.listener.close()
+        for one in self.fill:
+            one.close()
+
+    entry = PodPeer.entry
+
+
+class HeldOverSockets(WithPods):
+    def held_pod(self):
+        pod = HeldPod()
+        self.addCleanup(pod.close)
+        return pod
+
+    def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_written(self):
+        pod, window = self.held_pod(), 0.3
+
+        def change(told):
+            told["settings"]["categories"][1]["window"] = int(window * 1e9)
+            told["settings"]["permissions"]["connect_timeout"] = 9_000_000_000
+        with self.program(pod.entry("s-1"), change=change).client() as client:
+            client.send("SVC.SUBMIT", "a", "01", MARK, "B")
+            connection = pod.take_one()
+            pod.hold()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()  # reset: it may have run
+            time.sleep(window + 0.1)  # it was decided before it was heard: its window is over, however long this takes
+            pod.release()
+            # The next one waits for the same dials, so where the repeat is written it is heard before the answer.
+            with self.subTest("answered"):
+                self.assertRegex(client.answer(), b"^-ERR")
+            self.assertEqual(client.ask("SVC.QUERY", "a", "02", READ), b"02")
+        self.assertEqual(pod.heard, [b"01", b"02"])
+
+    def test_a_binding_request_is_written_once_at_most_where_dials_are_held_and_connections_reset(self):
+        held, pod = self.held_pod(), self.pod(lambda words: None)
+        held.hold()
+        names = [b"%d" % at for at in range(10, 18)]
+        with self.program(held.entry("s-1", weight=9.0), pod.entry("s-2")).client() as client:
+            for name in names:
+                self.assertRegex(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), b"^-")
+            written = [pod.heard.get()[2] for _ in range(pod.heard.qsize())]
+            held.release()
+            until(lambda: held.heard, lambda: client.ask("SVC.QUERY", "b", f"{time.monotonic_ns()}", READ))
+        self.assertEqual(sorted(set(written)), sorted(written))
+        self.assertNotEqual(written, [])
+        self.assertEqual([name for name in held.heard if name in names], [])
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -8,6 +8,7 @@
 IDLE_PART = 0.8             # of the told idle time: then a connection is retired, before the pod does it
 LATE = 5_000                # what was given up is read from for so long: an answer may be on its way
 AGAIN = 10_000              # a connection is looked at no more often than that
+REST = 200                  # after an answer: a second one may come some milliseconds late, and answers carry no id
 
 
 class Pool:
@@ -15,12 +16,13 @@
 
     def __init__(self, pod, address):
         self.pod, self.address = pod, address
-        self.idle, self.waiting, self.dialling = [], deque(), 0
+        self.idle, self.waiting, self.dialling, self.due = [], deque(), 0, None
 
 
 class Pools:
     """Carries deliveries to pods, one at a time on a connection. A delivery is asked to write_to(connection)
-    when it has one, and told not_connected(broken) when none comes up for it."""
+    when it has one, if it still may_be_written(), else to withdraw(), and told not_connected(broken) when none comes
+    up for it."""
 
     def __init__(self, reactor, deadlines, reach, most, fault):
         self.reactor, self.deadlines, self.reach = reactor, deadlines, reach
@@ -31,22 +33,50 @@
         return len(self.connections) + self.dialling
 
     def send(self, pod, address, delivery):
-        """Takes the latest used idle connection, or dials. False where that would be one too many."""
+        """Takes the latest used idle connection that has rested, or dials. False where that would be one too many."""
         pool = self.by_pod.get(pod)
         if pool is None or pool.address != address:
             pool = self._move(pod, address)
-        while pool.idle:
-            connection = pool.idle.pop()
-            if connection.clean():
-                delivery.write_to(connection)
-                return True
-            connection.drop("more came than was asked for, or the end")
+        connection = None if pool.waiting else self._rested(pool)
+        if connection:
+            self._write(delivery, connection)
+            return True
         if len(self) >= self.most and not self._retire_eldest():
             return False
         pool.waiting.append(delivery)
         self._dial(pool)
+        self._serve(pool)
         return True
 
+    def _rested(self, pool):
+        """Takes the latest used idle connection on which nothing came while it rested; None where there is none."""
+        now = self.deadlines.clock()
+        for connection in pool.idle[::-1]:
+            if now < connection.rests_until:
+                continue
+            if connection.clean():
+                pool.idle.remove(connection)
+                return connection
+            connection.drop("more came than was asked for, or the end")
+        return None
+
+    def _serve(self, pool):
+        """The delivery that has waited longest is next, as soon as a connection has rested or come up."""
+        while pool.waiting:
+            if not pool.waiting[0].may_be_written():
+                pool.waiting.popleft().withdraw()
+            elif connection := self._rested(pool):
+                self._write(pool.waiting.popleft(), connection)
+            else:
+                break
+        self.deadlines.cancel(pool.due)
+        if pool.waiting and pool.idle:
+            pool.due = self.deadlines.add(min(connection.rests_until for connection in pool.idle), self._serve, pool)
+
+    def _write(self, delivery, connection):
+        connection.delivery = delivery
+        delivery.write_to(connection)
+
     def _move(self, pod, address):
         """A new pool for a pod, which takes over what waits at its former address."""
         self.retire(pod)
@@ -83,25 +113,32 @@
         """A connection has come up."""
         self._dialled(connection.connector)
         connection.slot = self.connections.add(connection)
-        self.ready(connection)
+        self._stand(connection, 0)
         self._look(connection)
 
     def ready(self, connection):
-        """The delivery that has waited longest is next; else the connection stands idle."""
-        connection.used_at, pool = self.deadlines.clock(), connection.connector.pool
-        if pool.waiting:
-            pool.waiting.popleft().write_to(connection)
-        elif self.by_pod.get(pool.pod) is pool:
-            pool.idle.append(connection)
-        else:
-            connection.drop("its pod has gone or moved")
+        """What it carried has been answered: it rests before it is used again, and what comes meanwhile ends it."""
+        self._stand(connection, REST)
+
+    def _stand(self, connection, rest):
+        """A connection stands idle, for what waits or is to come."""
+        connection.used_at, pool, connection.delivery = self.deadlines.clock(), connection.connector.pool, None
+        connection.rests_until = connection.used_at + rest
+        if self.by_pod.get(pool.pod) is not pool:
+            return connection.drop("its pod has gone or moved")
+        pool.idle.append(connection)
+        return self._serve(pool)
+
+    def ending(self, connection):
+        """It ends: no delivery goes on it any more."""
+        if connection in connection.connector.pool.idle:
+            connection.connector.pool.idle.remove(connection)
 
     def lost(self, connection):
+        self.ending(connection)
         self.connections.remove(connection.slot)
         for deadline in connection.deadlines:
             self.deadlines.cancel(deadline)
-        if connection in connection.connector.pool.idle:
-            connection.connector.pool.idle.remove(connection)
 
     def _look(self, connection):
         if self.connections.get(connection.slot) is not connection:
@@ -122,9 +159,11 @@
             if delivery in pool.waiting:
                 pool.waiting.remove(delivery)
 
-    def waiting(self):
-        """The deliveries that are decided but wait for a connection."""
-        return [delivery for pool in self.by_pod.values() for delivery in pool.waiting]
+    def unwritten(self):
+        """The deliveries that are decided, but wait for a connection or are not written whole: none has run."""
+        return [delivery for pool in self.by_pod.values() for delivery in pool.waiting] + [
+            connection.delivery for connection in self.connections
+            if connection.waiting is not None and not connection.written]
 
     def retire(self, pod):
         """Closes the idle connections to a pod."""
@@ -140,8 +179,7 @@
 
     def _close(self, connections):
         for connection in connections:
-            if connection in connection.connector.pool.idle:
-                connection.connector.pool.idle.remove(connection)
+            self.ending(connection)
             connection.transport.loseConnection()
 
     def _retire_eldest(self):
