A list on the watch may span several lines, and 5,000 pods fit in one

Sidecar._watch_reader took each line as one JSON object, so the first line of an indented list ended the watch as unreadable, and each asking after it, too: no list was ever taken. http.MOST_LINE was 1 MiB; 5,000 pods took 0.82 MB on one line, and indented they did not fit.

Change: discovery.Lists reads a line that is JSON at once, as before; of another one that opens an object, the brackets outside of its strings tell whether it goes on, one look a line, 4 MiB at most.

--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -1,5 +1,6 @@
 """Discovery's lists and changes, its words to ours."""
 
+import re
 from typing import NamedTuple
 
 import orjson
@@ -13,6 +14,11 @@
 SILENCE = 3 * SIGN_OF_LIFE
 CONDITIONS = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
 
+# Of a line of JSON: its strings; what stands outside of them in no JSON; what opens and closes.
+STRINGS, BRACKETS = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"'), re.compile(rb"[][{}]")
+NO_JSON = re.compile(rb"[^][{}\s\d:,.+eEtrufalsn-]")
+CLOSERS = {b"{": b"}", b"[": b"]"}
+
 
 class Unreadable(ValueError):
     """What came is no list. The text names the faulty key."""
@@ -74,8 +80,56 @@
                    {pod.address: address for pod, address in entries if address})
 
 
-def read_json(text, epoch):
+class Lists:
+    """The lists of a watch's body, which comes in slices: one JSON object on a line, or indented, on several.
+
+    A line that is JSON costs one reading. Of one that is not, the brackets outside of strings tell whether the object
+    goes on: no string of JSON spans lines. Each line is looked at once, and the whole once it is there."""
+
+    def __init__(self):
+        self.lines, self.begun, self.closers = http.Lines(), None, bytearray()
+
+    def feed(self, content):
+        """The objects that are whole now, and None for each sign of life, an empty line between them."""
+        for line in self.lines.feed(content):
+            if self.begun is not None:
+                yield from self._go_on(line)
+            elif not line.strip():
+                yield None
+            else:
+                try:
+                    yield orjson.loads(line)
+                except orjson.JSONDecodeError as error:
+                    if not line.lstrip().startswith(b"{"):
+                        raise Unreadable(f"no JSON: {error}") from None
+                    yield from self._go_on(line)
+
+    def _go_on(self, line):
+        self.begun = bytearray() if self.begun is None else self.begun
+        self.begun += line + b"\n"
+        if len(self.begun) > http.MOST_LINE:
+            raise Unreadable("a list that is too long")
+        plain = STRINGS.sub(b"", line)
+        if NO_JSON.search(plain):
+            raise Unreadable(f"no JSON: {bytes(line[:50])!r}")
+        for at, bracket in enumerate(BRACKETS.findall(plain)):
+            if bracket in CLOSERS and (self.closers or not at):
+                self.closers += CLOSERS[bracket]
+            elif self.closers[-1:] == bracket:
+                self.closers.pop()
+            else:
+                raise Unreadable(f"no JSON: {bytes(line[:50])!r} closes what is not open")
+        if not self.closers:
+            text, self.begun = self.begun, None
+            yield parse(text)
+
+
+def parse(text):
     try:
-        return read_list(orjson.loads(text), epoch)
+        return orjson.loads(text)
     except orjson.JSONDecodeError as error:
         raise Unreadable(f"no JSON: {error}") from None
+
+
+def read_json(text, epoch):
+    return read_list(parse(text), epoch)
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -5,7 +5,7 @@
 
 NO_BODY = (204, 304)
 FIELDS = ("", "event", "data", "id", "retry")  # of an event; the nameless one is a comment
-MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 1024 * 1024, 4 * 1024 * 1024
+MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 4 * 1024 * 1024, 4 * 1024 * 1024  # 5,000 pods, indented by 4: 2 MiB
 
 
 class Malformed(ValueError):
@@ -137,12 +137,18 @@
 class Lines:
     """The lines of a body that comes in slices."""
 
-    def __init__(self):
-        self.rest = b""
+    def __init__(self, most=MOST_LINE):
+        self.rest, self.most = bytearray(), most
 
     def feed(self, content):
-        *whole, self.rest = (self.rest + bytes(content)).split(b"\n")
-        if len(self.rest) > MOST_LINE:
+        first, *others = bytes(content).split(b"\n")
+        self.rest += first  # in place: a long line comes in many slices
+        if len(self.rest) > self.most:
+            raise Malformed("a line that is too long")
+        if not others:
+            return []
+        whole, self.rest = [bytes(self.rest), *others[:-1]], bytearray(others[-1])
+        if max(len(self.rest), *map(len, whole)) > self.most:
             raise Malformed("a line that is too long")
         return [line.rstrip(b"\r") for line in whole]
 
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -422,12 +422,15 @@
             self.deciding = deciding
 
     def _watch_reader(self):
-        lines, source = http.Lines(), self.discovery.address
+        lists, source = discovery.Lists(), self.discovery.address
 
         def read(content):
-            for line in lines.feed(content):
-                if line.strip():
-                    self._listing(discovery.read_json(line, self.epoch), source)
+            alive = False
+            for told in lists.feed(content):
+                alive = True
+                if told is not None:
+                    self._listing(discovery.read_list(told, self.epoch), source)
+            return alive
         return read
 
     def _subscribe(self, action):
