Only a whole line that reads well is a sign of life, and only of a stream still wanted

Cause: Stream.dataReceived told KeptStream.heard of each slice of a body before it was read. Half a line that never ends kept a dead stream for ever; a stream whose first word was nonsense took the place of the one that stood (which was dropped) and then ended itself; one that had been given up still moved the moment of the last word and its lists were taken; a status other than 200 ended a stream without a reason in the log.

Change: read(content) tells whether a sign of life was in it (a whole object or an empty line between two; of the platform's any whole line), and heard() is told after it. A stream that is neither the one that stands nor the one asked for is ended and not read; one that comes up after it was given up writes nothing. Reasons: "status 503", "the answer ended".

tests/test_sidecar.py sent a lone colon without the end of its line as the platform's sign of life, which is the fault itself: it sends the whole line now. tests/test_asking.py: its reader says that each word is life, as all were before.

Measured: without the code test_half_a_line, test_one_that_first_says_nonsense, test_what_one_that_was_given_up, test_a_dial_that_comes_up_after and test_why_a_stream_ended fail; with it they pass.

--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -56,7 +56,7 @@
 
 class Askings(unittest.TestCase):
     def started(self, service, asking, seed):
-        stream = KeptStream(service, Chance(seed << 33), 10 ** 9, lambda: b"", lambda: lambda content: None,
+        stream = KeptStream(service, Chance(seed << 33), 10 ** 9, lambda: b"", lambda: lambda content: True,
                             lambda *line, **fields: None)
         stream.start_among(asking)
         return stream
--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -53,6 +53,71 @@
         return now() - began
 
 
+class SignsOfLife(WithNetwork):
+    def test_half_a_line_that_never_ends_is_silence(self):
+        for port in (2, 3):
+            stream, began = self.connected(port, SIGN[port]), self.network.reactor.seconds()
+            while self.asked(port) == 1 and self.network.reactor.seconds() < began + 12:
+                stream.dataReceived(chunk(b" " if port == 2 else b":"))
+                self.pass_on(0.5)
+            self.assertLess(self.network.reactor.seconds() - began, 9.1, port)
+
+    def test_lines_of_an_object_that_never_ends_are_silence(self):
+        stream, began = self.connected(2, SIGN[2], b'{"version":9,"full":true,"servers":[\n'), 0
+        while self.asked(2) == 1 and began < 12:
+            stream.dataReceived(chunk(b'{"id":"s-2"},\n'))
+            self.pass_on(0.5)
+            began += 0.5
+        self.assertLess(began, 9.1)
+
+    def test_whole_lines_are_life(self):
+        streams = {port: self.connected(port, SIGN[port]) for port in (2, 3)}
+        for _ in range(15):
+            self.pass_on(1)
+            for port, stream in streams.items():
+                stream.dataReceived(chunk(SIGN[port]))
+        self.assertEqual((self.asked(2), self.asked(3)), (1, 1))
+
+    def test_one_that_first_says_nonsense_does_not_take_the_place_of_the_one_that_stands(self):
+        for port in (2, 3):
+            old = self.connected(port, SIGN[port])
+            self.until_asked(port, 10)
+            new = self.connected(port, b"noise\n")
+            self.assertEqual((new.transport.disconnected, old.transport.disconnected), (True, False))
+            self.assertIs(self.kept[port].stream, old)
+
+    def test_what_one_that_was_given_up_still_says_is_not_heard(self):
+        old = self.connected(2, SIGN[2])
+        self.until_asked(2, 10)
+        new = self.connected(2, listed(9, "s-2"))
+        self.assertTrue(old.transport.disconnected)
+        self.pass_on(2)
+        heard = self.kept[2].last
+        old.dataReceived(chunk(listed(10, "s-3")))
+        self.assertEqual((self.kept[2].stream, self.kept[2].last), (new, heard))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_a_dial_that_comes_up_after_it_was_given_up_ends_at_once_and_asks_nothing(self):
+        for port in (2, 3):
+            first = self.last(port)
+            self.pass_on(0.3)
+            self.assertTrue(self.network.reactor.connectors[first].stoppedConnecting)
+            self.network.refuse(first)
+            late = self.network.connect(first)
+            self.assertEqual((late.transport.disconnected, late.transport.value()), (True, b""))
+
+    def test_why_a_stream_ended_is_said(self):
+        for said, reason in ((HEAD.replace(b"200", b"503"), "status 503"), (HEAD + b"0\r\n\r\n", "the answer ended"),
+                             (HEAD + chunk(b"noise\n"), "unreadable: no JSON"), (b"noise\r\n\r\n", "no status line")):
+            network, lines = Network(entry("s-1")), []
+            network.sidecar.watch.log = lambda event, lines=lines, **fields: lines.append((event, fields["reason"]))
+            stream = network.connect(0)
+            stream.dataReceived(said)
+            self.assertTrue(stream.transport.disconnected)
+            self.assertEqual(len(lines), 1)
+            self.assertIn(reason, lines[0][1])
+
+
 class Indented(WithNetwork):
     def test_a_list_on_several_lines_is_taken_as_soon_as_it_is_whole_however_it_is_split(self):
         for indent in (None, 0, 1, 4):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -410,7 +410,7 @@
         stream.dataReceived(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         for _ in range(6):  # a sign each second
             self.pass_on(network, 1)
-            stream.dataReceived(b"1\r\n:\r\n")
+            stream.dataReceived(b"2\r\n:\n\r\n")
         dialled = [port for _, port, *_ in network.reactor.tcpClients]
         for _ in range(6):
             self.pass_on(network, 1)
@@ -423,20 +423,20 @@
         for old_speaks in (True, False):
             network = Network()
             old = network.connect(1)
-            old.dataReceived(head + b"1\r\n:\r\n")
+            old.dataReceived(head + b"2\r\n:\n\r\n")
             for _ in range(9):
                 self.pass_on(network, 0.5)
             new = network.connect()
             self.assertEqual((old.transport.disconnected, network.reactor.tcpClients[-1][1]), (False, 3))
             if old_speaks:
-                old.dataReceived(b"1\r\n:\r\n")
+                old.dataReceived(b"2\r\n:\n\r\n")
             else:
-                new.dataReceived(head + b"1\r\n:\r\n")
+                new.dataReceived(head + b"2\r\n:\n\r\n")
             self.assertEqual((old.transport.disconnected, new.transport.disconnected),
                              (not old_speaks, old_speaks))
 
     def test_a_new_address_is_asked_beside_the_old_one_until_it_speaks(self):
-        network, life = Network(), b"1\r\n:\r\n"
+        network, life = Network(), b"2\r\n:\n\r\n"
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         old = network.connect(1)
         old.dataReceived(head + life)
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -71,7 +71,8 @@
 
 
 class Stream(Protocol):
-    """Asks once and hands on what comes until the connection ends; writes nothing more."""
+    """Asks once and hands on what comes until the connection ends; writes nothing more. read(content) tells whether a
+    sign of life was in it: a byte is none, since half a line may never end."""
 
     def __init__(self, request, read, owner):
         self.request, self.read, self.owner = request, read, owner
@@ -79,19 +80,23 @@
         self.caller, self.asked_at = owner.caller, owner.deadlines.clock()
 
     def connectionMade(self):
+        if not self.owner.has(self):  # given up while it was on its way
+            return self.transport.abortConnection()
         self.transport.setTcpNoDelay(True)
         self.transport.write(self.request)
 
     def dataReceived(self, data):
         try:
             for part in self.parser.feed(data):
+                if not self.owner.has(self):
+                    return self.drop()
                 if isinstance(part, http.Head):
                     self.good = part.status == 200
                 if not self.good or isinstance(part, http.End):
+                    self.owner.ended(self, "the answer ended" if self.good else f"status {part.status}")
                     return self.drop()
-                if isinstance(part, http.Body):
+                if isinstance(part, http.Body) and self.read(part.content):
                     self.owner.heard(self)
-                    self.read(part.content)
         except Exception as error:  # what can't be read ends this connection alone
             self.owner.ended(self, f"unreadable: {error}", how=getattr(error, "how", LOST))
             self.drop()
@@ -195,6 +200,9 @@
             self.deadlines.cancel(self.again)
         self.start()
 
+    def has(self, stream):
+        return stream is self.stream or stream is self.asked
+
     def _stands(self):
         """Whether nothing has to be asked for: the stream is at the present address and speaks."""
         return (self.stream is not None and self.stream.caller is self.caller
@@ -213,7 +221,7 @@
 
     def ended(self, stream, reason, how=REFUSED):
         """how: REFUSED where the peer ended it; no connection, silence and what is spoilt are LOST."""
-        if stream is None or stream not in (self.stream, self.asked):
+        if not self.has(stream):
             return
         now = self.deadlines.clock()
         wait = self.pace.ended(how, now - stream.asked_at if stream is self.stream else 0)
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -5,7 +5,7 @@
 
 NO_BODY = (204, 304)
 FIELDS = ("", "event", "data", "id", "retry")  # of an event; the nameless one is a comment
-MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 4 * 1024 * 1024, 4 * 1024 * 1024  # 5,000 pods, indented by 4: 2 MiB
+MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 4 * 1024 * 1024, 4 * 1024 * 1024  # 5,000 pods, indented by 4: 1.45 MB
 
 
 class Malformed(ValueError):
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -467,6 +467,7 @@
                 told = platform.read_event(event, data)  # what can't be read ends the stream: it is asked for anew
                 if told is not None and (type(told) is i.News or told.lane in self.terms.lanes):
                     self.tell(told)
+            return b"\n" in bytes(content)  # any whole line
         return read
 
     def _vote(self, action):
