A stream that connects and says nothing is given up after a first word's time

Cause: KeptStream.start gave each asking a whole silence (6 s; platform 4 s) until its first word, so one connection that came up and was silent used up all of the time in which the list can still be had.

Change: counted from the connection: 0.5 s for pushed lists (the agent is on the same machine and answers at once), 3 s where lists are asked for (a call may wait some 2 s there and is paid for), 2 s for the platform; twice as long after each that said nothing, up to silence, so that a slow peer is heard in the end. A word makes it usual again.

Measured, loop stepped: with one silent connection and the longest wait the next list is taken under 5.9 s after the last word.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -154,6 +154,49 @@
         self.assertLessEqual(len([call for call, _ in live if call.__name__ in ("_look", "_watch")]), 2)
 
 
+class FirstWord(WithNetwork):
+    def test_one_that_connects_and_says_nothing_is_replaced_in_time_for_the_list(self):
+        for draw in (0.0, 0.999):
+            self.network = Network(entry("s-1"))
+            self.network.sidecar.watch.pace.draw = lambda draw=draw: draw
+            self.connected(2, listed(8, "s-1"))
+            began = self.network.reactor.seconds()
+            self.until_asked(2, 6)
+            silent = self.connected(2)
+            self.until_asked(2, 6)
+            self.assertTrue(silent.transport.disconnected)
+            self.connected(2, listed(9, "s-2"))
+            self.assertLess(self.network.reactor.seconds() - began, 5.9)
+            self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_who_is_slow_gets_twice_as_long_each_time_and_the_word_makes_it_usual(self):
+        for port, waits in ((2, (0.5, 1, 2, 4, 4.5, 4.5)), (3, (2, 4, 4, 4))):
+            for wait in waits:
+                stream = self.connected(port)
+                self.pass_on(wait - 0.02)
+                self.assertFalse(stream.transport.disconnected, (port, wait))
+                self.until_asked(port, 1)
+                self.assertTrue(stream.transport.disconnected)
+            self.connected(port, SIGN[port])
+            self.assertEqual(self.kept[port].quiet, 0)
+
+    def test_a_service_that_all_ask_has_the_time_that_a_call_may_wait_there(self):
+        self.network = Network(entry("s-1"), asked_for=True)
+        self.pass_on(1)
+        stream = self.connected(2)
+        self.pass_on(2.9)
+        self.assertFalse(stream.transport.disconnected)
+        self.pass_on(0.2)
+        self.assertTrue(stream.transport.disconnected)
+
+    def test_its_word_just_in_time_leaves_no_deadline_that_ends_it(self):
+        stream = self.connected(2)
+        self.pass_on(0.49)
+        stream.dataReceived(HEAD + chunk(SIGN[2]))
+        self.pass_on(4.4)
+        self.assertEqual((stream.transport.disconnected, self.asked(2)), (False, 1))
+
+
 class Indented(WithNetwork):
     def test_a_list_on_several_lines_is_taken_as_soon_as_it_is_whole_however_it_is_split(self):
         for indent in (None, 0, 1, 4):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -61,11 +61,12 @@
 class Network:
     """A sidecar on a network that exists in memory alone."""
 
-    def __init__(self, *entries, sockets=1024, **news):
+    def __init__(self, *entries, sockets=1024, asked_for=False, **news):
         self.reactor, self.faults = MemoryReactorClock(), []
         deadlines = Deadlines(lambda: 1_000_000 + int(self.reactor.seconds() * 10_000),
                               self.reactor.callLater, lambda *fault: self.faults.append(fault))
         start = configuration.read(told(*entries, **news), 0)._replace(sockets=sockets)
+        start = start._replace(terms=start.terms._replace(subscribes=asked_for))
         self.sidecar = Sidecar(start, self.reactor, deadlines, 0)
         self.sidecar.begin()
         self.streams = len(self.reactor.tcpClients)
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -82,6 +82,7 @@
     def connectionMade(self):
         if not self.owner.has(self):  # given up while it was on its way
             return self.transport.abortConnection()
+        self.owner.connected(self)
         self.transport.setTcpNoDelay(True)
         self.transport.write(self.request)
 
@@ -170,12 +171,16 @@
 class KeptStream:
     """Keeps one stream standing: asks again, spread by chance, when it ends or falls silent.
 
+    One that connects and says nothing for as long as a first word takes (first, or silence) is given up, and the next
+    one gets twice as long, up to silence: who is slow is heard in the end.
+
     A silent one, or one at a former address, is kept until the one that was asked for beside it speaks: a link that
     was cut may come back, and what is told meanwhile may not be told again. ask() gives the bytes to ask with,
     reader() what reads a stream. How long it waits between two askings is Pace's: a service that takes so many calls
     from all answers nobody while each asks again in a second."""
 
-    def __init__(self, caller, chance, silence, ask, reader, log):
+    def __init__(self, caller, chance, silence, ask, reader, log, first=None):
+        self.first, self.quiet, self.due = first or silence, 0, None  # quiet: how many in a row said nothing
         self.caller, self.deadlines, self.silence, self.pace = caller, caller.deadlines, silence, Pace(chance.draw)
         self.ask, self.reader, self.log = ask, reader, log
         self.stream, self.asked, self.last, self.again, self.look = None, None, 0, None, None
@@ -189,11 +194,15 @@
         self.again = None
         asked = self.asked = Stream(self.ask(), self.reader(), self)
         asked.connector = self.caller.dial(asked, asked.not_connected, asked.dial_late)
-        self.deadlines.add(self.deadlines.clock() + self.silence, self._still_asked, asked)
+
+    def connected(self, asked):
+        within = min(self.first << min(self.quiet, 10), max(self.first, self.silence))
+        self.deadlines.cancel(self.due)
+        self.due = self.deadlines.add(self.deadlines.clock() + within, self._still_asked, asked)
 
     def move(self, caller):
         """Asks at another address, now and from now on."""
-        self.caller, asked, self.asked = caller, self.asked, None
+        self.caller, asked, self.asked, self.quiet = caller, self.asked, None, 0
         if asked:
             asked.drop()
         if self.again is not None:
@@ -212,6 +221,7 @@
         former, self.last = self.stream, self.deadlines.clock()
         if self.look is None:  # one look ahead, whatever streams come and go
             self.look = self.deadlines.add(self.last + self.silence, self._look)
+        self.quiet = 0 if stream.caller is self.caller else self.quiet
         if stream is self.asked:
             self.stream, self.asked = stream, None
             if former:
@@ -252,5 +262,6 @@
 
     def _still_asked(self, asked):
         if asked is self.asked:
+            self.quiet += 1
             self.ended(asked, "says nothing", how=LOST)
             asked.drop()
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -15,6 +15,9 @@
 # signs, and a quarter of one for a sign that comes late, leave 1.5 s for a dial that does not come up (some 0.25 s),
 # the wait after it (0.8 s at most) and the next dial and its answer.
 SILENCE = 2 * SIGN_OF_LIFE + SIGN_OF_LIFE // 4
+# Until the first word, by whether lists are asked for: an agent on the same machine answers at once; a service that all
+# ask may have a call wait for some 2 s before it answers or refuses, and one given up sooner was paid for in vain.
+FIRST_WORD = {False: 5_000, True: 30_000}
 CONDITIONS = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
 
 # Of a line of JSON: its strings; what stands outside of them in no JSON; what opens and closes.
--- a/thymeknot/protocol/platform.py
+++ b/thymeknot/protocol/platform.py
@@ -12,6 +12,7 @@
 BASE = "/v2/projects/main/"
 SIGN_OF_LIFE = 10_000       # tenths of a millisecond
 SILENCE = 4 * SIGN_OF_LIFE
+FIRST_WORD = 2 * SIGN_OF_LIFE  # how the newest build stands is told at once; if not, the first sign has come by then
 VERDICTS = {i.NO_VOTE: "abstain", i.ON: "promote", i.HOLD: "pause", i.BACK: "abort"}
 PHASES = {"trial": i.ON_TRIAL, "rolling_back": i.GOING_BACK, "released": i.RELEASED, "withdrawn": i.WITHDRAWN}
 # What came back from a call (status, code) -> what it means for a vote. Missing: it may count.
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -102,10 +102,10 @@
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
                                 lambda: discovery.watch(self.discovery.host, self.version),
-                                self._watch_reader, logs.seldom)
+                                self._watch_reader, logs.seldom, discovery.FIRST_WORD[self.terms.subscribes])
         self.stream = KeptStream(self.platform, chance, platform.SILENCE,
                                  lambda: platform.stream(self.platform.host),
-                                 self._stream_reader, logs.seldom)
+                                 self._stream_reader, logs.seldom, platform.FIRST_WORD)
 
     def _caller(self, address):
         return Caller(self.reactor, self.deadlines, address, self.reach.connect_within)
