Waits before the next asking: none of a former address, short where asking is free

Cause: KeptStream.move kept the count of refusals of the former address, so a new one that was not there yet was asked again after up to 8 s (a change there counts 4 s after SIGHUP). An older whole list that is passed over for the first time (Unbelieved, REFUSED) was followed by 0.8 to 3.2 s at best, by up to 8 s after earlier refusals, while what it tells counts as told at once. Pushed lists were paced like those of a service that all ask, though the agent on the same machine serves one sidecar at no cost; and after an asking that said nothing none stood for 0.2 to 0.8 s, so what the agent told as it came back was late by that.

Change: a move begins a new Pace; the first doubt of an older list counts as a stream that stood (0.2 to 0.8 s, then it is believed); an empty list is never believed and keeps its growing waits; where asking is free a wait is 1 s at most, and one that says nothing is replaced at once.

Measured, loop stepped: at a new address each of three refused dials is followed by the next within 0.85 s, with four refusals of the former one behind; older list to the one believed under 0.85 s (1.1 s pushed, after five refusals), 2.1 s with a failed dial between. Without the code four of the seven tests fail; the other three (the move itself, what ends with it, empty lists) hold without it and rule those out.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -3,8 +3,12 @@
 import json
 import unittest
 
-from tests.test_sidecar import Network, entry
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
+
+from tests.test_sidecar import Network, entry, told
 from thymeknot.protocol import discovery, http, platform
+from thymeknot.service import configuration
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 SIGN = {2: b"\n", 3: b":\n"}  # of life, by the port that stands for discovery and for the platform
@@ -197,6 +201,105 @@
         self.assertEqual((stream.transport.disconnected, self.asked(2)), (False, 1))
 
 
+class Moves(WithNetwork):
+    def move(self, network, discovery=2, platform=3):
+        """A new configuration with these ports."""
+        changed = told(entry("s-1"))
+        changed["discovery"], changed["deployer"]["address"] = f"127.0.0.1:{discovery}", f"127.0.0.1:{platform}"
+        network.sidecar.reconfigure(configuration.read(changed, 0))
+
+    def test_refusals_of_a_former_address_do_not_slow_the_asking_at_a_new_one(self):
+        for asked_for in (False, True):
+            self.network = Network(entry("s-1"), asked_for=asked_for)
+            for port in (2, 3):
+                for _ in range(4):
+                    self.until_asked(port, 9) if self.last_ended(port) else self.pass_on(0.1)
+                    self.connected(port).dataReceived(HEAD.replace(b"200", b"503"))
+            self.move(self.network, 8, 9)
+            for port in (8, 9):
+                for _ in range(3):  # not there yet
+                    self.network.refuse(self.last(port))
+                    self.assertLess(self.until_asked(port, 4), 0.85)
+
+    def last_ended(self, port):
+        kept = {2: self.network.sidecar.watch, 3: self.network.sidecar.stream}[port]
+        return kept.asked is None
+
+    def test_a_new_address_that_is_silent_first_and_refuses_next_is_heard_within_four_seconds(self):
+        for draw in (0.0, 0.999):
+            self.network = Network(entry("s-1"))
+            self.network.sidecar.watch.pace.draw = lambda draw=draw: draw
+            old = self.connected(2, listed(8, "s-1"))
+            self.move(self.network, 8)
+            began = self.network.reactor.seconds()
+            silent = self.connected(8)
+            self.until_asked(8, 2)
+            self.assertTrue(silent.transport.disconnected)
+            self.network.refuse(self.last(8))
+            self.until_asked(8, 2)
+            self.assertFalse(old.transport.disconnected)
+            old.dataReceived(chunk(SIGN[2]))
+            self.connected(8, listed(3, "s-2"))
+            self.assertEqual((list(self.network.sidecar.listed), old.transport.disconnected), (["s-2"], True))
+            self.assertLess(self.network.reactor.seconds() - began, 3)
+
+    def test_what_is_asked_for_at_the_former_address_ends_with_the_move(self):
+        self.pass_on(0.05)
+        asked = self.connected(2)
+        self.move(self.network, 8)
+        self.assertTrue(asked.transport.disconnected)
+        asked.dataReceived(HEAD + chunk(listed(9, "s-9")))
+        asked.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual((list(self.network.sidecar.listed), self.asked(8)), (["s-1"], 1))
+
+    def test_while_the_agent_is_silent_there_is_always_one_that_it_can_answer(self):
+        for _ in range(200):  # 20 s of a discovery that is down: each connection comes up and is silent
+            if self.kept[2].asked.transport is None:
+                stream = self.connected(2)
+            self.pass_on(0.1)
+            self.assertIsNotNone(self.kept[2].asked)
+        self.assertLess(self.asked(2), 9)
+        stream = self.connected(2) if self.kept[2].asked.transport is None else stream
+        stream.dataReceived(HEAD + chunk(listed(9, "s-2")))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+
+class Doubts(WithNetwork):
+    def test_an_older_list_is_believed_soon_whatever_the_peer_refused_before(self):
+        for asked_for, most in ((False, 1.1), (True, 0.85)):
+            self.network = Network(entry("s-1"), asked_for=asked_for)
+            self.pass_on(0.1)
+            for _ in range(5):
+                self.connected(2).dataReceived(HEAD.replace(b"200", b"503"))
+                self.until_asked(2, 9)
+            stream = self.connected(2, listed(3, "s-2"))
+            self.assertEqual((list(self.network.sidecar.listed), stream.transport.disconnected), (["s-1"], True))
+            self.assertLess(self.until_asked(2, 9), most)
+            self.connected(2, listed(3, "s-2"))
+            self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_also_where_the_dial_between_the_two_fails(self):
+        stream, began = self.connected(2, listed(3, "s-2")), self.network.reactor.seconds()
+        self.assertTrue(stream.transport.disconnected)
+        self.until_asked(2, 2)
+        self.network.refuse(self.last(2))
+        self.until_asked(2, 2)
+        self.connected(2, listed(3, "s-2"))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+        self.assertLess(self.network.reactor.seconds() - began, 2.1)
+
+    def test_an_empty_list_is_asked_for_less_often_where_a_service_is_shared(self):
+        for asked_for, most in ((False, 45), (True, 8)):
+            self.network = Network(entry("s-1"), asked_for=asked_for)
+            self.pass_on(0.1)
+            for _ in range(200):
+                if self.network.sidecar.watch.asked and self.network.sidecar.watch.asked.transport is None:
+                    self.connected(2, listed(9))
+                self.pass_on(0.1)
+            self.assertEqual(list(self.network.sidecar.listed), ["s-1"])
+            self.assertLess(self.asked(2), most)
+
+
 class Indented(WithNetwork):
     def test_a_list_on_several_lines_is_taken_as_soon_as_it_is_whole_however_it_is_split(self):
         for indent in (None, 0, 1, 4):
--- a/thymeknot/asking/pace.py
+++ b/thymeknot/asking/pace.py
@@ -6,6 +6,7 @@
 SECOND = 10_000
 AGAIN = 2_000, 8_000        # after an asking that the service had no part in; by chance, so that a crowd spreads
 LONGEST = 8 * SECOND        # between two askings at most: what is told late must still be told
+LONGEST_FREE = SECOND       # of a peer that serves this one alone, at no cost
 STEADY = 2 * SECOND         # what ends sooner after its asking was refused, though it had begun
 SPREAD, SPREAD_MOST = 500, 4 * SECOND  # for each that asks, and in all: within it all ask first
 
@@ -23,8 +24,8 @@
 class Pace:
     """One for each service that is asked. draw() gives chance from 0 to 1, seeded from outside."""
 
-    def __init__(self, draw):
-        self.draw, self.state, self.refusals = draw, FRESH, 0
+    def __init__(self, draw, longest=LONGEST):
+        self.draw, self.longest, self.state, self.refusals = draw, longest, FRESH, 0
 
     def first(self, asking):
         """How long to wait before the first asking, where so many ask."""
@@ -45,4 +46,4 @@
         wait = least + int(self.draw() * (most - least))
         if self.state == FRESH:
             return wait
-        return min(wait << min(self.refusals + 1, 10), int(LONGEST * (0.5 + self.draw() / 2)))
+        return min(wait << min(self.refusals + 1, 10), int(self.longest * (0.5 + self.draw() / 2)))
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -6,7 +6,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from ..asking.pace import LOST, REFUSED, Pace
+from ..asking.pace import LONGEST, LONGEST_FREE, LOST, REFUSED, Pace
 from . import http
 from .reached import NOT_CONNECTED, Broken, WholeWriter
 
@@ -172,16 +172,18 @@
     """Keeps one stream standing: asks again, spread by chance, when it ends or falls silent.
 
     One that connects and says nothing for as long as a first word takes (first, or silence) is given up, and the next
-    one gets twice as long, up to silence: who is slow is heard in the end.
+    one gets twice as long, up to silence: who is slow is heard in the end. Where asking is free the next one is asked
+    for at once: none stands beside it that could bring what comes when the peer speaks again.
 
     A silent one, or one at a former address, is kept until the one that was asked for beside it speaks: a link that
     was cut may come back, and what is told meanwhile may not be told again. ask() gives the bytes to ask with,
     reader() what reads a stream. How long it waits between two askings is Pace's: a service that takes so many calls
     from all answers nobody while each asks again in a second."""
 
-    def __init__(self, caller, chance, silence, ask, reader, log, first=None):
+    def __init__(self, caller, chance, silence, ask, reader, log, first=None, free=False):
         self.first, self.quiet, self.due = first or silence, 0, None  # quiet: how many in a row said nothing
-        self.caller, self.deadlines, self.silence, self.pace = caller, caller.deadlines, silence, Pace(chance.draw)
+        self.caller, self.deadlines, self.silence, self.free = caller, caller.deadlines, silence, free
+        self.pace = Pace(chance.draw, LONGEST_FREE if free else LONGEST)
         self.ask, self.reader, self.log = ask, reader, log
         self.stream, self.asked, self.last, self.again, self.look = None, None, 0, None, None
 
@@ -201,7 +203,8 @@
         self.due = self.deadlines.add(self.deadlines.clock() + within, self._still_asked, asked)
 
     def move(self, caller):
-        """Asks at another address, now and from now on."""
+        """Asks at another address, now and from now on; what was refused at the former one counts no more."""
+        self.pace = Pace(self.pace.draw, self.pace.longest)
         self.caller, asked, self.asked, self.quiet = caller, self.asked, None, 0
         if asked:
             asked.drop()
@@ -265,3 +268,6 @@
             self.quiet += 1
             self.ended(asked, "says nothing", how=LOST)
             asked.drop()
+            if self.free:
+                self.deadlines.cancel(self.again)
+                self._ask()
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -6,7 +6,7 @@
 import orjson
 
 from .. import interface as i
-from ..asking.pace import REFUSED
+from ..asking.pace import REFUSED, STOOD
 from . import http
 
 PATH = "/v1/servers"
@@ -31,8 +31,13 @@
 
 
 class Unbelieved(Unreadable):
-    """A list that reads well and would take all that is known. The peer is asked again less and less often."""
-    how = REFUSED
+    """A list that reads well and would take all that is known. One that names nobody is never believed, and the peer is
+    asked again less and less often. An older one is believed if it comes again, and all that it tells counts as told
+    meanwhile: the peer is asked as if its stream had stood."""
+
+    def __init__(self, doubt, names):
+        super().__init__(doubt)
+        self.how = STOOD if names else REFUSED
 
 
 class Listing(NamedTuple):
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -102,7 +102,8 @@
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
                                 lambda: discovery.watch(self.discovery.host, self.version),
-                                self._watch_reader, logs.seldom, discovery.FIRST_WORD[self.terms.subscribes])
+                                self._watch_reader, logs.seldom, discovery.FIRST_WORD[self.terms.subscribes],
+                                free=not self.terms.subscribes)  # the agent on the same machine
         self.stream = KeptStream(self.platform, chance, platform.SILENCE,
                                  lambda: platform.stream(self.platform.host),
                                  self._stream_reader, logs.seldom, platform.FIRST_WORD)
@@ -383,7 +384,7 @@
         whole, names = listing.pods.kind != i.CHANGES, len(listing.pods.pods)
         doubt = self.belief.doubt(source, listing.version, whole, names, len(self.listed))
         if doubt:
-            raise discovery.Unbelieved(doubt)
+            raise discovery.Unbelieved(doubt, names)
         self.version = listing.version
         before, self.listed = self.listed, dict(self.listed) if listing.pods.kind == i.CHANGES else {}
         changed = set()
