Numbers and sizes that make no sense end their own stream, and nothing grows without a bound

Reasons in the log quoted what was read, up to megabytes.

Change: bounds beside the fields (weight 1e-6 to 1e6, start 0 to 1e14 ms, ports, whole numbers to 2**53, times to 1e13 ms); sizes by HTTP's own grammar; 16 KiB for a line that is no body, 64 KiB for an event; a body in one bytearray; reasons of 200 characters. Where no attempt came back (requests = failures) avgMs is not read: of none there is no mean, and a nan there would end the stream each time. _fetched answers the decisions once whatever comes, and counts for the address that was asked.

Measured: seven tests of BadInput, all fail without the code (three of them as errors) and pass with it; the other stream, list and news stay as they were in each case.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -7,6 +7,7 @@
 from twisted.python.failure import Failure
 
 from tests.test_sidecar import Network, entry, told
+from thymeknot import interface as i
 from thymeknot.protocol import discovery, http, platform
 from thymeknot.service import configuration
 
@@ -300,6 +301,86 @@
             self.assertLess(self.asked(2), most)
 
 
+class BadInput(WithNetwork):
+    def ends(self, port, *said):
+        """These bytes end the stream that stands, alone, with a reason of bounded length; which is given."""
+        network = self.network = Network(entry("s-1"))
+        kept, lines = {2: network.sidecar.watch, 3: network.sidecar.stream}[port], []
+        kept.log = lambda event, **fields: lines.append((event, fields["reason"]))
+        stream, held = self.connected(port, SIGN[port]), (network.sidecar.listed, network.sidecar.news)
+        other = self.connected(5 - port, SIGN[5 - port])
+        for one in said:
+            if not stream.transport.disconnected:
+                stream.dataReceived(one)
+        self.assertTrue(stream.transport.disconnected, said[0][:200])
+        self.assertEqual([event for event, _ in lines], ["stream ended"])
+        self.assertRegex(lines[0][1], "^unreadable: .{5,}")
+        self.assertLessEqual(len(lines[0][1]), 200)
+        self.assertEqual(((network.sidecar.listed, network.sidecar.news), network.faults), (held, []))
+        self.assertFalse(other.transport.disconnected)
+        return lines[0][1]
+
+    def test_floods_end_their_stream_at_a_bound(self):
+        for port in (2, 3):
+            for flood, times in ((chunk(b"x" * 65536), 70), (b"1" * 4096, 5), (b"1;" + b"x" * 4096, 5),
+                                 (chunk(b"data: " + b"x" * 60_000 + b"\n"), 3)):
+                self.ends(port, *[flood] * times)
+
+    def test_sizes_that_are_none_end_it(self):
+        for size in (b"", b"-1", b"+1", b"0x1", b"1_0", b"zz", b" 1", b"fffffff", b"f" * 9, b"\xb2", b"1;"[1:]):
+            self.ends(2, size + b"\r\n")
+
+    def test_heads_that_are_none_end_their_connection(self):
+        for head in (b"HTTP/1.1 \xb2\xb2\xb2 X", b"HTTP/1.1 " + b"9" * 5000 + b" X",
+                     b"HTTP/1.1 200 OK\r\nContent-Length: \xb2", b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000,
+                     b"HTTP/1.1 200 OK\r\nContent-Length: 1_0", b"x" * 20_000):
+            with self.assertRaises(http.Malformed, msg=head[:60]):
+                list(http.Parser().feed(head + b"\r\n\r\n"))
+
+    def test_numbers_in_a_list_that_no_pod_has_end_its_stream_and_change_nothing(self):
+        for key, values in (("weight", ("1e300", "5e-324", "-1", "0", "1e999", "NaN", "true", '"1"', "null")),
+                            ("started_ms", ("-1", "1e300", "1e999", "true", '"0"', "999999999999999999")),
+                            ("image_id", ("-1", "1.5", "true", "99999999999999999999")),
+                            ("cell", ("1.5", "true", '"3"')),
+                            ("addr", ('"127.0.0.1:0"', '"127.0.0.1:65536"', '"127.0.0.1:\u00b2"', '":7"', "5"))):
+            for value in values:
+                one = '{"id":"s-2","addr":"127.0.0.1:7","state":"Ready"}'.replace('"addr":"127.0.0.1:7",', "") \
+                    if key == "addr" else '{"id":"s-2","addr":"127.0.0.1:7","state":"Ready"}'
+                text = '{"version":9,"full":true,"servers":[%s]}\n' % one.replace("}", f',"{key}":{value}}}')
+                reason = self.ends(2, chunk(text.encode()))
+                self.assertTrue(f"servers.0.{key}" in reason or "no JSON" in reason, (key, value, reason))
+        for version in ("true", "-1", "1.5", "null", "99999999999999999999"):
+            self.ends(2, chunk(b'{"version":%s,"full":true,"servers":[]}\n' % version.encode()))
+        for full in ("1", '"yes"', "null"):
+            self.ends(2, chunk(b'{"version":9,"full":%s,"servers":[]}\n' % full.encode()))
+        self.ends(2, chunk(b'{"version":9,"servers":[{"state":"%s"}]}\n' % (b"x" * 99_999)))
+
+    def test_numbers_in_news_and_counts_that_make_no_sense_end_their_stream(self):
+        good = {"progress": {"version": 42, "step": 1, "status": "trial", "maxWeight": 0.5, "observedAgoMs": 5},
+                "metrics": {"version": 41, "kind": "read", "requests": 9, "failures": 1, "avgMs": 2,
+                            "observedAgoMs": 5}}
+        odd = ("-1", "nan", "inf", "-inf", "1e300", "", "x", "9" * 5000)
+        for event, fields in good.items():
+            for name in fields.keys() - {"status", "kind"}:
+                for value in odd:
+                    data = "&".join(f"{key}={value if key == name else one}" for key, one in fields.items())
+                    reason = self.ends(3, chunk(f"event: {event}\ndata: {data}\n\n".encode()))
+                    self.assertIn(name, reason)
+            self.ends(3, chunk(f"event: {event}\ndata: {'a=1&' * 200}\n\n".encode()))
+
+    def test_counts_of_which_none_came_back_have_no_mean(self):
+        told = "version=42&kind=read&requests=3&failures=3&avgMs=nan&observedAgoMs=5"
+        self.assertEqual(platform.read_event("metrics", told), i.Tally(42, "read", 3, 3, 0, 50))
+
+    def test_an_event_without_an_end_is_bounded(self):
+        events, fed = http.EventStream(), 0
+        with self.assertRaisesRegex(http.Malformed, "event without an end"):
+            while fed < 10 * http.MOST_EVENT:
+                list(events.feed(b"data: x\n"))
+                fed += 8
+        self.assertLessEqual(fed, http.MOST_EVENT + 16)
+
+
 class Indented(WithNetwork):
     def test_a_list_on_several_lines_is_taken_as_soon_as_it_is_whole_however_it_is_split(self):
         for indent in (None, 0, 1, 4):
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -10,6 +10,8 @@
 from . import http
 from .reached import NOT_CONNECTED, Broken, WholeWriter
 
+MOST_REASON = 200           # characters: what could not be read may be long
+
 
 class Reply(NamedTuple):
     status: int
@@ -21,7 +23,7 @@
 
     def __init__(self, request):
         self.request, self.done, self.connector = request, Deferred(), None
-        self.parser, self.status, self.body = http.Parser(), 0, []
+        self.parser, self.status, self.body = http.Parser(), 0, bytearray()
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -30,19 +32,21 @@
     def dataReceived(self, data):
         try:
             for part in self.parser.feed(data):
+                if self.done is None:
+                    return
                 self._part(part)
         except Exception as error:  # what can't be read ends this connection alone
-            self._finish(self.how_far(f"unreadable: {error}"))
+            self._finish(self.how_far(f"unreadable: {error}"[:MOST_REASON]))
 
     def _part(self, part):
         if isinstance(part, http.Head):
             self.status = part.status
         elif isinstance(part, http.Body):
-            self.body.append(bytes(part.content))
-            if sum(map(len, self.body)) > http.MOST_BODY:
+            self.body += part.content
+            if len(self.body) > http.MOST_BODY:
                 raise http.Malformed("an answer that is too large")
         else:
-            self._finish(Reply(self.status, b"".join(self.body)))
+            self._finish(Reply(self.status, bytes(self.body)))
 
     def dial_late(self):
         if self.transport is None and self.done is not None:
@@ -99,7 +103,7 @@
                 if isinstance(part, http.Body) and self.read(part.content):
                     self.owner.heard(self)
         except Exception as error:  # what can't be read ends this connection alone
-            self.owner.ended(self, f"unreadable: {error}", how=getattr(error, "how", LOST))
+            self.owner.ended(self, f"unreadable: {error}"[:MOST_REASON], how=getattr(error, "how", LOST))
             self.drop()
 
     def connectionLost(self, reason):
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -18,6 +18,9 @@
 # Until the first word, by whether lists are asked for: an agent on the same machine answers at once; a service that all
 # ask may have a call wait for some 2 s before it answers or refuses, and one given up sooner was paid for in vain.
 FIRST_WORD = {False: 5_000, True: 30_000}
+# Weights are divided by and added up: one pod must not hide all others. Times are Unix time in milliseconds.
+WEIGHTS, LATEST, MOST_VERSION = (1e-6, 1e6), 10 ** 14, 2 ** 63 - 1
+ADDRESS, MOST_PORT = re.compile(r"\S+:([0-9]{1,5})"), 65_535
 CONDITIONS = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
 
 # Of a line of JSON: its strings; what stands outside of them in no JSON; what opens and closes.
@@ -68,14 +71,19 @@
         raise Unreadable(f"{key}.state is not known: {value['state']!r}")
     condition = CONDITIONS[value["state"]]
     address = read("addr", str, "" if condition == i.GONE else None)
-    if condition != i.GONE and not address.rpartition(":")[2].isdigit():
+    found = ADDRESS.fullmatch(address)
+    if condition != i.GONE and not (found and 0 < int(found[1]) <= MOST_PORT):
         raise Unreadable(f"{key}.addr is no address with a port")
-    if not read("weight", (int, float), 1.0) > 0:
-        raise Unreadable(f"{key}.weight is not above 0")
-    started = read("started_ms", (int, float), 0)
-    pod = i.Pod(read("id", str), read("zone", str, ""), float(read("weight", (int, float), 1.0)),
-                int(read("cell", int, 0)), condition, int(started * 10) - epoch if started else 0,
-                read("kind", str, ""), int(read("image_id", int, 0)))
+
+    def number(name, kinds, least, most, default=0):
+        found = read(name, kinds, default)
+        if not least <= found <= most:
+            raise Unreadable(f"{key}.{name} is not from {least} to {most}")
+        return found
+    started = number("started_ms", (int, float), 0, LATEST)
+    pod = i.Pod(read("id", str), read("zone", str, ""), float(number("weight", (int, float), *WEIGHTS, 1.0)),
+                read("cell", int, 0), condition, int(started * 10) - epoch if started else 0,
+                read("kind", str, ""), number("image_id", int, 0, MOST_VERSION))
     return pod, address
 
 
@@ -83,11 +91,14 @@
     """A Listing of a list's object. epoch: Unix time less the sidecar's clock, in tenths of a millisecond."""
     if not isinstance(value, dict) or not isinstance(value.get("servers"), list):
         raise Unreadable("servers is missing or no list")
-    if not isinstance(value.get("version"), int):
-        raise Unreadable("version is missing or no whole number")
+    version, whole = value.get("version"), value.get("full", False)
+    if type(version) is not int or not 0 <= version <= MOST_VERSION:
+        raise Unreadable("version is missing or no whole number from 0 on")
+    if type(whole) is not bool:
+        raise Unreadable("full is neither true nor false")
     entries = [_entry(entry, at, epoch) for at, entry in enumerate(value["servers"])]
-    kind = kind or (i.WHOLE if value.get("full") else i.CHANGES)
-    return Listing(value["version"], i.PodList(kind, tuple(pod for pod, _ in entries)),
+    kind = kind or (i.WHOLE if whole else i.CHANGES)
+    return Listing(version, i.PodList(kind, tuple(pod for pod, _ in entries)),
                    {pod.address: address for pod, address in entries if address})
 
 
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -1,10 +1,14 @@
 """HTTP/1.1 as a client reads it: an incremental parser of answers with chunks and event streams. Pure."""
 
+import re
 from typing import NamedTuple
 from urllib.parse import urlencode
 
 NO_BODY = (204, 304)
 FIELDS = ("", "event", "data", "id", "retry")  # of an event; the nameless one is a comment
+MOST_EVENT = 64 * 1024
+STATUS, LENGTH = re.compile(r"[0-9]{3}"), re.compile(r"[0-9]{1,10}")
+SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}[ \t]*")  # of a chunk; int() would take more than HTTP has
 MOST_HEAD, MOST_LINE, MOST_BODY = 16 * 1024, 4 * 1024 * 1024, 4 * 1024 * 1024  # 5,000 pods, indented by 4: 1.45 MB
 
 
@@ -63,7 +67,7 @@
             return None, at
         first, *lines = buffer[at:end].decode("latin-1").split("\r\n")
         words = first.split(" ", 2)
-        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
+        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not STATUS.fullmatch(words[1]):
             raise Malformed("no status line")
         headers = {name.strip().lower(): text.strip()
                    for name, _, text in (line.partition(":") for line in lines)}
@@ -75,7 +79,7 @@
         if length is None:
             self.state = self._until_closed
             return [head], after
-        if not length.isdigit() or int(length) > MOST_BODY:
+        if not LENGTH.fullmatch(length) or int(length) > MOST_BODY:
             raise Malformed("a length that is no number, or too large")
         self.left, self.state = int(length), self._sized
         return [head], after
@@ -98,14 +102,14 @@
         return [Body(part)], at + len(part)
 
     def _chunk(self, buffer, at):
-        line, after = self._line(buffer, at, MOST_LINE)
+        line, after = self._line(buffer, at, MOST_HEAD)
         if line is None:
             return None, at
-        try:
-            self.left = int(line.partition(b";")[0], 16)
-        except ValueError:
-            raise Malformed("a chunk without a size") from None
-        if not 0 <= self.left <= MOST_BODY:
+        size = line.partition(b";")[0]
+        if not SIZE.fullmatch(size):
+            raise Malformed("a chunk without a size")
+        self.left = int(size, 16)
+        if self.left > MOST_BODY:
             raise Malformed("a chunk that is too large")
         self.state = self._in_chunk if self.left else self._trailer
         return [], after
@@ -125,7 +129,7 @@
         return [Body(part)], at + len(part)
 
     def _trailer(self, buffer, at):
-        line, after = self._line(buffer, at, MOST_LINE)
+        line, after = self._line(buffer, at, MOST_HEAD)
         if line is None:
             return None, at
         if line:
@@ -157,15 +161,18 @@
     """The events of a text/event-stream: (event, data) pairs. A line with only a colon is a sign of life."""
 
     def __init__(self):
-        self.lines, self.event, self.data = Lines(), "message", []
+        self.lines, self.event, self.data, self.size = Lines(MOST_EVENT), "message", [], 0
 
     def feed(self, content):
         for line in self.lines.feed(content):
             if not line:
                 if self.data:
                     yield self.event, "\n".join(self.data)
-                self.event, self.data = "message", []
+                self.event, self.data, self.size = "message", [], 0
                 continue
+            self.size += len(line) + 1
+            if self.size > MOST_EVENT:
+                raise Malformed("an event without an end")
             name, _, text = line.decode("utf-8", "replace").partition(":")
             if name not in FIELDS:
                 raise Malformed("a line that is no field of an event")
--- a/thymeknot/protocol/platform.py
+++ b/thymeknot/protocol/platform.py
@@ -13,6 +13,7 @@
 SIGN_OF_LIFE = 10_000       # tenths of a millisecond
 SILENCE = 4 * SIGN_OF_LIFE
 FIRST_WORD = 2 * SIGN_OF_LIFE  # how the newest build stands is told at once; if not, the first sign has come by then
+MOST_TIME, MOST_WHOLE, MOST_FIELDS = 10 ** 13, 2 ** 53, 100  # milliseconds; of what floats hold exactly
 VERDICTS = {i.NO_VOTE: "abstain", i.ON: "promote", i.HOLD: "pause", i.BACK: "abort"}
 PHASES = {"trial": i.ON_TRIAL, "rolling_back": i.GOING_BACK, "released": i.RELEASED, "withdrawn": i.WITHDRAWN}
 # What came back from a call (status, code) -> what it means for a vote. Missing: it may count.
@@ -44,7 +45,17 @@
 
 
 def _tenths(milliseconds):
-    return int(float(milliseconds) * 10)
+    value = float(milliseconds)
+    if not 0 <= value <= MOST_TIME:
+        raise ValueError(milliseconds)
+    return int(value * 10)
+
+
+def _whole(text):
+    value = int(text)
+    if not 0 <= value <= MOST_WHOLE:
+        raise ValueError(text)
+    return value
 
 
 def _share(text):
@@ -56,19 +67,20 @@
 
 def read_news(told, answers_vote=False):
     """News of the names and values that tell how the newest build stands."""
-    build, stage = _read(told, "version", int), _read(told, "step", int)
+    build, stage = _read(told, "version", _whole), _read(told, "step", _whole)
     phase, cap = _read(told, "status", PHASES.__getitem__), _read(told, "maxWeight", _share)
     return i.News(build, stage, phase, answers_vote, i.DONE, cap, _read(told, "observedAgoMs", _tenths))
 
 
 def read_event(event, data):
     """News or a Tally of an event of the stream; None for a kind that is not known."""
-    told = dict(parse_qsl(data, keep_blank_values=True))
+    told = dict(parse_qsl(data, keep_blank_values=True, max_num_fields=MOST_FIELDS))
     if event == "progress":
         return read_news(told)
     if event == "metrics":
-        return i.Tally(_read(told, "version", int), _read(told, "kind", str), _read(told, "requests", int),
-                       _read(told, "failures", int), _read(told, "avgMs", _tenths),
+        counted, failed = _read(told, "requests", _whole), _read(told, "failures", _whole)
+        latency = _read(told, "avgMs", _tenths) if failed < counted else 0  # of none there is no mean
+        return i.Tally(_read(told, "version", _whole), _read(told, "kind", str), counted, failed, latency,
                        _read(told, "observedAgoMs", _tenths))
     return None
 
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -13,7 +13,7 @@
 from .memory.pools import Pools
 from .memory.slots import Slots
 from .protocol import discovery, http, platform, resp
-from .protocol.calls import Caller, KeptStream, Reply
+from .protocol.calls import MOST_REASON, Caller, KeptStream, Reply
 from .protocol.client import ClientConnection
 from .protocol.pod import Answer
 from .protocol.reached import WRITTEN, Broken, nothing_waits
@@ -439,15 +439,16 @@
 
     def _fetch(self, action):
         fetched = self.discovery.call(discovery.fetch(self.discovery.host), self.terms.vote_wait)
-        fetched.addCallback(self._fetched)
+        fetched.addCallback(self._fetched, self.discovery.address)
 
-    def _fetched(self, end):
+    def _fetched(self, end, source):
+        """source: the address that was asked; meanwhile another one may be."""
         try:
             if not isinstance(end, Reply) or end.status != 200:
-                raise discovery.Unreadable(str(end))
-            self._listing(discovery.read_json(end.body, self.epoch), self.discovery.address)
-        except discovery.Unreadable as error:
-            logs.log("list not fetched", error=str(error))
+                raise discovery.Unreadable(f"status {end.status}" if isinstance(end, Reply) else end.reason)
+            self._listing(discovery.read_json(end.body, self.epoch), source)
+        except Exception as error:  # the decisions are owed one answer, whatever came
+            logs.log("list not fetched", error=str(error)[:MOST_REASON])
             self.tell(i.PodList(i.MISSED, ()))
 
     # The platform.
