A list fetched at a former address is no news of the present one; ends of calls under test

Cause: Sidecar._fetched counted what came back for the address of the moment: a call that was out while SIGHUP moved discovery replaced the list of the new address, and its version made the next whole list there an older one. (The decisions ask for no such call today.)

Change: such an answer is a call that missed. Tests of how calls end: a vote out while the platform moves, what comes after an end, two answers in one read, bodies without a length, deadlines of dials, places of calls.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -1,9 +1,10 @@
 """What ends while something is still owed, on the streams and calls: silence, late dials, moves, bad input."""
 
 import json
+import tracemalloc
 import unittest
 
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
 from tests.test_sidecar import Network, entry, told
@@ -381,6 +382,143 @@
         self.assertLessEqual(fed, http.MOST_EVENT + 16)
 
 
+class Calls(WithNetwork):
+    NEWS = (b'<?xml version="1.0"?><Response><entries><item><version>41</version><step>1</step><status>released'
+            b"</status><maxWeight>1</maxWeight><observedAgoMs>310</observedAgoMs></item></entries></Response>")
+
+    def setUp(self):
+        super().setUp()
+        self.heard, sidecar = [], self.network.sidecar
+        sidecar.balancer.handle = lambda now, events: self.heard.extend(events) or []
+
+    def vote(self):
+        self.network.sidecar._vote(i.Vote(41, 1, i.BACK))
+
+    def outcomes(self):
+        return [event.outcome for event in self.heard if type(event) is i.News and event.answers_vote]
+
+    def written(self, port=3):
+        call = self.connected(port)
+        call.resumeProducing()
+        return call
+
+    def sized(self, body, status=200):
+        return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+    def test_a_vote_out_while_the_platform_moves_ends_once_and_leaves_the_new_address_alone(self):
+        for end, outcome in (("answer", i.DONE), ("reset", i.EXPIRED), ("nothing", i.EXPIRED), ("no dial", i.ERROR)):
+            self.setUp()
+            former = self.network.sidecar.platform
+            self.vote()
+            dialled = self.last(3)
+            call = None if end == "no dial" else self.written()
+            Moves.move(self, self.network, platform=9)
+            self.vote()
+            self.assertEqual((former.out, self.network.sidecar.platform.out, self.asked(9)), (1, 1, 2))
+            if end == "answer":
+                call.dataReceived(self.sized(self.NEWS))
+                self.assertTrue(call.transport.disconnected)
+            elif end == "reset":
+                call.connectionLost(Failure(ConnectionLost()))
+            elif end == "no dial":
+                self.network.refuse(dialled)
+            else:
+                self.pass_on(1.3)
+                self.assertTrue(call.transport.disconnected)
+                call.dataReceived(self.sized(self.NEWS))
+            self.assertEqual((self.outcomes()[0], former.out), (outcome, 0), end)
+            self.assertEqual(len(self.outcomes()), 1)
+
+    def test_what_comes_after_the_end_of_a_call_is_nothing(self):
+        for before, after in ((b"", self.sized(self.NEWS)), (self.sized(self.NEWS)[:60], self.sized(self.NEWS)[60:])):
+            self.setUp()
+            self.vote()
+            call = self.written()
+            call.dataReceived(before)
+            self.pass_on(1.3)
+            self.assertEqual(self.outcomes(), [i.EXPIRED])
+            call.dataReceived(after)
+            call.connectionLost(Failure(ConnectionDone()))
+            self.assertEqual((self.outcomes(), self.network.sidecar.platform.out), ([i.EXPIRED], 0))
+
+    def test_two_answers_in_one_read_are_one(self):
+        self.vote()
+        call = self.written()
+        call.dataReceived(self.sized(b"<Error><Code>throttled</Code></Error>", 400) + self.sized(self.NEWS))
+        self.assertEqual(self.outcomes(), [i.FULL])
+
+    def test_an_answer_without_a_length_is_whole_only_where_the_peer_ends_it(self):
+        for end, cut, outcome in ((ConnectionDone, 0, i.DONE), (ConnectionLost, 0, i.EXPIRED),
+                                  (ConnectionDone, 60, i.EXPIRED)):
+            self.setUp()
+            self.vote()
+            call = self.written()
+            call.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n" + self.NEWS[:len(self.NEWS) - cut])
+            self.assertEqual(self.outcomes(), [])
+            call.connectionLost(Failure(end()))
+            self.assertEqual((self.outcomes(), self.network.faults), ([outcome], []))
+
+    def test_an_answer_with_a_length_that_ends_before_it_may_count(self):
+        self.vote()
+        call = self.written()
+        call.dataReceived(self.sized(self.NEWS)[:-9])
+        call.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual(self.outcomes(), [i.EXPIRED])
+
+    def test_no_deadline_of_a_call_or_a_dial_is_left_or_acts_on_what_came_up(self):
+        self.vote()
+        call, stream = self.written(), self.connected(2, SIGN[2])
+        places = self.last(3), self.last(2)
+        call.dataReceived(self.sized(self.NEWS))
+        self.pass_on(0.3)
+        live = self.network.sidecar.deadlines.live.values()
+        self.assertEqual([due for due, _ in live if getattr(due, "__self__", None) in (call, stream)], [])
+        self.assertEqual([self.network.reactor.connectors[at].stoppedConnecting for at in places], [False, False])
+        self.assertFalse(stream.transport.disconnected)
+
+    def test_more_calls_than_fit_never_ran_and_their_places_come_back(self):
+        for _ in range(20):
+            self.vote()
+        self.assertEqual(self.outcomes(), [i.ERROR] * 4)
+        self.pass_on(0.3)
+        for at, connector in enumerate(self.network.reactor.connectors):
+            if connector.stoppedConnecting and self.network.reactor.tcpClients[at][1] == 3:
+                self.network.refuse(at)
+        self.assertEqual((self.outcomes(), self.network.sidecar.platform.out), ([i.ERROR] * 20, 0))
+
+    def test_a_body_in_slices_of_a_byte_costs_its_length(self):
+        self.vote()
+        call = self.written()
+        call.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n")
+        tracemalloc.start()
+        for _ in range(10_000):
+            call.dataReceived(b"x")
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        self.assertLess(held, 100_000)
+
+    def test_a_list_that_was_fetched_is_answered_once_whatever_comes(self):
+        for said, kind in ((self.sized(listed(9, "s-2")), i.WHOLE), (self.sized(listed(3, "s-2")), i.MISSED),
+                           (self.sized(b"noise"), i.MISSED), (self.sized(b"", 503), i.MISSED),
+                           (self.sized(listed(9, "s-2").replace(b"}]", b',"started_ms":1e300}]')), i.MISSED),
+                           (b"noise\r\n\r\n", i.MISSED)):
+            self.setUp()
+            self.network.sidecar._fetch(i.FetchList())
+            self.written(2).dataReceived(said)
+            self.assertEqual([event.kind for event in self.heard if type(event) is i.PodList], [kind], said[:60])
+
+    def test_one_fetched_at_a_former_address_changes_nothing_there(self):
+        self.network.sidecar._fetch(i.FetchList())
+        call = self.written(2)
+        Moves.move(self, self.network, discovery=8)
+        stream = self.connected(8, listed(3, "s-2"))
+        call.dataReceived(self.sized(listed(9, "s-3")))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+        stream.dataReceived(chunk(listed(4, "s-4")))
+        self.assertEqual((list(self.network.sidecar.listed), stream.transport.disconnected), (["s-4"], False))
+        self.assertEqual([event.kind for event in self.heard if type(event) is i.PodList], [i.WHOLE, i.MISSED, i.WHOLE])
+
+
 class Indented(WithNetwork):
     def test_a_list_on_several_lines_is_taken_as_soon_as_it_is_whole_however_it_is_split(self):
         for indent in (None, 0, 1, 4):
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -442,8 +442,10 @@
         fetched.addCallback(self._fetched, self.discovery.address)
 
     def _fetched(self, end, source):
-        """source: the address that was asked; meanwhile another one may be."""
+        """source: the address that was asked. What a former one answers late is no news of the present one."""
         try:
+            if source != self.discovery.address:
+                raise discovery.Unreadable("asked at a former address")
             if not isinstance(end, Reply) or end.status != 200:
                 raise discovery.Unreadable(f"status {end.status}" if isinstance(end, Reply) else end.reason)
             self._listing(discovery.read_json(end.body, self.epoch), source)
