--- /dev/null
+++ b/tests/test_ends_streams.py
@@ -0,0 +1,570 @@
+"""What ends while something is still owed, on the streams and calls: silence, late dials, moves, bad input."""
+
+import json
+import tracemalloc
+import unittest
+
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.python.failure import Failure
+
+from tests.test_sidecar import Network, entry, told
+from thymeknot import interface as i
+from thymeknot.protocol import discovery, http, platform
+from thymeknot.service import configuration
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SIGN = {2: b"\n", 3: b":\n"}  # of life, by the port that stands for discovery and for the platform
+
+
+def chunk(content):
+    return b"%x\r\n%s\r\n" % (len(content), content)
+
+
+def listed(version, *names, indent=None, full=True):
+    return json.dumps({"version": version, "full": full, "servers": [entry(name) for name in names]},
+                      indent=indent).encode() + b"\n"
+
+
+class WithNetwork(unittest.TestCase):
+    def setUp(self):
+        self.network = Network(entry("s-1"))
+        self.kept = {2: self.network.sidecar.watch, 3: self.network.sidecar.stream}
+
+    def pass_on(self, seconds):
+        """So much time, in steps of 10 ms; each due deadline looks at what has come first, so the loop turns twice."""
+        for _ in range(round(seconds * 100)):
+            self.network.reactor.advance(0.01)
+            self.network.reactor.advance(0)
+
+    def asked(self, port):
+        return [to for _, to, *_ in self.network.reactor.tcpClients].count(port)
+
+    def last(self, port):
+        """The place of the last dial to this port."""
+        return max(at for at, (_, to, *_) in enumerate(self.network.reactor.tcpClients) if to == port)
+
+    def connected(self, port, *chunks):
+        stream = self.network.connect(self.last(port))
+        if chunks:
+            stream.dataReceived(HEAD + b"".join(map(chunk, chunks)))
+        return stream
+
+    def until_asked(self, port, most):
+        """The seconds until this port is dialled again; a failure after so many."""
+        before, now = self.asked(port), self.network.reactor.seconds
+        began = now()
+        while self.asked(port) == before:
+            self.assertLess(now() - began, most, "it was not asked for again")
+            self.pass_on(0.01)
+        return now() - began
+
+
+class SignsOfLife(WithNetwork):
+    def test_half_a_line_that_never_ends_is_silence(self):
+        for port in (2, 3):
+            stream, began = self.connected(port, SIGN[port]), self.network.reactor.seconds()
+            while self.asked(port) == 1 and self.network.reactor.seconds() < began + 12:
+                stream.dataReceived(chunk(b" " if port == 2 else b":"))
+                self.pass_on(0.5)
+            self.assertLess(self.network.reactor.seconds() - began, 5.1, port)
+
+    def test_lines_of_an_object_that_never_ends_are_silence(self):
+        stream, began = self.connected(2, SIGN[2], b'{"version":9,"full":true,"servers":[\n'), 0
+        while self.asked(2) == 1 and began < 12:
+            stream.dataReceived(chunk(b'{"id":"s-2"},\n'))
+            self.pass_on(0.5)
+            began += 0.5
+        self.assertLess(began, 5.1)
+
+    def test_whole_lines_are_life(self):
+        streams = {port: self.connected(port, SIGN[port]) for port in (2, 3)}
+        for _ in range(15):
+            self.pass_on(1)
+            for port, stream in streams.items():
+                stream.dataReceived(chunk(SIGN[port]))
+        self.assertEqual((self.asked(2), self.asked(3)), (1, 1))
+
+    def test_one_that_first_says_nonsense_does_not_take_the_place_of_the_one_that_stands(self):
+        for port in (2, 3):
+            old = self.connected(port, SIGN[port])
+            self.until_asked(port, 10)
+            new = self.connected(port, b"noise\n")
+            self.assertEqual((new.transport.disconnected, old.transport.disconnected), (True, False))
+            self.assertIs(self.kept[port].stream, old)
+
+    def test_what_one_that_was_given_up_still_says_is_not_heard(self):
+        old = self.connected(2, SIGN[2])
+        self.until_asked(2, 10)
+        new = self.connected(2, listed(9, "s-2"))
+        self.assertTrue(old.transport.disconnected)
+        self.pass_on(2)
+        heard = self.kept[2].last
+        old.dataReceived(chunk(listed(10, "s-3")))
+        self.assertEqual((self.kept[2].stream, self.kept[2].last), (new, heard))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_a_dial_that_comes_up_after_it_was_given_up_ends_at_once_and_asks_nothing(self):
+        for port in (2, 3):
+            first = self.last(port)
+            self.pass_on(0.3)
+            self.assertTrue(self.network.reactor.connectors[first].stoppedConnecting)
+            self.network.refuse(first)
+            late = self.network.connect(first)
+            self.assertEqual((late.transport.disconnected, late.transport.value()), (True, b""))
+
+    def test_why_a_stream_ended_is_said(self):
+        for said, reason in ((HEAD.replace(b"200", b"503"), "status 503"), (HEAD + b"0\r\n\r\n", "the answer ended"),
+                             (HEAD + chunk(b"noise\n"), "unreadable: no JSON"), (b"noise\r\n\r\n", "no status line")):
+            network, lines = Network(entry("s-1")), []
+            network.sidecar.watch.log = lambda event, lines=lines, **fields: lines.append((event, fields["reason"]))
+            stream = network.connect(0)
+            stream.dataReceived(said)
+            self.assertTrue(stream.transport.disconnected)
+            self.assertEqual(len(lines), 1)
+            self.assertIn(reason, lines[0][1])
+
+
+class Silence(WithNetwork):
+    def test_it_is_seen_early_enough_whatever_the_moment_of_the_last_word(self):
+        for port, silence, most in ((2, discovery.SILENCE, 4.51), (3, platform.SILENCE, 4.01)):
+            for words in range(40):  # the last word comes at another moment of what was looked at before
+                self.network = Network(entry("s-1"))
+                stream = self.connected(port, SIGN[port])
+                for _ in range(words):
+                    self.pass_on(0.13)
+                    stream.dataReceived(chunk(SIGN[port]))
+                self.assertAlmostEqual(self.until_asked(port, most + 0.02), silence / 10_000, delta=0.03)
+
+    def test_one_failed_dial_and_the_answer_fit_in_before_what_is_missed_counts_as_told(self):
+        for draw in (0.0, 0.5, 0.999):
+            network = self.network = Network(entry("s-1"))
+            network.sidecar.watch.pace.draw = lambda draw=draw: draw
+            self.connected(2, listed(8, "s-1"))
+            began = network.reactor.seconds()
+            self.until_asked(2, 6)
+            failed = self.last(2)
+            self.pass_on(0.26)
+            self.assertTrue(network.reactor.connectors[failed].stoppedConnecting)
+            network.refuse(failed)
+            self.until_asked(2, 1)
+            self.connected(2, listed(9, "s-2"))
+            self.assertEqual(list(network.sidecar.listed), ["s-2"])
+            self.assertLess(network.reactor.seconds() - began, 5.75)
+
+    def test_of_streams_that_come_and_go_one_look_ahead_is_left(self):
+        for _ in range(50):
+            for port in (2, 3):
+                self.connected(port, SIGN[port], b"noise\n")
+                self.until_asked(port, 9)
+        live = self.network.sidecar.deadlines.live.values()
+        self.assertLessEqual(len([call for call, _ in live if call.__name__ in ("_look", "_watch")]), 2)
+
+
+class FirstWord(WithNetwork):
+    def test_one_that_connects_and_says_nothing_is_replaced_in_time_for_the_list(self):
+        for draw in (0.0, 0.999):
+            self.network = Network(entry("s-1"))
+            self.network.sidecar.watch.pace.draw = lambda draw=draw: draw
+            self.connected(2, listed(8, "s-1"))
+            began = self.network.reactor.seconds()
+            self.until_asked(2, 6)
+            silent = self.connected(2)
+            self.until_asked(2, 6)
+            self.assertTrue(silent.transport.disconnected)
+            self.connected(2, listed(9, "s-2"))
+            self.assertLess(self.network.reactor.seconds() - began, 5.9)
+            self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_who_is_slow_gets_twice_as_long_each_time_and_the_word_makes_it_usual(self):
+        for port, waits in ((2, (0.5, 1, 2, 4, 4.5, 4.5)), (3, (2, 4, 4, 4))):
+            for wait in waits:
+                stream = self.connected(port)
+                self.pass_on(wait - 0.02)
+                self.assertFalse(stream.transport.disconnected, (port, wait))
+                self.until_asked(port, 1)
+                self.assertTrue(stream.transport.disconnected)
+            self.connected(port, SIGN[port])
+            self.assertEqual(self.kept[port].quiet, 0)
+
+    def test_a_service_that_all_ask_has_the_time_that_a_call_may_wait_there(self):
+        self.network = Network(entry("s-1"), asked_for=True)
+        self.pass_on(1)
+        stream = self.connected(2)
+        self.pass_on(2.9)
+        self.assertFalse(stream.transport.disconnected)
+        self.pass_on(0.2)
+        self.assertTrue(stream.transport.disconnected)
+
+    def test_its_word_just_in_time_leaves_no_deadline_that_ends_it(self):
+        stream = self.connected(2)
+        self.pass_on(0.49)
+        stream.dataReceived(HEAD + chunk(SIGN[2]))
+        self.pass_on(4.4)
+        self.assertEqual((stream.transport.disconnected, self.asked(2)), (False, 1))
+
+
+class Moves(WithNetwork):
+    def move(self, network, discovery=2, platform=3):
+        """A new configuration with these ports."""
+        changed = told(entry("s-1"))
+        changed["discovery"], changed["deployer"]["address"] = f"127.0.0.1:{discovery}", f"127.0.0.1:{platform}"
+        network.sidecar.reconfigure(configuration.read(changed, 0))
+
+    def test_refusals_of_a_former_address_do_not_slow_the_asking_at_a_new_one(self):
+        for asked_for in (False, True):
+            self.network = Network(entry("s-1"), asked_for=asked_for)
+            for port in (2, 3):
+                for _ in range(4):
+                    self.until_asked(port, 9) if self.last_ended(port) else self.pass_on(0.1)
+                    self.connected(port).dataReceived(HEAD.replace(b"200", b"503"))
+            self.move(self.network, 8, 9)
+            for port in (8, 9):
+                for _ in range(3):  # not there yet
+                    self.network.refuse(self.last(port))
+                    self.assertLess(self.until_asked(port, 4), 0.85)
+
+    def last_ended(self, port):
+        kept = {2: self.network.sidecar.watch, 3: self.network.sidecar.stream}[port]
+        return kept.asked is None
+
+    def test_a_new_address_that_is_silent_first_and_refuses_next_is_heard_within_four_seconds(self):
+        for draw in (0.0, 0.999):
+            self.network = Network(entry("s-1"))
+            self.network.sidecar.watch.pace.draw = lambda draw=draw: draw
+            old = self.connected(2, listed(8, "s-1"))
+            self.move(self.network, 8)
+            began = self.network.reactor.seconds()
+            silent = self.connected(8)
+            self.until_asked(8, 2)
+            self.assertTrue(silent.transport.disconnected)
+            self.network.refuse(self.last(8))
+            self.until_asked(8, 2)
+            self.assertFalse(old.transport.disconnected)
+            old.dataReceived(chunk(SIGN[2]))
+            self.connected(8, listed(3, "s-2"))
+            self.assertEqual((list(self.network.sidecar.listed), old.transport.disconnected), (["s-2"], True))
+            self.assertLess(self.network.reactor.seconds() - began, 3)
+
+    def test_what_is_asked_for_at_the_former_address_ends_with_the_move(self):
+        self.pass_on(0.05)
+        asked = self.connected(2)
+        self.move(self.network, 8)
+        self.assertTrue(asked.transport.disconnected)
+        asked.dataReceived(HEAD + chunk(listed(9, "s-9")))
+        asked.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual((list(self.network.sidecar.listed), self.asked(8)), (["s-1"], 1))
+
+    def test_while_the_agent_is_silent_there_is_always_one_that_it_can_answer(self):
+        for _ in range(200):  # 20 s of a discovery that is down: each connection comes up and is silent
+            if self.kept[2].asked.transport is None:
+                stream = self.connected(2)
+            self.pass_on(0.1)
+            self.assertIsNotNone(self.kept[2].asked)
+        self.assertLess(self.asked(2), 9)
+        stream = self.connected(2) if self.kept[2].asked.transport is None else stream
+        stream.dataReceived(HEAD + chunk(listed(9, "s-2")))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+
+class Doubts(WithNetwork):
+    def test_an_older_list_is_believed_soon_whatever_the_peer_refused_before(self):
+        for asked_for, most in ((False, 1.1), (True, 0.85)):
+            self.network = Network(entry("s-1"), asked_for=asked_for)
+            self.pass_on(0.1)
+            for _ in range(5):
+                self.connected(2).dataReceived(HEAD.replace(b"200", b"503"))
+                self.until_asked(2, 9)
+            stream = self.connected(2, listed(3, "s-2"))
+            self.assertEqual((list(self.network.sidecar.listed), stream.transport.disconnected), (["s-1"], True))
+            self.assertLess(self.until_asked(2, 9), most)
+            self.connected(2, listed(3, "s-2"))
+            self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_also_where_the_dial_between_the_two_fails(self):
+        stream, began = self.connected(2, listed(3, "s-2")), self.network.reactor.seconds()
+        self.assertTrue(stream.transport.disconnected)
+        self.until_asked(2, 2)
+        self.network.refuse(self.last(2))
+        self.until_asked(2, 2)
+        self.connected(2, listed(3, "s-2"))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+        self.assertLess(self.network.reactor.seconds() - began, 2.1)
+
+    def test_an_empty_list_is_asked_for_less_often_where_a_service_is_shared(self):
+        for asked_for, most in ((False, 45), (True, 8)):
+            self.network = Network(entry("s-1"), asked_for=asked_for)
+            self.pass_on(0.1)
+            for _ in range(200):
+                if self.network.sidecar.watch.asked and self.network.sidecar.watch.asked.transport is None:
+                    self.connected(2, listed(9))
+                self.pass_on(0.1)
+            self.assertEqual(list(self.network.sidecar.listed), ["s-1"])
+            self.assertLess(self.asked(2), most)
+
+
+class BadInput(WithNetwork):
+    def ends(self, port, *said):
+        """These bytes end the stream that stands, alone, with a reason of bounded length; which is given."""
+        network = self.network = Network(entry("s-1"))
+        kept, lines = {2: network.sidecar.watch, 3: network.sidecar.stream}[port], []
+        kept.log = lambda event, **fields: lines.append((event, fields["reason"]))
+        stream, held = self.connected(port, SIGN[port]), (network.sidecar.listed, network.sidecar.news)
+        other = self.connected(5 - port, SIGN[5 - port])
+        for one in said:
+            if not stream.transport.disconnected:
+                stream.dataReceived(one)
+        self.assertTrue(stream.transport.disconnected, said[0][:200])
+        self.assertEqual([event for event, _ in lines], ["stream ended"])
+        self.assertRegex(lines[0][1], "^unreadable: .{5,}")
+        self.assertLessEqual(len(lines[0][1]), 200)
+        self.assertEqual(((network.sidecar.listed, network.sidecar.news), network.faults), (held, []))
+        self.assertFalse(other.transport.disconnected)
+        return lines[0][1]
+
+    def test_floods_end_their_stream_at_a_bound(self):
+        for port in (2, 3):
+            for flood, times in ((chunk(b"x" * 65536), 70), (b"1" * 4096, 5), (b"1;" + b"x" * 4096, 5),
+                                 (chunk(b"data: " + b"x" * 60_000 + b"\n"), 3)):
+                self.ends(port, *[flood] * times)
+
+    def test_sizes_that_are_none_end_it(self):
+        for size in (b"", b"-1", b"+1", b"0x1", b"1_0", b"zz", b" 1", b"fffffff", b"f" * 9, b"\xb2", b"1;"[1:]):
+            self.ends(2, size + b"\r\n")
+
+    def test_heads_that_are_none_end_their_connection(self):
+        for head in (b"HTTP/1.1 \xb2\xb2\xb2 X", b"HTTP/1.1 " + b"9" * 5000 + b" X",
+                     b"HTTP/1.1 200 OK\r\nContent-Length: \xb2", b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000,
+                     b"HTTP/1.1 200 OK\r\nContent-Length: 1_0", b"x" * 20_000):
+            with self.assertRaises(http.Malformed, msg=head[:60]):
+                list(http.Parser().feed(head + b"\r\n\r\n"))
+
+    def test_numbers_in_a_list_that_no_pod_has_end_its_stream_and_change_nothing(self):
+        for key, values in (("weight", ("1e300", "5e-324", "-1", "0", "1e999", "NaN", "true", '"1"', "null")),
+                            ("started_ms", ("-1", "1e300", "1e999", "true", '"0"', "999999999999999999")),
+                            ("image_id", ("-1", "1.5", "true", "99999999999999999999")),
+                            ("cell", ("1.5", "true", '"3"')),
+                            ("addr", ('"127.0.0.1:0"', '"127.0.0.1:65536"', '"127.0.0.1:\u00b2"', '":7"', "5"))):
+            for value in values:
+                one = '{"id":"s-2","addr":"127.0.0.1:7","state":"Ready"}'.replace('"addr":"127.0.0.1:7",', "") \
+                    if key == "addr" else '{"id":"s-2","addr":"127.0.0.1:7","state":"Ready"}'
+                text = '{"version":9,"full":true,"servers":[%s]}\n' % one.replace("}", f',"{key}":{value}}}')
+                reason = self.ends(2, chunk(text.encode()))
+                self.assertTrue(f"servers.0.{key}" in reason or "no JSON" in reason, (key, value, reason))
+        for version in ("true", "-1", "1.5", "null", "99999999999999999999"):
+            self.ends(2, chunk(b'{"version":%s,"full":true,"servers":[]}\n' % version.encode()))
+        for full in ("1", '"yes"', "null"):
+            self.ends(2, chunk(b'{"version":9,"full":%s,"servers":[]}\n' % full.encode()))
+        self.ends(2, chunk(b'{"version":9,"servers":[{"state":"%s"}]}\n' % (b"x" * 99_999)))
+
+    def test_numbers_in_news_and_counts_that_make_no_sense_end_their_stream(self):
+        good = {"progress": {"version": 42, "step": 1, "status": "trial", "maxWeight": 0.5, "observedAgoMs": 5},
+                "metrics": {"version": 41, "kind": "read", "requests": 9, "failures": 1, "avgMs": 2,
+                            "observedAgoMs": 5}}
+        odd = ("-1", "nan", "inf", "-inf", "1e300", "", "x", "9" * 5000)
+        for event, fields in good.items():
+            for name in fields.keys() - {"status", "kind"}:
+                for value in odd:
+                    data = "&".join(f"{key}={value if key == name else one}" for key, one in fields.items())
+                    reason = self.ends(3, chunk(f"event: {event}\ndata: {data}\n\n".encode()))
+                    self.assertIn(name, reason)
+            self.ends(3, chunk(f"event: {event}\ndata: {'a=1&' * 200}\n\n".encode()))
+
+    def test_counts_of_which_none_came_back_have_no_mean(self):
+        told = "version=42&kind=read&requests=3&failures=3&avgMs=nan&observedAgoMs=5"
+        self.assertEqual(platform.read_event("metrics", told), i.Tally(42, "read", 3, 3, 0, 50))
+
+    def test_an_event_without_an_end_is_bounded(self):
+        events, fed = http.EventStream(), 0
+        with self.assertRaisesRegex(http.Malformed, "event without an end"):
+            while fed < 10 * http.MOST_EVENT:
+                list(events.feed(b"data: x\n"))
+                fed += 8
+        self.assertLessEqual(fed, http.MOST_EVENT + 16)
+
+
+class Calls(WithNetwork):
+    NEWS = (b'<?xml version="1.0"?><Response><entries><item><version>41</version><step>1</step><status>released'
+            b"</status><maxWeight>1</maxWeight><observedAgoMs>310</observedAgoMs></item></entries></Response>")
+
+    def setUp(self):
+        super().setUp()
+        self.heard, sidecar = [], self.network.sidecar
+        sidecar.balancer.handle = lambda now, events: self.heard.extend(events) or []
+
+    def vote(self):
+        self.network.sidecar._vote(i.Vote(41, 1, i.BACK))
+
+    def outcomes(self):
+        return [event.outcome for event in self.heard if type(event) is i.News and event.answers_vote]
+
+    def written(self, port=3):
+        call = self.connected(port)
+        call.resumeProducing()
+        return call
+
+    def sized(self, body, status=200):
+        return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+    def test_a_vote_out_while_the_platform_moves_ends_once_and_leaves_the_new_address_alone(self):
+        for end, outcome in (("answer", i.DONE), ("reset", i.EXPIRED), ("nothing", i.EXPIRED), ("no dial", i.ERROR)):
+            self.setUp()
+            former = self.network.sidecar.platform
+            self.vote()
+            dialled = self.last(3)
+            call = None if end == "no dial" else self.written()
+            Moves.move(self, self.network, platform=9)
+            self.vote()
+            self.assertEqual((former.out, self.network.sidecar.platform.out, self.asked(9)), (1, 1, 2))
+            if end == "answer":
+                call.dataReceived(self.sized(self.NEWS))
+                self.assertTrue(call.transport.disconnected)
+            elif end == "reset":
+                call.connectionLost(Failure(ConnectionLost()))
+            elif end == "no dial":
+                self.network.refuse(dialled)
+            else:
+                self.pass_on(1.3)
+                self.assertTrue(call.transport.disconnected)
+                call.dataReceived(self.sized(self.NEWS))
+            self.assertEqual((self.outcomes()[0], former.out), (outcome, 0), end)
+            self.assertEqual(len(self.outcomes()), 1)
+
+    def test_what_comes_after_the_end_of_a_call_is_nothing(self):
+        for before, after in ((b"", self.sized(self.NEWS)), (self.sized(self.NEWS)[:60], self.sized(self.NEWS)[60:])):
+            self.setUp()
+            self.vote()
+            call = self.written()
+            call.dataReceived(before)
+            self.pass_on(1.3)
+            self.assertEqual(self.outcomes(), [i.EXPIRED])
+            call.dataReceived(after)
+            call.connectionLost(Failure(ConnectionDone()))
+            self.assertEqual((self.outcomes(), self.network.sidecar.platform.out), ([i.EXPIRED], 0))
+
+    def test_two_answers_in_one_read_are_one(self):
+        self.vote()
+        call = self.written()
+        call.dataReceived(self.sized(b"<Error><Code>throttled</Code></Error>", 400) + self.sized(self.NEWS))
+        self.assertEqual(self.outcomes(), [i.FULL])
+
+    def test_an_answer_without_a_length_is_whole_only_where_the_peer_ends_it(self):
+        for end, cut, outcome in ((ConnectionDone, 0, i.DONE), (ConnectionLost, 0, i.EXPIRED),
+                                  (ConnectionDone, 60, i.EXPIRED)):
+            self.setUp()
+            self.vote()
+            call = self.written()
+            call.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n" + self.NEWS[:len(self.NEWS) - cut])
+            self.assertEqual(self.outcomes(), [])
+            call.connectionLost(Failure(end()))
+            self.assertEqual((self.outcomes(), self.network.faults), ([outcome], []))
+
+    def test_an_answer_with_a_length_that_ends_before_it_may_count(self):
+        self.vote()
+        call = self.written()
+        call.dataReceived(self.sized(self.NEWS)[:-9])
+        call.connectionLost(Failure(ConnectionDone()))
+        self.assertEqual(self.outcomes(), [i.EXPIRED])
+
+    def test_no_deadline_of_a_call_or_a_dial_is_left_or_acts_on_what_came_up(self):
+        self.vote()
+        call, stream = self.written(), self.connected(2, SIGN[2])
+        places = self.last(3), self.last(2)
+        call.dataReceived(self.sized(self.NEWS))
+        self.pass_on(0.3)
+        live = self.network.sidecar.deadlines.live.values()
+        self.assertEqual([due for due, _ in live if getattr(due, "__self__", None) in (call, stream)], [])
+        self.assertEqual([self.network.reactor.connectors[at].stoppedConnecting for at in places], [False, False])
+        self.assertFalse(stream.transport.disconnected)
+
+    def test_more_calls_than_fit_never_ran_and_their_places_come_back(self):
+        for _ in range(20):
+            self.vote()
+        self.assertEqual(self.outcomes(), [i.ERROR] * 4)
+        self.pass_on(0.3)
+        for at, connector in enumerate(self.network.reactor.connectors):
+            if connector.stoppedConnecting and self.network.reactor.tcpClients[at][1] == 3:
+                self.network.refuse(at)
+        self.assertEqual((self.outcomes(), self.network.sidecar.platform.out), ([i.ERROR] * 20, 0))
+
+    def test_a_body_in_slices_of_a_byte_costs_its_length(self):
+        self.vote()
+        call = self.written()
+        call.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n")
+        tracemalloc.start()
+        for _ in range(10_000):
+            call.dataReceived(b"x")
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        self.assertLess(held, 100_000)
+
+    def test_a_list_that_was_fetched_is_answered_once_whatever_comes(self):
+        for said, kind in ((self.sized(listed(9, "s-2")), i.WHOLE), (self.sized(listed(3, "s-2")), i.MISSED),
+                           (self.sized(b"noise"), i.MISSED), (self.sized(b"", 503), i.MISSED),
+                           (self.sized(listed(9, "s-2").replace(b"}]", b',"started_ms":1e300}]')), i.MISSED),
+                           (b"noise\r\n\r\n", i.MISSED)):
+            self.setUp()
+            self.network.sidecar._fetch(i.FetchList())
+            self.written(2).dataReceived(said)
+            self.assertEqual([event.kind for event in self.heard if type(event) is i.PodList], [kind], said[:60])
+
+    def test_one_fetched_at_a_former_address_changes_nothing_there(self):
+        self.network.sidecar._fetch(i.FetchList())
+        call = self.written(2)
+        Moves.move(self, self.network, discovery=8)
+        stream = self.connected(8, listed(3, "s-2"))
+        call.dataReceived(self.sized(listed(9, "s-3")))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+        stream.dataReceived(chunk(listed(4, "s-4")))
+        self.assertEqual((list(self.network.sidecar.listed), stream.transport.disconnected), (["s-4"], False))
+        self.assertEqual([event.kind for event in self.heard if type(event) is i.PodList], [i.WHOLE, i.MISSED, i.WHOLE])
+
+
+class Indented(WithNetwork):
+    def test_a_list_on_several_lines_is_taken_as_soon_as_it_is_whole_however_it_is_split(self):
+        for indent in (None, 0, 1, 4):
+            for step in (1, 7, 100_000):
+                network = Network(entry("s-1", zone='a"}[\\'))
+                stream, body = network.connect(0), listed(9, "s-2", "s-3", indent=indent)
+                stream.dataReceived(HEAD)
+                for at in range(0, len(body), step):
+                    self.assertEqual(list(network.sidecar.listed), ["s-1"])
+                    stream.dataReceived(chunk(body[at:at + step]))
+                self.assertEqual(list(network.sidecar.listed), ["s-2", "s-3"])
+                stream.dataReceived(chunk(b"\n" + listed(10, "s-4", indent=2) + b"\n\n" + listed(11, "s-5")))
+                self.assertEqual((list(network.sidecar.listed), network.sidecar.version), (["s-5"], 11))
+                self.assertFalse(stream.transport.disconnected)
+
+    def test_brackets_and_quotes_in_strings_and_shapes_of_the_page(self):
+        odd = {"version": 9, "full": True, "servers": [entry("s-2", zone='}]"{[\\', kind='\\"')]}
+        for text in (json.dumps(odd, indent=2), '{"version":9,"full":true,"servers":[\n  {"id":"s-2","addr":"h:7",'
+                     '"state":"Ready","weight":1.5e0,"cell":-1}]}', '{\n\n"version":9,"full":true,"servers":[]}'):
+            lists = discovery.Lists()
+            found = list(lists.feed(text.encode() + b"\r\n\n"))
+            self.assertEqual(found, [json.loads(text), None])
+
+    def test_nonsense_ends_it_with_its_line(self):
+        for text in (b"noise\n", b'{"version":9]\n', b'{"version":9,\n"servers":[}\n', b'{\nnoise\n', b'{"a\n', b"}\n",
+                     b'{"version":\n}\n', b'[\n', b'{\n}}\n', b'{"a":1}{"b":2}\n', b'{\n"a":1\n}{\n'):
+            with self.assertRaises(discovery.Unreadable, msg=text):
+                list(discovery.Lists().feed(text))
+
+    def test_a_list_without_an_end_is_bounded(self):
+        lists, line, fed = discovery.Lists(), b'"' + b"x" * 60_000 + b'":1,\n', 0
+        list(lists.feed(b"{\n"))
+        with self.assertRaisesRegex(discovery.Unreadable, "too long"):
+            while fed < 2 * http.MOST_LINE:
+                list(lists.feed(line))
+                fed += len(line)
+        self.assertLessEqual(fed, http.MOST_LINE)
+
+    def test_a_list_of_five_thousand_pods_is_taken_on_one_line_or_indented(self):
+        names = [f"s-{at}" for at in range(5000)]
+        for indent in (None, 4):
+            body, lists, found = listed(9, *names, indent=indent), discovery.Lists(), []
+            for at in range(0, len(body), 65536):
+                found += lists.feed(body[at:at + 65536])
+            self.assertEqual([len(one["servers"]) for one in found], [5000])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -6,10 +6,12 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from ..asking.pace import LOST, REFUSED, Pace
+from ..asking.pace import LONGEST, LONGEST_FREE, LOST, REFUSED, Pace
 from . import http
 from .reached import NOT_CONNECTED, Broken, WholeWriter
 
+MOST_REASON = 200           # characters: what could not be read may be long
+
 
 class Reply(NamedTuple):
     status: int
@@ -21,7 +23,7 @@
 
     def __init__(self, request):
         self.request, self.done, self.connector = request, Deferred(), None
-        self.parser, self.status, self.body = http.Parser(), 0, []
+        self.parser, self.status, self.body = http.Parser(), 0, bytearray()
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -30,19 +32,21 @@
     def dataReceived(self, data):
         try:
             for part in self.parser.feed(data):
+                if self.done is None:
+                    return
                 self._part(part)
         except Exception as error:  # what can't be read ends this connection alone
-            self._finish(self.how_far(f"unreadable: {error}"))
+            self._finish(self.how_far(f"unreadable: {error}"[:MOST_REASON]))
 
     def _part(self, part):
         if isinstance(part, http.Head):
             self.status = part.status
         elif isinstance(part, http.Body):
-            self.body.append(bytes(part.content))
-            if sum(map(len, self.body)) > http.MOST_BODY:
+            self.body += part.content
+            if len(self.body) > http.MOST_BODY:
                 raise http.Malformed("an answer that is too large")
         else:
-            self._finish(Reply(self.status, b"".join(self.body)))
+            self._finish(Reply(self.status, bytes(self.body)))
 
     def dial_late(self):
         if self.transport is None and self.done is not None:
@@ -71,7 +75,8 @@
 
 
 class Stream(Protocol):
-    """Asks once and hands on what comes until the connection ends; writes nothing more."""
+    """Asks once and hands on what comes until the connection ends; writes nothing more. read(content) tells whether a
+    sign of life was in it: a byte is none, since half a line may never end."""
 
     def __init__(self, request, read, owner):
         self.request, self.read, self.owner = request, read, owner
@@ -79,21 +84,26 @@
         self.caller, self.asked_at = owner.caller, owner.deadlines.clock()
 
     def connectionMade(self):
+        if not self.owner.has(self):  # given up while it was on its way
+            return self.transport.abortConnection()
+        self.owner.connected(self)
         self.transport.setTcpNoDelay(True)
         self.transport.write(self.request)
 
     def dataReceived(self, data):
         try:
             for part in self.parser.feed(data):
+                if not self.owner.has(self):
+                    return self.drop()
                 if isinstance(part, http.Head):
                     self.good = part.status == 200
                 if not self.good or isinstance(part, http.End):
+                    self.owner.ended(self, "the answer ended" if self.good else f"status {part.status}")
                     return self.drop()
-                if isinstance(part, http.Body):
+                if isinstance(part, http.Body) and self.read(part.content):
                     self.owner.heard(self)
-                    self.read(part.content)
         except Exception as error:  # what can't be read ends this connection alone
-            self.owner.ended(self, f"unreadable: {error}", how=getattr(error, "how", LOST))
+            self.owner.ended(self, f"unreadable: {error}"[:MOST_REASON], how=getattr(error, "how", LOST))
             self.drop()
 
     def connectionLost(self, reason):
@@ -165,15 +175,21 @@
 class KeptStream:
     """Keeps one stream standing: asks again, spread by chance, when it ends or falls silent.
 
+    One that connects and says nothing for as long as a first word takes (first, or silence) is given up, and the next
+    one gets twice as long, up to silence: who is slow is heard in the end. Where asking is free the next one is asked
+    for at once: none stands beside it that could bring what comes when the peer speaks again.
+
     A silent one, or one at a former address, is kept until the one that was asked for beside it speaks: a link that
     was cut may come back, and what is told meanwhile may not be told again. ask() gives the bytes to ask with,
     reader() what reads a stream. How long it waits between two askings is Pace's: a service that takes so many calls
     from all answers nobody while each asks again in a second."""
 
-    def __init__(self, caller, chance, silence, ask, reader, log):
-        self.caller, self.deadlines, self.silence, self.pace = caller, caller.deadlines, silence, Pace(chance.draw)
+    def __init__(self, caller, chance, silence, ask, reader, log, first=None, free=False):
+        self.first, self.quiet, self.due = first or silence, 0, None  # quiet: how many in a row said nothing
+        self.caller, self.deadlines, self.silence, self.free = caller, caller.deadlines, silence, free
+        self.pace = Pace(chance.draw, LONGEST_FREE if free else LONGEST)
         self.ask, self.reader, self.log = ask, reader, log
-        self.stream, self.asked, self.last, self.again = None, None, 0, None
+        self.stream, self.asked, self.last, self.again, self.look = None, None, 0, None, None
 
     def start_among(self, asking):
         """Asks for the first time when so many others may do the same."""
@@ -184,17 +200,25 @@
         self.again = None
         asked = self.asked = Stream(self.ask(), self.reader(), self)
         asked.connector = self.caller.dial(asked, asked.not_connected, asked.dial_late)
-        self.deadlines.add(self.deadlines.clock() + self.silence, self._still_asked, asked)
+
+    def connected(self, asked):
+        within = min(self.first << min(self.quiet, 10), max(self.first, self.silence))
+        self.deadlines.cancel(self.due)
+        self.due = self.deadlines.add(self.deadlines.clock() + within, self._still_asked, asked)
 
     def move(self, caller):
-        """Asks at another address, now and from now on."""
-        self.caller, asked, self.asked = caller, self.asked, None
+        """Asks at another address, now and from now on; what was refused at the former one counts no more."""
+        self.pace = Pace(self.pace.draw, self.pace.longest)
+        self.caller, asked, self.asked, self.quiet = caller, self.asked, None, 0
         if asked:
             asked.drop()
         if self.again is not None:
             self.deadlines.cancel(self.again)
         self.start()
 
+    def has(self, stream):
+        return stream is self.stream or stream is self.asked
+
     def _stands(self):
         """Whether nothing has to be asked for: the stream is at the present address and speaks."""
         return (self.stream is not None and self.stream.caller is self.caller
@@ -202,9 +226,11 @@
 
     def heard(self, stream):
         former, self.last = self.stream, self.deadlines.clock()
+        if self.look is None:  # one look ahead, whatever streams come and go
+            self.look = self.deadlines.add(self.last + self.silence, self._look)
+        self.quiet = 0 if stream.caller is self.caller else self.quiet
         if stream is self.asked:
             self.stream, self.asked = stream, None
-            self._watch(stream)
             if former:
                 former.drop()
         elif stream is former and self.asked and self._stands():
@@ -213,7 +239,7 @@
 
     def ended(self, stream, reason, how=REFUSED):
         """how: REFUSED where the peer ended it; no connection, silence and what is spoilt are LOST."""
-        if stream is None or stream not in (self.stream, self.asked):
+        if not self.has(stream):
             return
         now = self.deadlines.clock()
         wait = self.pace.ended(how, now - stream.asked_at if stream is self.stream else 0)
@@ -230,16 +256,22 @@
         if not self.asked and not self._stands():
             self.start()
 
-    def _watch(self, stream):
-        if stream is not self.stream:
+    def _look(self):
+        """At the moment from which the last word is too long ago; each later word moves it."""
+        self.look, ends = None, self.last + self.silence
+        if self.stream is None:
             return
-        now = self.deadlines.clock()
-        if now >= self.last + self.silence and not self.asked and self.again is None:
-            self.log("stream silent", address=stream.caller.host)
+        if self.deadlines.clock() < ends:
+            self.look = self.deadlines.add(ends, self._look)
+        elif not self.asked and self.again is None:
+            self.log("stream silent", address=self.stream.caller.host)
             self.start()
-        self.deadlines.add(max(self.last + self.silence, now + self.silence // 2), self._watch, stream)
 
     def _still_asked(self, asked):
         if asked is self.asked:
+            self.quiet += 1
             self.ended(asked, "says nothing", how=LOST)
             asked.drop()
+            if self.free:
+                self.deadlines.cancel(self.again)
+                self._ask()
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -1,26 +1,46 @@
 """Discovery's lists and changes, its words to ours."""
 
+import re
 from typing import NamedTuple
 
 import orjson
 
 from .. import interface as i
-from ..asking.pace import REFUSED
+from ..asking.pace import REFUSED, STOOD
 from . import http
 
 PATH = "/v1/servers"
 SIGN_OF_LIFE = 20_000       # tenths of a millisecond: an empty line comes as often while nothing changes
-SILENCE = 3 * SIGN_OF_LIFE
+# What a silent watch misses counts as told 6 s after it fell silent, which may be just after its last word. Two missed
+# signs, and a quarter of one for a sign that comes late, leave 1.5 s for a dial that does not come up (some 0.25 s),
+# the wait after it (0.8 s at most) and the next dial and its answer.
+SILENCE = 2 * SIGN_OF_LIFE + SIGN_OF_LIFE // 4
+# Until the first word, by whether lists are asked for: an agent on the same machine answers at once; a service that all
+# ask may have a call wait for some 2 s before it answers or refuses, and one given up sooner was paid for in vain.
+FIRST_WORD = {False: 5_000, True: 30_000}
+# Weights are divided by and added up: one pod must not hide all others. Times are Unix time in milliseconds.
+WEIGHTS, LATEST, MOST_VERSION = (1e-6, 1e6), 10 ** 14, 2 ** 63 - 1
+ADDRESS, MOST_PORT = re.compile(r"\S+:([0-9]{1,5})"), 65_535
 CONDITIONS = {"Ready": i.READY, "Terminating": i.DRAINING, "Gone": i.GONE}
 
+# Of a line of JSON: its strings; what stands outside of them in no JSON; what opens and closes.
+STRINGS, BRACKETS = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"'), re.compile(rb"[][{}]")
+NO_JSON = re.compile(rb"[^][{}\s\d:,.+eEtrufalsn-]")
+CLOSERS = {b"{": b"}", b"[": b"]"}
+
 
 class Unreadable(ValueError):
     """What came is no list. The text names the faulty key."""
 
 
 class Unbelieved(Unreadable):
-    """A list that reads well and would take all that is known. The peer is asked again less and less often."""
-    how = REFUSED
+    """A list that reads well and would take all that is known. One that names nobody is never believed, and the peer is
+    asked again less and less often. An older one is believed if it comes again, and all that it tells counts as told
+    meanwhile: the peer is asked as if its stream had stood."""
+
+    def __init__(self, doubt, names):
+        super().__init__(doubt)
+        self.how = STOOD if names else REFUSED
 
 
 class Listing(NamedTuple):
@@ -51,14 +71,19 @@
         raise Unreadable(f"{key}.state is not known: {value['state']!r}")
     condition = CONDITIONS[value["state"]]
     address = read("addr", str, "" if condition == i.GONE else None)
-    if condition != i.GONE and not address.rpartition(":")[2].isdigit():
+    found = ADDRESS.fullmatch(address)
+    if condition != i.GONE and not (found and 0 < int(found[1]) <= MOST_PORT):
         raise Unreadable(f"{key}.addr is no address with a port")
-    if not read("weight", (int, float), 1.0) > 0:
-        raise Unreadable(f"{key}.weight is not above 0")
-    started = read("started_ms", (int, float), 0)
-    pod = i.Pod(read("id", str), read("zone", str, ""), float(read("weight", (int, float), 1.0)),
-                int(read("cell", int, 0)), condition, int(started * 10) - epoch if started else 0,
-                read("kind", str, ""), int(read("image_id", int, 0)))
+
+    def number(name, kinds, least, most, default=0):
+        found = read(name, kinds, default)
+        if not least <= found <= most:
+            raise Unreadable(f"{key}.{name} is not from {least} to {most}")
+        return found
+    started = number("started_ms", (int, float), 0, LATEST)
+    pod = i.Pod(read("id", str), read("zone", str, ""), float(number("weight", (int, float), *WEIGHTS, 1.0)),
+                read("cell", int, 0), condition, int(started * 10) - epoch if started else 0,
+                read("kind", str, ""), number("image_id", int, 0, MOST_VERSION))
     return pod, address
 
 
@@ -66,16 +91,67 @@
     """A Listing of a list's object. epoch: Unix time less the sidecar's clock, in tenths of a millisecond."""
     if not isinstance(value, dict) or not isinstance(value.get("servers"), list):
         raise Unreadable("servers is missing or no list")
-    if not isinstance(value.get("version"), int):
-        raise Unreadable("version is missing or no whole number")
+    version, whole = value.get("version"), value.get("full", False)
+    if type(version) is not int or not 0 <= version <= MOST_VERSION:
+        raise Unreadable("version is missing or no whole number from 0 on")
+    if type(whole) is not bool:
+        raise Unreadable("full is neither true nor false")
     entries = [_entry(entry, at, epoch) for at, entry in enumerate(value["servers"])]
-    kind = kind or (i.WHOLE if value.get("full") else i.CHANGES)
-    return Listing(value["version"], i.PodList(kind, tuple(pod for pod, _ in entries)),
+    kind = kind or (i.WHOLE if whole else i.CHANGES)
+    return Listing(version, i.PodList(kind, tuple(pod for pod, _ in entries)),
                    {pod.address: address for pod, address in entries if address})
 
 
-def read_json(text, epoch):
+class Lists:
+    """The lists of a watch's body, which comes in slices: one JSON object on a line, or indented, on several.
+
+    A line that is JSON costs one reading. Of one that is not, the brackets outside of strings tell whether the object
+    goes on: no string of JSON spans lines. Each line is looked at once, and the whole once it is there."""
+
+    def __init__(self):
+        self.lines, self.begun, self.closers = http.Lines(), None, bytearray()
+
+    def feed(self, content):
+        """The objects that are whole now, and None for each sign of life, an empty line between them."""
+        for line in self.lines.feed(content):
+            if self.begun is not None:
+                yield from self._go_on(line)
+            elif not line.strip():
+                yield None
+            else:
+                try:
+                    yield orjson.loads(line)
+                except orjson.JSONDecodeError as error:
+                    if not line.lstrip().startswith(b"{"):
+                        raise Unreadable(f"no JSON: {error}") from None
+                    yield from self._go_on(line)
+
+    def _go_on(self, line):
+        self.begun = bytearray() if self.begun is None else self.begun
+        self.begun += line + b"\n"
+        if len(self.begun) > http.MOST_LINE:
+            raise Unreadable("a list that is too long")
+        plain = STRINGS.sub(b"", line)
+        if NO_JSON.search(plain):
+            raise Unreadable(f"no JSON: {bytes(line[:50])!r}")
+        for at, bracket in enumerate(BRACKETS.findall(plain)):
+            if bracket in CLOSERS and (self.closers or not at):
+                self.closers += CLOSERS[bracket]
+            elif self.closers[-1:] == bracket:
+                self.closers.pop()
+            else:
+                raise Unreadable(f"no JSON: {bytes(line[:50])!r} closes what is not open")
+        if not self.closers:
+            text, self.begun = self.begun, None
+            yield parse(text)
+
+
+def parse(text):
     try:
-        return read_list(orjson.loads(text), epoch)
+        return orjson.loads(text)
     except orjson.JSONDecodeError as error:
         raise Unreadable(f"no JSON: {error}") from None
+
+
+def read_json(text, epoch):
+    return read_list(parse(text), epoch)
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -13,7 +13,7 @@
 from .memory.pools import Pools
 from .memory.slots import Slots
 from .protocol import discovery, http, platform, resp
-from .protocol.calls import Caller, KeptStream, Reply
+from .protocol.calls import MOST_REASON, Caller, KeptStream, Reply
 from .protocol.client import ClientConnection
 from .protocol.pod import Answer
 from .protocol.reached import WRITTEN, Broken, nothing_waits
@@ -133,10 +133,11 @@
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
                                 lambda: discovery.watch(self.discovery.host, self.version),
-                                self._watch_reader, logs.seldom)
+                                self._watch_reader, logs.seldom, discovery.FIRST_WORD[self.terms.subscribes],
+                                free=not self.terms.subscribes)  # the agent on the same machine
         self.stream = KeptStream(self.platform, chance, platform.SILENCE,
                                  lambda: platform.stream(self.platform.host),
-                                 self._stream_reader, logs.seldom)
+                                 self._stream_reader, logs.seldom, platform.FIRST_WORD)
 
     def _caller(self, address):
         return Caller(self.reactor, self.deadlines, address, self.reach.connect_within)
@@ -434,7 +435,7 @@
         whole, names = listing.pods.kind != i.CHANGES, len(listing.pods.pods)
         doubt = self.belief.doubt(source, listing.version, whole, names, len(self.listed))
         if doubt:
-            raise discovery.Unbelieved(doubt)
+            raise discovery.Unbelieved(doubt, names)
         self.version = listing.version
         before, self.listed = self.listed, dict(self.listed) if listing.pods.kind == i.CHANGES else {}
         changed = set()
@@ -472,12 +473,15 @@
             self.deciding = deciding
 
     def _watch_reader(self):
-        lines, source = http.Lines(), self.discovery.address
+        lists, source = discovery.Lists(), self.discovery.address
 
         def read(content):
-            for line in lines.feed(content):
-                if line.strip():
-                    self._listing(discovery.read_json(line, self.epoch), source)
+            alive = False
+            for told in lists.feed(content):
+                alive = True
+                if told is not None:
+                    self._listing(discovery.read_list(told, self.epoch), source)
+            return alive
         return read
 
     def _subscribe(self, action):
@@ -485,15 +489,18 @@
 
     def _fetch(self, action):
         fetched = self.discovery.call(discovery.fetch(self.discovery.host), self.terms.vote_wait)
-        fetched.addCallback(self._fetched)
+        fetched.addCallback(self._fetched, self.discovery.address)
 
-    def _fetched(self, end):
+    def _fetched(self, end, source):
+        """source: the address that was asked. What a former one answers late is no news of the present one."""
         try:
+            if source != self.discovery.address:
+                raise discovery.Unreadable("asked at a former address")
             if not isinstance(end, Reply) or end.status != 200:
-                raise discovery.Unreadable(str(end))
-            self._listing(discovery.read_json(end.body, self.epoch), self.discovery.address)
-        except discovery.Unreadable as error:
-            logs.log("list not fetched", error=str(error))
+                raise discovery.Unreadable(f"status {end.status}" if isinstance(end, Reply) else end.reason)
+            self._listing(discovery.read_json(end.body, self.epoch), source)
+        except Exception as error:  # the decisions are owed one answer, whatever came
+            logs.log("list not fetched", error=str(error)[:MOST_REASON])
             self.tell(i.PodList(i.MISSED, ()))
 
     # The platform.
@@ -514,6 +521,7 @@
                 told = platform.read_event(event, data)  # what can't be read ends the stream: it is asked for anew
                 if told is not None and (type(told) is i.News or told.lane in self.terms.lanes):
                     self.tell(told)
+            return b"\n" in bytes(content)  # any whole line
         return read
 
     def _vote(self, action):
