--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 lint:
 	(test -d .venv || python3 -m venv .venv) && .venv/bin/pip -q install -r requirements-dev.txt
-	.venv/bin/ruff check thymeknot tests measure
+	.venv/bin/ruff check thymeknot tests measure .ci
 
 run:
 	exec $(PYTHON) -m thymeknot
