A request sent once more under its id gets what its first copy brings, and never runs twice

Cause: sidecar.py, take, refused an id whose first attempt was still out, also where the client of the first copy had gone (its connection closed under a request that it thinks unread, so it sends the same id on a new one): that request was owed an answer and got an error. Where attempts may be recalled, left let the id go at once, and a binding request was sent to a pod a second time (seen: two dials for `pay` and `mark` where one was written whole).

Change: the copy takes over what is out, and gets its answer or its failure; what may have run and was let go is not taken again for as long as its client would have waited. An attempt that was not written whole and was given up may not have run. What is remembered counts against most_open.

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -5,8 +5,10 @@
 import unittest
 
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.error import ConnectionLost
 from twisted.internet.protocol import Factory
 from twisted.internet.tcp import Server
+from twisted.python.failure import Failure
 
 from tests.helpers import command
 from tests.test_sidecar import ANSWER, Network, entry
@@ -248,6 +250,57 @@
         self.assertTrue(network.sidecar.port.on)
 
 
+class Repeated(unittest.TestCase):
+    """A client whose connection was closed under a request sends the same one once more, under the same id."""
+
+    def left(self, lane, written, recalls):
+        network = Network(entry("s-1"), entry("s-2"))
+        network.sidecar.terms = network.sidecar.balancer.terms = network.sidecar.terms._replace(may_recall=recalls)
+        first = network.ask("01", lane=lane)
+        connection = network.connect(network.streams)
+        if written:
+            connection.resumeProducing()
+        first.connectionLost(None)
+        return network, connection, network.ask("01", lane=lane)
+
+    def test_the_copy_gets_what_the_first_one_brings_and_nothing_runs_twice(self):
+        for lane in ("read", "mark", "pay"):
+            network, connection, second = self.left(lane, True, False)
+            self.assertEqual((second.transport.value(), len(network.dialled())), (b"", 1))
+            connection.dataReceived(ANSWER)
+            self.assertEqual(second.transport.value(), b"$1\r\nv\r\n")
+            self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
+
+    def test_or_its_failure(self):
+        network, connection, second = self.left("pay", True, False)
+        connection.connectionLost(Failure(ConnectionLost()))
+        self.assertEqual(second.transport.value(), b"-ERR abandoned\r\n")
+        self.assertEqual((len(network.dialled()), len(network.sidecar.transactions)), (1, 0))
+
+    def test_or_an_answer_at_its_own_end(self):
+        network, _, second = self.left("pay", True, False)
+        network.sidecar._held("01").attempts[0].ends += 10 ** 6
+        network.sidecar.deadlines.cancel(network.sidecar._held("01").attempts[0].deadline)
+        network.reactor.advance(5.1)
+        network.reactor.advance(0)
+        self.assertEqual(second.transport.value(), b"-ERR abandoned\r\n")
+
+    def test_where_the_first_was_recalled_one_that_may_have_run_is_not_run_again_while_it_may_be_asked_for(self):
+        for lane, written, dials in (("read", True, 2), ("pay", False, 2), ("pay", True, 1), ("mark", True, 1)):
+            network, _, second = self.left(lane, written, True)
+            self.assertEqual(len(network.dialled()), dials, (lane, written))
+            self.assertEqual(second.transport.value()[:4], b"-ERR" if dials == 1 else b"")
+            if dials == 1:  # and nothing of it is kept
+                network.reactor.advance(5.1)
+                network.reactor.advance(0)
+                self.assertEqual(network.sidecar.perhaps, set())
+
+    def test_a_copy_while_the_first_ones_client_is_there_is_refused(self):
+        network = Network(entry("s-1"))
+        first, second = network.ask("01"), network.ask("01")
+        self.assertEqual((first.transport.value(), second.transport.value()[:4]), (b"", b"-ERR"))
+
+
 class Leaving(unittest.TestCase):
     def test_those_of_one_client_may_be_removed_and_others_sent_while_it_is_told(self):
         """The walk over what it had goes on over what the decisions change at each."""
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -33,11 +33,12 @@
 class Held:
     """A transaction in hand: whose it is, where its answer belongs, its attempts."""
     __slots__ = ("id", "slot", "command", "connection", "place", "ends", "attempts", "out", "over",
-                 "deadline")
+                 "deadline", "heir")
 
     def __init__(self, name, command, connection, place, ends):
         self.id, self.command, self.connection, self.place, self.ends = name, command, connection, place, ends
         self.slot, self.attempts, self.out, self.over, self.deadline = None, [], 0, False, None
+        self.heir = False       # whether a second copy of it waits for what the first one brings
 
 
 class Attempt:
@@ -111,6 +112,7 @@
         if written:
             self.sidecar.answered_unheard(self)
         self.sidecar.ended(self, outcome or (i.EXPIRED if written else i.UNCONNECTED))
+        self.may_have_run = written
 
 
 class Sidecar:
@@ -121,7 +123,7 @@
         for_pods = int(spare * FOR_PODS)
         self.pools = Pools(reactor, deadlines, self.reach, for_pods, logs.fault)
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
-        self.transactions, self.by_id = Slots(), {}
+        self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
         self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
@@ -302,6 +304,7 @@
                 if self.why is not None:
                     self.why.ended(held.id, self.why.left)
                 self.tell(i.ClientLeft(held.id))
+                self._remember(held)
                 self._let_go(held)
 
     def left(self, connection):
@@ -314,9 +317,9 @@
         name = command.id.decode()
         if command.lane not in self.terms.lanes:
             return connection.answer(place, resp.failure("ERR no such lane"))
-        if name in self.by_id:
-            return connection.answer(place, resp.failure("ERR this id is in hand already"))
-        if len(self.transactions) >= self.reach.most_open:
+        if name in self.by_id or name in self.perhaps:
+            return self._repeated(name, connection, place, command)
+        if len(self.transactions) + len(self.perhaps) >= self.reach.most_open:
             return connection.answer(place, resp.failure(BUSY))
         # Nothing is earned after the lane's outer limit: no client has a transaction held for longer.
         connection.used_at = self.clock()
@@ -333,6 +336,27 @@
             self.why.taken(name, command)
         return self.tell(i.Taken(name, command.lane, command.tenant, key, left, None, command.repeat, False))
 
+    def _repeated(self, name, connection, place, command):
+        """A client whose connection was closed under a request that it thinks unread sends it once more. Where the
+        first copy is out still, what it brings is the answer; where it may have run, it does not run again."""
+        held = self._held(name)
+        if held is None:
+            return connection.answer(place, resp.failure("ERR this id may have run already"))
+        if not held.over or not held.connection.gone or held.command[:3] != command[:3]:
+            return connection.answer(place, resp.failure("ERR this id is in hand already"))
+        now = self.clock()
+        held.connection, held.place, held.over, held.heir = connection, place, False, True
+        held.ends = now + min(command.left * 10, self.terms.lanes[held.command.lane].outer_limit)
+        self.deadlines.cancel(held.deadline)
+        held.deadline = self.deadlines.add(held.ends + OVERDUE, self._overdue, held)
+
+    def _remember(self, held):
+        """What may have run and was let go without an answer is not taken again for as long as it was asked for."""
+        if (self.terms.lanes[held.command.lane].effect != i.RETRIABLE and held.id not in self.perhaps
+                and any(attempt.may_have_run for attempt in held.attempts)):
+            self.perhaps.add(held.id)
+            self.deadlines.add(held.ends, self.perhaps.discard, held.id)
+
     def _held(self, name):
         slot = self.by_id.get(name)
         return None if slot is None else self.transactions.get(slot)
@@ -406,6 +430,8 @@
         event = i.Ended(held.id, outcome, held.over, self.clock() - attempt.at, pod, attempt.number, load)
         if self.gossip is not None and attempt.pod:
             self.gossip.ended(attempt, outcome)
+        if held.heir and not held.out:  # the decisions are done with it
+            self._final(held, ABANDONED)
         self._let_go(held)
         self.tell(event)
         if self.why is not None and held.over and not held.out:
