--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -1,12 +1,17 @@
 """What ends while something is still owed, on the streams and calls: silence, late dials, moves, bad input."""
 
+import contextlib
+import itertools
 import json
+import signal
+import socket
 import tracemalloc
 import unittest
 
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
+from tests.helpers import PATIENCE, PodPeer, Program, until
 from tests.test_sidecar import Network, entry, told
 from thymeknot import interface as i
 from thymeknot.protocol import discovery, http, platform
@@ -566,5 +571,64 @@
             self.assertEqual([len(one["servers"]) for one in found], [5000])
 
 
+class OnSockets(unittest.TestCase):
+    def setUp(self):
+        self.old, self.new = PodPeer(), PodPeer()
+        self.running = Program(self.old.entry("s-1"))
+        self.running.__enter__()
+        for last in (self.running.__exit__, self.old.close, self.new.close):
+            self.addCleanup(last)
+
+    def goes_to_new(self):
+        with self.running.client() as client:
+            number = itertools.count()
+            until(lambda: not self.new.heard.empty(),
+                  lambda: client.ask("SVC.QUERY", "a", f"{next(number)}", "c=read,d=4000"))
+
+    def whole(self, version, **more):
+        return json.dumps({"version": version, "full": True, "servers": [self.new.entry("s-2")]}, **more) + "\n"
+
+    def test_an_indented_list_in_pieces_beside_signs_of_life(self):
+        self.running.discovery.push("\n")
+        text = self.whole(9, indent=4)
+        for at in range(0, len(text), 50):
+            self.running.discovery.push(text[at:at + 50])
+        self.running.discovery.push("\n")
+        self.goes_to_new()
+        self.assertEqual(self.running.discovery.asked.qsize(), 0)
+
+    def test_nonsense_amid_an_indented_list_ends_the_watch_alone_and_says_why(self):
+        self.running.discovery.push('{"version": 9,\n"full": true,\nnoise\n')
+        self.assertIn("noise", self.running.logged("stream ended")["reason"])
+        self.running.discovery.asked.get(timeout=PATIENCE)
+        self.running.discovery.push(self.whole(10))
+        self.goes_to_new()
+
+    def test_dials_that_never_come_up_at_a_new_address_leave_nothing_there(self):
+        """Its queue is full: the machine drops what knocks, until those in the queue are taken."""
+        with socket.socket() as listener, contextlib.ExitStack() as fillers:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            at = listener.getsockname()
+            for _ in range(3):
+                filler = fillers.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(at)
+            self.running.write({**self.running.told, "discovery": "%s:%d" % at})
+            self.running.process.send_signal(signal.SIGHUP)
+            for _ in range(2):
+                self.assertEqual(self.running.logged("stream ended")["address"], "%s:%d" % at)
+            listener.settimeout(PATIENCE)
+            asked = b""
+            while not asked.startswith(b"GET"):  # the fillers' say nothing, and those given up neither
+                connection = fillers.enter_context(listener.accept()[0])
+                connection.settimeout(0.3)
+                with contextlib.suppress(OSError):
+                    asked = connection.recv(4096)
+            body = self.whole(3).encode()
+            connection.sendall(HEAD + chunk(body))
+            self.goes_to_new()
+
+
 if __name__ == "__main__":
     unittest.main()
