--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -12,6 +12,7 @@
 from thymeknot.laboratory.agents import IDLE, Connections, Service
 from thymeknot.memory.deadlines import Deadlines
 from thymeknot.protocol.calls import KeptStream
+from thymeknot.protocol.discovery import FIRST_WORD
 from thymeknot.records import Chance
 
 from .test_sidecar import Network, Transport, entry
@@ -57,7 +58,7 @@
 class Askings(unittest.TestCase):
     def started(self, service, asking, seed):
         stream = KeptStream(service, Chance(seed << 33), 10 ** 9, lambda: b"", lambda: lambda content: True,
-                            lambda *line, **fields: None)
+                            lambda *line, **fields: None, FIRST_WORD[True])
         stream.start_among(asking)
         return stream
 
