A way back that the next drain overtakes does not listen

Cause: sidecar.py, undrain, gave up `drained` at once and listened when the former listener had closed, a turn of the loop later. A drain in that turn found nothing to close, and the listener came up while the sidecar was to be out (seen: it answered PING).

Change: a way back stands until it listens, and a drain ends it. Undone in the middle, what was in hand is answered and new work taken: ruled out as a fault, with a test.

Test: test_a_way_back_that_is_overtaken_by_the_next_drain_does_not_listen, red without the change.

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -183,6 +183,56 @@
         network.step()
         self.assertEqual(all_of(near), PONG * 2)
 
+    def listening(self):
+        network = self.network(entry("s-1"))
+        sidecar, network.reactor.listenTCP = network.sidecar, network.loop.listenTCP
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            sidecar.start = sidecar.start._replace(listen=free.getsockname())
+        sidecar.serve()
+
+        def takes():
+            network.step(9)
+            try:
+                near = socket.create_connection(sidecar.start.listen, timeout=5)
+            except ConnectionRefusedError:
+                return False
+            with near:
+                near.sendall(PING)
+                network.step(9)
+                return near.recv(99) == PONG
+        self.assertTrue(takes())
+        return network, takes
+
+    def test_a_way_back_that_is_overtaken_by_the_next_drain_does_not_listen(self):
+        network, takes = self.listening()
+        said = []
+        network.sidecar.drain(lambda: said.append("empty"))
+        network.sidecar.undrain(lambda: said.append("first back"), said.append)   # its listener is closing still
+        network.sidecar.drain(lambda: said.append("empty again"))
+        self.assertFalse(takes())
+        network.pass_on(1_000)
+        self.assertEqual(said, ["empty again"])
+        network.sidecar.undrain(lambda: said.append("back"), said.append)
+        self.assertTrue(takes())
+        self.assertEqual(said, ["empty again", "back"])
+
+    def test_undone_in_the_middle_what_was_in_hand_is_answered_and_new_work_taken(self):
+        network, takes = self.listening()
+        near = socket.create_connection(network.sidecar.start.listen, timeout=5)
+        self.addCleanup(near.close)
+        near.sendall(query("01"))
+        network.step(9)
+        said = []
+        network.sidecar.drain(lambda: said.append("empty"))
+        network.pass_on(1_000)
+        near.sendall(PING)
+        network.sidecar.undrain(lambda: said.append("back"), said.append)
+        self.assertTrue(takes())
+        network.pass_on(60_000)  # its answer is due by now
+        network.pass_on(2 * LINGERS)
+        self.assertRegex(all_of(near), rb"^-[^\r]*\r\n\+PONG\r\n$")
+        self.assertEqual(said, ["back"])
+
     def test_all_that_the_machine_has_accepted_is_taken_before_the_listener_closes(self):
         network, factory = self.network(), Factory()
         factory.noisy, factory.buildProtocol = False, lambda address: ClientConnection(network.sidecar)
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -127,6 +127,7 @@
         self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
+        self.returning = None       # the way back that is under way, from the end of its listener to the next one
         self.killed = None          # by then the process may be ended from outside, once it was told to stop
         self.gossip = self.why = self.fleet = None  # hear of ends, lists and answers, where an operator's file has them
         self.refusals = Refusals(logs.log)
@@ -180,7 +181,7 @@
     def finish(self, emptied, killed=None):
         """Takes no more: closes each client's connection once it is owed nothing, then calls emptied. killed: the
         moment by which the process may be ended from outside: what is still taken has its answer before that."""
-        self.emptied, self.killed = emptied, killed
+        self.emptied, self.killed, self.returning = emptied, killed, None
         if not self.drained:
             self._accept_all()
             self.drained = maybeDeferred(self.port.stopListening)
@@ -198,18 +199,23 @@
     drain = finish          # for a while: a fleet's permit lets it go out, and `undrain` brings it back
 
     def undrain(self, listens, failed):
-        """Takes new work again, and calls listens(), or failed(why); what was on its way to an end still ends."""
+        """Takes new work again, and calls listens(), or failed(why); what was on its way to an end still ends. Told to
+        go out once more before it listens, it stays out, and calls neither."""
         self.deadlines.cancel(self.finishing)
-        closed, self.drained, self.emptied, self.killed, self.held_off = self.drained, None, None, None, False
+        self.emptied, self.killed, self.held_off = None, None, False
+        returning = self.returning = object()
 
         def closed_before(_):
+            if self.returning is not returning:
+                return None
+            self.drained = None
             try:
                 self.serve()
             except CannotListenError as error:
                 self.drained = succeed(None)
                 return failed(str(error))
             return listens()
-        closed.addCallback(closed_before)
+        self.drained.addCallback(closed_before)
 
     def _finish_clients(self):
         for connection in self.clients:
