An answer within one step of the clock is no mean of nothing

Cause: found by drawing orders of events: balance.py, _judge, began the usual time of a class at a machine with the first outcome's, which is 0 where a pod answers within a tenth of a millisecond; _judge_all divides by it once the usual is settled (ZeroDivisionError, one fault an outcome, and what that outcome proves is lost).

Change: it begins with one tenth at least. No other value changes.

Test: red without the change (ZeroDivisionError).

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -406,6 +406,14 @@
     def test_an_end_without_its_transaction_is_passed_over(self):
         self.assertEqual(balancer().handle(NOW, [ended("unheard-of")]), [])
 
+    def test_an_answer_within_the_clocks_step_is_no_mean_of_nothing(self):
+        made = balancer(told=news())
+        judged(made, i.DONE, "old-1", 60, latency=0)
+        made.usual = dict(made.marks), 50.0, 0.0
+        judged(made, i.DONE, "old-1", 1, latency=0)
+        judged(made, i.DONE, "old-1", 1, latency=500)
+        self.assertEqual(made.usual[0]["read", "std"][1], 60)
+
     def test_a_ring_forgets_in_time(self):
         ring = Ring(SECOND, 10)
         ring.add(NOW, 3)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -208,7 +208,7 @@
             return
         share, build, failed = known.share(self.now, self.terms), known.listed.build, outcome != i.DONE
         cell = tx.lane.name, known.listed.machine
-        mark, settled, mean = self.marks.get(cell, (2.0 * latency, 0, latency))
+        mark, settled, mean = self.marks.get(cell, (2.0 * latency, 0, max(1, latency)))
         way, judging = outcome in (i.RESET, i.UNCONNECTED), self.build in (TRIAL, FREED)
         slow = outcome == i.EXPIRED or (not failed and latency * share > mark)
         if judging and share == 1.0:
