The end of a former address's stream is no refusal of the present one

Cause: KeptStream.ended told Pace of the end of any stream it has. One at a former address, kept until the new one speaks, that is closed within 2 s of its asking counted as a refusal, and each failed dial at the new address then waited up to 3.2 s (8 s after more).

Change: Pace hears of the present address alone.

Measured: where lists are asked for, three refused dials at a new address are each followed within 0.85 s, though both former streams were closed just after the move; without the code the test fails.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -228,6 +228,20 @@
                     self.network.refuse(self.last(port))
                     self.assertLess(self.until_asked(port, 4), 0.85)
 
+    def test_nor_does_its_stream_that_ends_after_the_move(self):
+        self.network = Network(entry("s-1"), asked_for=True)
+        self.pass_on(0.1)
+        for _ in range(2):  # it has only begun when it is closed, which at the present address is a refusal
+            discovery, platform = self.connected(2, SIGN[2]), self.connected(3, SIGN[3])
+            self.move(self.network, 8, 9)
+            for former in (discovery, platform):
+                former.connectionLost(Failure(ConnectionDone()))
+            for port in (8, 9):
+                for _ in range(3):
+                    self.network.refuse(self.last(port))
+                    self.assertLess(self.until_asked(port, 9), 0.85)
+            self.move(self.network)
+
     def last_ended(self, port):
         kept = {2: self.network.sidecar.watch, 3: self.network.sidecar.stream}[port]
         return kept.asked is None
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -242,7 +242,8 @@
         if not self.has(stream):
             return
         now = self.deadlines.clock()
-        wait = self.pace.ended(how, now - stream.asked_at if stream is self.stream else 0)
+        age = now - stream.asked_at if stream is self.stream else 0
+        wait = self.pace.ended(how, age) if stream.caller is self.caller else self.pace.wait()
         self.log("stream ended", address=stream.caller.host, reason=reason, refusals=self.pace.refusals)
         if stream is self.stream:
             self.stream = None
