Signals are heard from the first moment: SIGHUP is remembered, a second SIGTERM is quiet

Cause, in service/life.py: SIGHUP was ignored (SIG_IGN) from the start to the ready line, so a file that was replaced while the former one was read was never read; SIGINT while starting ended in a traceback; SIGTERM between the listener and its handler killed what had just been taken; the handler set SIG_IGN for a second SIGTERM, and one that was under way then made Python write 'Signal 15 ignored due to race condition' with a traceback; SIGHUP after SIGTERM gave the operator's features, which had left, a new file.

Change: class Life. A SIGHUP before it serves is remembered and the file read again once it serves (at once, where the file read meanwhile can't be used). SIGTERM and SIGINT end it by the signal while nothing is open, and take the ordinary way from before the first connection on; a flag holds off the second. While it stops it moves to new addresses (what is in hand is still sent by the list), but its features take up nothing. What can't be served for any reason ends it with status 2.

Measured: tests/test_ends_life.py, with a FIFO as the configuration, passes. With each mend taken out its test failed: not remembered (2 tests), SIGINT left alone, SIG_IGN, features after the end.

--- /dev/null
+++ b/tests/test_ends_life.py
@@ -0,0 +1,170 @@
+"""The program's start and stop while signals come: at named moments, never by waiting."""
+
+import errno
+import json
+import os
+import queue
+import signal
+import threading
+import time
+import unittest
+from unittest import mock
+
+from tests.helpers import PATIENCE, HttpPeer, Program, until
+from tests.test_sockets import READ, WithPods, value
+from thymeknot.service import life
+
+
+class Piped(Program):
+    """The program whose configuration is a FIFO: it reads when the test writes, and the test knows that it reads."""
+
+    def write(self, told):
+        os.mkfifo(self.path)
+
+    def fill(self, content):
+        """Opens for writing once the program has it open to read; its read ends with that file."""
+        opened = []
+
+        def attempt():
+            try:
+                opened.append(os.open(self.path, os.O_WRONLY | os.O_NONBLOCK))
+            except OSError as error:
+                if error.errno != errno.ENXIO:  # nobody reads yet
+                    raise
+                time.sleep(0.005)
+        until(lambda: opened, attempt)
+        target = os.fdopen(opened[0], "wb", buffering=0)
+        target.write(content if isinstance(content, bytes) else json.dumps(content).encode())
+        return target
+
+    def end(self, target):
+        """Ends this read; the next one is of another file, and can't take what is left of this."""
+        os.unlink(self.path)
+        os.mkfifo(self.path)
+        target.close()
+
+    def settled(self):
+        """Once nothing of a signal is pending: what it was sent has been delivered."""
+        def pending():
+            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as source:
+                return [line for line in source if line.startswith(("SigPnd", "ShdPnd")) and int(line.split()[1], 16)]
+        until(lambda: not pending(), lambda: None)
+
+
+class Starting(WithPods):
+    def piped(self, *entries, **more):
+        made = Piped(*entries, **more)
+        self.addCleanup(made.__exit__)
+        return made
+
+    def test_a_sighup_while_the_file_is_read_has_it_read_again_once_it_serves(self):
+        new = HttpPeer()
+        self.addCleanup(new.close)
+        running = self.piped()
+        first = running.fill(running.told)  # the program has it open, and waits for its end
+        running.process.send_signal(signal.SIGHUP)
+        running.settled()
+        running.end(first)
+        running.end(running.fill({**running.told, "discovery": new.address}))  # goes on only where it is read again
+        running.discovery.asked.put("perhaps never")  # it may move before it has asked at the former address
+        running.__enter__()
+        self.assertEqual(running.logged("configuration taken up")["discovery"], new.address)
+        new.asked.get(timeout=PATIENCE)
+
+    def test_a_half_written_file_that_a_sighup_announces_anew_is_read_once_more_at_the_start(self):
+        running = self.piped()
+        half = running.fill(json.dumps(running.told).encode()[:100])
+        running.process.send_signal(signal.SIGHUP)
+        running.settled()
+        running.end(half)
+        running.end(running.fill(running.told))
+        running.__enter__()
+        with running.client() as client:
+            self.assertEqual(client.ask("PING"), b"+PONG")
+
+    def test_sigterm_while_the_file_is_read_ends_it_by_the_signal_without_a_word(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            running = self.piped()
+            target = running.fill(b"{")
+            running.process.send_signal(number)
+            out, error = running.process.communicate(timeout=PATIENCE)
+            target.close()
+            self.assertEqual((running.process.returncode, out, error), (-number, b"", b""))
+
+
+class Stopping(WithPods):
+    def test_sighup_while_it_stops_moves_it_and_what_is_in_hand_is_answered(self):
+        release, new = threading.Event(), HttpPeer()
+        self.addCleanup(new.close)
+
+        def answer(words):
+            release.wait(PATIENCE)
+            return value(words[2])
+        pod = self.pod(answer)
+        running = self.program(pod.entry("s-1"))
+        with running.client() as client:
+            client.send("SVC.QUERY", "a", "01", READ)
+            pod.heard.get(timeout=PATIENCE)
+            running.process.send_signal(signal.SIGTERM)
+            running.logged("stopping")
+            running.write({**running.told, "discovery": new.address})
+            running.process.send_signal(signal.SIGHUP)
+            self.assertEqual(running.logged("configuration taken up")["discovery"], new.address)
+            running.process.send_signal(signal.SIGHUP)
+            running.logged("configuration taken up")
+            with open(running.path, "w", encoding="utf-8") as target:
+                target.write("{")
+            running.process.send_signal(signal.SIGHUP)
+            running.logged("configuration kept")
+            running.process.send_signal(signal.SIGTERM)
+            release.set()
+            self.assertEqual((client.answer(), client.answer()), (b"01", b""))
+        self.assertEqual(running.process.wait(PATIENCE), 0)
+
+    def test_the_features_of_one_that_stops_take_up_no_file(self):
+        for stopping in (False, True):
+            made = life.Life({"NODE_CONFIG": "deploy/example.json"}, None)
+            made.extra, made.sidecar, made.stopping = mock.Mock(), mock.Mock(), stopping
+            with mock.patch.object(life.logs, "log"):
+                made._reconfigure()
+            self.assertEqual((made.extra.reconfigure.call_count, made.sidecar.reconfigure.call_count),
+                             (0 if stopping else 1, 1))
+
+    def test_a_vote_that_is_out_does_not_hold_up_the_end(self):
+        voted, release = queue.Queue(), threading.Event()
+
+        def answer(form):
+            voted.put(form)
+            release.wait(PATIENCE)
+            return 500, b""
+        pod = self.pod(lambda words: b"-ERR failed\r\n" if words[0] == b"SVC.SUBMIT" else value(words[2]))
+        running = self.program(pod.entry("s-1", 42), self.pod().entry("s-2"), answer=answer, news={
+            "version": 42, "step": 0, "status": "trial", "maxWeight": 1.0, "observedAgoMs": 60000})
+        self.addCleanup(release.set)
+        count = iter(range(100_000))
+        with running.client() as client:
+            until(lambda: not voted.empty(), lambda: client.ask("SVC.QUERY", "a", f"{next(count):x}", READ))
+            running.process.send_signal(signal.SIGTERM)
+            running.logged("stopping")
+            self.assertEqual(client.answer(), b"")
+        self.assertEqual(running.process.wait(PATIENCE), 0)
+        self.assertFalse(release.is_set())
+
+    def test_a_half_written_file_is_kept_and_the_whole_one_is_owed_to_the_next_sighup(self):
+        new = HttpPeer()
+        self.addCleanup(new.close)
+        running = self.program()
+        text = json.dumps({**running.told, "discovery": new.address})
+        with open(running.path, "w", encoding="utf-8") as target:
+            target.write(text[:len(text) // 2])
+            target.flush()
+            running.process.send_signal(signal.SIGHUP)
+            self.assertRegex(running.logged("configuration kept")["error"], "^NODE_CONFIG: is no JSON")
+            target.write(text[len(text) // 2:])
+        running.process.send_signal(signal.SIGHUP)
+        self.assertEqual(running.logged("configuration taken up")["discovery"], new.address)
+        new.asked.get(timeout=PATIENCE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -31,68 +31,123 @@
 
 def serve(environment, operator):
     """Serves by the environment's configuration and the operator's file at this path, or None. Gives an exit code."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before it is ready the file is read anyway
-    epoch = time.time_ns() // 100_000 - clock()
-    try:
-        start = configuration.load(environment, epoch)
-        extra = features.Features(operator)
-    except (configuration.Faulty, features.Faulty) as error:
-        print(f"thymeknot: {error}", file=sys.stderr)
-        return 2
-    from twisted.internet.error import CannotListenError
-
-    from ..memory.deadlines import Deadlines
-    from ..sidecar import Sidecar
-    reactor = loop()
-    logs.take_over()
-    sidecar = Sidecar(start, reactor, Deadlines(clock, reactor.callLater, logs.fault), epoch)
-    sidecar.begin()
-    try:
-        sidecar.serve()
-        extra.begin(sidecar)
-    except CannotListenError as error:
-        print(f"thymeknot: listen: {error}", file=sys.stderr)
-        return 2
-    except features.Faulty as error:
-        print(f"thymeknot: {error}", file=sys.stderr)
-        return 2
-
-    def emptied():
-        logs.log("stopped")
-        reactor.callLater(LAST, reactor.stop)
+    return Life(environment, operator).run()
+
+
+class Life:
+    """One sidecar, from its first signal to its end.
+
+    Until there is a loop, SIGTERM and SIGINT end the process by themselves: nothing is open yet. A SIGHUP is heard
+    from the first moment and remembered, since the file may have been replaced while it was being read."""
+
+    def __init__(self, environment, operator):
+        self.environment, self.operator, self.code = environment, operator, 0
+        self.again, self.serving, self.stopping = False, False, False
+        self.epoch = time.time_ns() // 100_000 - clock()
+        self.extra = self.reactor = self.sidecar = None
+
+    def run(self):
+        signal.signal(signal.SIGHUP, self._told_to_read)
+        signal.signal(signal.SIGINT, signal.SIG_DFL)  # ends it without a traceback
+        try:
+            start = self._read()
+            self.extra = features.Features(self.operator)
+        except (configuration.Faulty, features.Faulty) as error:
+            print(f"thymeknot: {error}", file=sys.stderr)
+            return 2
+        from ..memory.deadlines import Deadlines
+        from ..sidecar import Sidecar
+        self.reactor = loop()
+        for number in STOPS:
+            signal.signal(number, self._told_to_stop)
+        logs.take_over()
+        self.sidecar = Sidecar(start, self.reactor, Deadlines(clock, self.reactor.callLater, logs.fault), self.epoch)
+        self.sidecar.begin()
+        self.reactor.callWhenRunning(self._listen)
+        self.reactor.run(installSignalHandlers=False)
+        return self.code
+
+    def _read(self):
+        """The configuration. One that was replaced while it was read, and can't be used, is read once more."""
+        while True:
+            self.again = False
+            try:
+                return configuration.load(self.environment, self.epoch)
+            except configuration.Faulty:
+                if not self.again:
+                    raise
+
+    def _listen(self):
+        """Serves, from now on; the first call counts."""
+        if self.serving or self.stopping:
+            return
+        from twisted.internet.error import CannotListenError
+        self.serving = True
+        try:
+            self.sidecar.serve()
+            self.extra.begin(self.sidecar)
+        except CannotListenError as error:
+            return self._fail(f"listen: {error}")
+        except features.Faulty as error:
+            return self._fail(str(error))
+        except Exception as error:  # must not stay up without a listener
+            logs.fault("start", error)
+            return self._fail(f"start: {type(error).__name__}: {error}")
+        start = self.sidecar.start
+        logs.log("ready", name=start.name, listen=start.listen, pods=len(self.sidecar.listed))
+        gc.collect()
+        gc.freeze()  # what stands from the start is not looked through again
+        if self.again:
+            self.again = False
+            self._reconfigure()
+
+    def _fail(self, why):
+        print(f"thymeknot: {why}", file=sys.stderr)
+        self.code, self.stopping = 2, True
+        self.reactor.stop()
+
+    # Signals.
+
+    def _told_to_read(self, *_):
+        if self.serving:
+            self.reactor.callFromThread(self._reconfigure)
+        else:
+            self.again = True
+
+    def _told_to_stop(self, *_):
+        self.reactor.callFromThread(self._stop)
+
+    def _stop(self):
+        if self.stopping:  # a second signal must not stop it twice
+            return
+        self.stopping = True
+        self.extra.leave()
+        logs.log("stopping", clients=len(self.sidecar.clients), transactions=len(self.sidecar.transactions))
+        if self.serving:
+            self.reactor.callLater(SERVES_ON, self.sidecar.finish, self._emptied)
+        else:
+            self._emptied()
 
-    def stop():
-        extra.leave()
-        logs.log("stopping", clients=len(sidecar.clients), transactions=len(sidecar.transactions))
-        reactor.callLater(SERVES_ON, sidecar.finish, emptied)
+    def _emptied(self):
+        logs.log("stopped")
+        self.reactor.callLater(LAST, self.reactor.stop)
 
-    def reconfigure():
+    def _reconfigure(self):
+        """Reads the file again. A sidecar that stops still sends what it has in hand by the list, so it moves to
+        another discovery, too; its operator's features have left, and take up nothing."""
         try:
-            extra.reconfigure()
+            if not self.stopping:
+                self.extra.reconfigure()
         except features.Faulty as error:
             logs.log("operator file kept", error=str(error))
         except Exception as error:
             logs.fault("operator file", error)
         try:
-            later = sidecar.reconfigure(configuration.load(environment, epoch))
+            later = self.sidecar.reconfigure(configuration.load(self.environment, self.epoch))
         except configuration.Faulty as error:
             logs.log("configuration kept", error=str(error))
         except Exception as error:  # a file must not end the program, whatever it holds
             logs.fault("configuration", error)
         else:
-            logs.log("configuration taken up", discovery=sidecar.discovery.host, platform=sidecar.platform.host,
-                     only_at_a_start=later)
-
-    def told_to_stop(*_):
-        for number in STOPS:  # a second one must not stop it twice
-            signal.signal(number, signal.SIG_IGN)
-        reactor.callFromThread(stop)
-
-    for number in STOPS:
-        signal.signal(number, told_to_stop)
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reconfigure))
-    logs.log("ready", name=start.name, listen=start.listen, pods=len(sidecar.listed))
-    gc.collect()
-    gc.freeze()  # what stands from the start is not looked through again
-    reactor.run(installSignalHandlers=False)
-    return 0
+            logs.log("configuration taken up", discovery=self.sidecar.discovery.host,
+                     platform=self.sidecar.platform.host, only_at_a_start=later)
