Where lists are pushed it listens once the agent has spoken, or after half a second

Cause: what the agent has counts as told from the first moment of a process, while a restarted one had only `known`, an old list, and listened (sidecar.begin, then serve) before its watch could have come up: its first transaction could go to a pod that the agent had named as draining.

Change: Sidecar.begin takes told(), called whenever the watch has spoken to the end of a line (a list is taken up by then, an empty line says that there is none); life listens then, or after FIRST_LIST: an agent that is up answers at once, a silent one is down and learns nothing. Where lists are asked for nothing is waited for, since a list counts as told only once it is written.

It costs half a second of readiness where the agent says nothing, which is so in most tests of the program.

--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -5,6 +5,7 @@
 import os
 import queue
 import signal
+import subprocess
 import threading
 import time
 import unittest
@@ -13,6 +14,19 @@
 from tests.helpers import PATIENCE, HttpPeer, Program, until
 from tests.test_sockets import READ, WithPods, value
 from thymeknot.service import life
+from thymeknot.sidecar import Sidecar
+
+PATIENT = f"""import os, sys
+from thymeknot.service import life
+life.FIRST_LIST = {PATIENCE}
+sys.exit(life.main(os.environ))"""
+
+
+def patient():
+    """Has the program wait for its first list for as long as the test does: what comes before it, comes every time."""
+    start = subprocess.Popen
+    return mock.patch("tests.helpers.subprocess.Popen",
+                      lambda words, **more: start([words[0], "-c", PATIENT], **more))
 
 
 class Piped(Program):
@@ -82,6 +96,20 @@
         with running.client() as client:
             self.assertEqual(client.ask("PING"), b"+PONG")
 
+    def test_a_sighup_before_it_serves_has_the_file_read_again(self):
+        with patient():
+            running = self.piped()
+        running.end(running.fill(running.told))
+        running.discovery.asked.get(timeout=PATIENCE)  # it has begun, and waits for the first list
+        running.process.send_signal(signal.SIGHUP)
+        running.settled()
+        until(lambda: running.discovery.streams, lambda: time.sleep(0.005))
+        running.discovery.push("\n")
+        running.end(running.fill({**running.told, "name": "n2"}))
+        running.discovery.asked.put("again")
+        running.__enter__()
+        self.assertEqual(running.logged("configuration taken up")["only_at_a_start"], ["name"])
+
     def test_sigterm_while_the_file_is_read_ends_it_by_the_signal_without_a_word(self):
         for number in (signal.SIGTERM, signal.SIGINT):
             running = self.piped()
@@ -91,6 +119,69 @@
             target.close()
             self.assertEqual((running.process.returncode, out, error), (-number, b"", b""))
 
+    def test_sigterm_before_it_serves_ends_it_soon_with_nothing_taken(self):
+        for numbers in ([signal.SIGTERM], [signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGTERM]):
+            with patient():
+                running = Program()
+            self.addCleanup(running.__exit__)
+            running.discovery.asked.get(timeout=PATIENCE)  # it has begun, and waits for the first list
+            for number in numbers:
+                running.process.send_signal(number)
+            out, error = running.process.communicate(timeout=PATIENCE)
+            self.assertEqual((running.process.returncode, error), (0, b""))
+            events = [json.loads(line)["event"] for line in out.splitlines()]
+            self.assertEqual((events[:2], set(events[2:]) - {"stream ended"}), (["stopping", "stopped"], set()))
+
+
+class FirstList(WithPods):
+    def waiting(self, *entries):
+        """The program once its watch is asked for: whatever it listens for without a list, it does so by now."""
+        with patient():
+            running = Program(*entries)
+        self.addCleanup(running.__exit__)
+        running.discovery.asked.put(running.discovery.asked.get(timeout=PATIENCE))
+        with self.assertRaises(ConnectionRefusedError):
+            running.client()
+        return running
+
+    def test_what_the_agent_has_binds_the_first_transaction(self):
+        left, new = self.pod(), self.pod()
+        running = self.waiting(left.entry("s-1"))
+        running.discovery.push_list(9, left.entry("s-1", state="Terminating"), new.entry("s-2"))
+        with running.__enter__().client() as client:
+            self.assertEqual(client.ask("SVC.QUERY", "a", "01", READ), b"01")
+        self.assertEqual((left.heard.qsize(), new.heard.qsize()), (0, 1))
+
+    def test_a_sign_of_life_says_that_there_is_no_list(self):
+        running = self.waiting()
+        running.discovery.push("\n")
+        with running.__enter__().client() as client:
+            self.assertEqual(client.ask("PING"), b"+PONG")
+
+    def test_a_part_of_a_list_is_not_taken_for_it(self):
+        heard = []
+        read = Sidecar._then(heard.append, lambda: heard.append("told"))
+        for content in (b'{"version"', b':9}\n', b"\n"):
+            read(memoryview(content))
+        self.assertEqual(heard, [b'{"version"', b':9}\n', "told", b"\n", "told"])
+
+    def test_a_silent_agent_is_waited_for_no_longer_than_the_bound(self):
+        pod = self.pod()
+        running = self.program(pod.entry("s-1"))  # its discovery never speaks
+        with running.client() as client:
+            self.assertEqual(client.ask("SVC.QUERY", "a", "01", READ), b"01")
+
+    def test_lists_that_are_asked_for_are_not_waited_for(self):
+        def change(told):
+            told["settings"].update(discovery="subscribe", balancers=400)
+        with patient():
+            running = Program(change=change)
+        self.addCleanup(running.__exit__)
+        running.discovery.asked.put("later")
+        running.__enter__()
+        with running.client() as client:
+            self.assertEqual(client.ask("PING"), b"+PONG")
+
 
 class Stopping(WithPods):
     def test_sighup_while_it_stops_moves_it_and_what_is_in_hand_is_answered(self):
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -10,6 +10,10 @@
 STOPS = signal.SIGTERM, signal.SIGINT
 SERVES_ON = 0.5             # seconds after SIGTERM in which new connections still come
 LAST = 0.05                 # and for what the last answers need to go out
+# Where lists are pushed, what the agent on the machine has counts as told from the first moment, and the list that the
+# configuration holds is older: it listens once the agent has spoken, or after this long. An agent that is up answers
+# at once; one that is silent longer is down, and learns nothing that could count as told.
+FIRST_LIST = 0.5
 
 
 def clock():
@@ -62,8 +66,12 @@
             signal.signal(number, self._told_to_stop)
         logs.take_over()
         self.sidecar = Sidecar(start, self.reactor, Deadlines(clock, self.reactor.callLater, logs.fault), self.epoch)
-        self.sidecar.begin()
-        self.reactor.callWhenRunning(self._listen)
+        if start.terms.subscribes:
+            self.sidecar.begin()
+            self.reactor.callWhenRunning(self._listen)
+        else:
+            self.sidecar.begin(self._listen)
+            self.reactor.callLater(FIRST_LIST, self._listen)
         self.reactor.run(installSignalHandlers=False)
         return self.code
 
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -124,8 +124,11 @@
         return sorted({key for field, key in keys.items()
                        if getattr(start, field) != getattr(self.start, field)})
 
-    def begin(self):
-        """The first moment of the decisions: the list as last known, and the news."""
+    def begin(self, told=None):
+        """The first moment of the decisions: the list as last known, and the news. told() is called whenever the
+        watch has spoken: each list in what came is taken up by then, and an empty line says that there is none."""
+        if told is not None:
+            self.watch.reader = lambda: self._then(self._watch_reader(), told)
         self._listing(self.start.known, self.discovery.address)
         self.tell(self.start.news)
         # Where lists are asked for, all ask one service: a fleet that starts at once must not come there at once.
@@ -133,6 +136,14 @@
         self.stream.start()
         self._refusals()
 
+    @staticmethod
+    def _then(read, told):
+        def both(content):
+            read(content)
+            if bytes(content[-1:]) == b"\n":  # less is a part of a line
+                told()
+        return both
+
     def _refusals(self):
         pressure = round(self.balancer.admission.pressure(self.clock(), ()), 2)
         self.deadlines.add(self.refusals.due(self.clock(), pressure=pressure), self._refusals)
