A vote's answer that is older than what the stream told meanwhile opens nothing again

Cause: sidecar.py, _vote and _told, took the state in a vote's answer as the newest, whenever it was read. An answer that was on its way while the stream told `rolling_back` with cap 0 put the trial and its cap of 0.5 back, here and in the decisions, so a build that went back got requests again (seen in a test; found while calls were gone through).

Change: the answer counts as the vote's; its state counts unless it is older: of an earlier build, or not surely the newer (by when the call was asked, when the stream told and what each says of its age) and letting more through. What closes binds at once.

--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -124,7 +124,8 @@
         self.pools = Pools(reactor, deadlines, self.reach, for_pods, logs.fault)
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
         self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
-        self.listed, self.addresses, self.version, self.news = {}, {}, start.known.version, None
+        self.listed, self.addresses, self.version = {}, {}, start.known.version
+        self.news, self.news_at = None, 0
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
         self.returning = None       # the way back that is under way, from the end of its listener to the next one
@@ -553,7 +554,7 @@
         """Before the decisions hear it: a lower cap binds what still waits for a connection."""
         if news.outcome != i.DONE:
             return
-        old, self.news = self.news, news
+        old, self.news, self.news_at = self.news, news, self.clock()
         if old and old.build == news.build and (news.cap < old.cap or news.phase != old.phase):
             self._withdraw(lambda pod: pod.build >= news.build)
 
@@ -568,9 +569,26 @@
             return b"\n" in bytes(content)  # any whole line
         return read
 
+    def _newest(self, news, asked):
+        """The state that answers a call, as long as what the stream told while it was out is not the newer one: where
+        neither is surely the newer, the one that lets less through holds. The next answer or event tells."""
+        held = self.news
+        if news.outcome != i.DONE or held is None:
+            return news
+        older = news.build < held.build
+        if news.build == held.build and asked - news.age <= self.news_at - held.age:
+            older = self._lets_through(news) > self._lets_through(held)
+        return held._replace(answers_vote=True) if older else news
+
+    @staticmethod
+    def _lets_through(news):
+        return {i.ON_TRIAL: news.cap, i.RELEASED: 1.0}.get(news.phase, 0.0)
+
     def _vote(self, action):
+        asked = self.clock()
+
         def answered(end):
-            news = platform.vote_news(action.build, end)
+            news = self._newest(platform.vote_news(action.build, end), asked)
             logs.log("vote", build=action.build, stage=action.stage, verdict=action.verdict,
                      outcome=news.outcome)
             self.tell(news)
