Whatever the order of what comes from pods, counts agree and nothing is left: a property test

What was suspected: that dials and attempts that wait get out of step (an attempt that waits with no dial under way waits until its deadline), or that something is kept. Not found: 120 drawn orders of 50 to 90 steps each (asked, come up, failed, flushed, answered well or badly, reset, client left, list, move, news, time; the verdict is the same each time) hold after each step: no fault, as many dials as counted, no pool with more that waits than dials, nothing idle that ends or carries, each attempt that is out in one place, deadlines of live connections alone, no last byte to a pod that does not stand or past a cap of none, no binding request twice where it may have run; and at the end each request one answer, no connection, no transaction, no deadline of them.

Not found, since the decisions hold it too (tested in Held): no bound of its own for binding requests.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -10,6 +10,8 @@
 import unittest
 from unittest import mock
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
 
@@ -19,6 +21,8 @@
 from thymeknot import interface as i
 from thymeknot.memory import pools
 from thymeknot.protocol import discovery
+from thymeknot.protocol.pod import PodConnection
+from thymeknot.service import logs
 
 
 class Broken(Transport):
@@ -514,3 +518,200 @@
         self.assertEqual(sorted(set(written)), sorted(written))
         self.assertNotEqual(written, [])
         self.assertEqual([name for name in held.heard if name in names], [])
+
+
+ANSWERS = {"good": ANSWER, "busy": b"-BUSY\r\n", "error": b"-ERR failed\r\n", "part": ANSWER[:9], "twice": ANSWER * 2,
+           "spoilt": ANSWER[:-5] + b"$x1\r\n", "noise": b"noise\r\n", "null": b"*1\r\n$-1\r\n"}
+LISTED = {"ready": {}, "draining": {"state": "Terminating"}, "gone": {"state": "Gone"},
+          "moved": {}, "restarted": {"started_ms": 7000}, "other build": {"build": 40}}
+# What comes, how often among all that comes, and its choices; a number chooses, or says which of what there is.
+WHAT = {"ask": (6, [("read", 200), ("read", 5000), ("mark", 5000), ("pay", 200), ("pay", 5000)]),
+        "exchange": (5, [("read", 5000), ("mark", 5000), ("pay", 5000)]),
+        "up": (6, None), "flush": (6, None), "served": (8, None), "answered": (2, None), "fail": (2, None),
+        "reset": (1, None), "leave": (1, None), "turn": (3, [()]), "moment": (6, [(0.005,), (0.02,), (0.1,)]),
+        "later": (1, [(0.3,), (1.0,)]), "news": (1, [(0.0,), (1.0,), (1.0,)]), "back": (1, [("s-1",), ("s-2",)]),
+        "list": (2, [(name, how) for name in ("s-1", "s-2") for how in sorted(LISTED)]),
+        "move": (1, [("s-1",), ("s-2",)])}
+STEPS = st.lists(st.tuples(st.sampled_from([what for what, (often, _) in WHAT.items() for _ in range(often)]),
+                           st.integers(0, 63)), min_size=50, max_size=90)
+
+
+class World:
+    """A network of two pods on which all that can come in any order does: each step is one thing that comes."""
+
+    def __init__(self, test):
+        self.test, self.faults = test, []
+        logs.fault = lambda *fault: self.faults.append(fault)
+        self.network = Network(entry("s-1"), entry("s-2"))
+        self.sidecar, self.pools = self.network.sidecar, self.network.sidecar.pools
+        self.clients, self.dials, self.connections, self.may_have_run, self.seen = {}, [], [], {}, 0
+        self.pools.most = 9
+
+    def dialled(self):
+        """Takes up dials that are new, ends those that were stopped; gives those that are under way."""
+        while self.seen < len(self.network.reactor.tcpClients):
+            _, port, factory, *_ = self.network.reactor.tcpClients[self.seen]
+            if port > 7000:
+                self.dials.append((factory, self.network.reactor.connectors[self.seen]))
+            self.seen += 1
+        stopped = [dial for dial in self.dials if dial[1].stoppedConnecting]
+        self.dials = [dial for dial in self.dials if dial not in stopped]
+        for factory, _ in stopped:
+            factory.clientConnectionFailed(None, Failure(ConnectionLost()))
+        return self.dialled() if stopped else self.dials
+
+    def pick(self, some, place):
+        return some[place % len(some)] if some else None
+
+    def open(self):
+        return [one for one in self.connections if not one.transport.disconnected]
+
+    def ask(self, lane, left):
+        name = f"{lane}-{len(self.clients)}"
+        self.clients[name] = self.network.ask(name, lane=lane, left=left)
+
+    def up(self, place):
+        if dial := self.pick(self.dialled(), place):
+            self.dials.remove(dial)
+            connection = dial[0].buildProtocol(None)
+            self.connections.append(connection)
+            connection.makeConnection(Transport())
+
+    def exchange(self, lane, left):
+        """One is asked, and written at once."""
+        self.ask(lane, left)
+        self.up(-1)
+        self.flush(-1)
+
+    def fail(self, place):
+        if dial := self.pick(self.dialled(), place):
+            self.dials.remove(dial)
+            dial[0].clientConnectionFailed(None, Failure(ConnectionLost()))
+
+    def flush(self, place):
+        if connection := self.pick([one for one in self.open() if one.transport.producer], place):
+            name = connection.transport.value().split(b"\r\n")[6].decode()
+            connection.transport.clear()
+            pod, news = connection.delivery.pod, self.sidecar.news
+            self.test.assertTrue(self.sidecar._stands(pod) and (news.cap or pod.build < news.build), name)
+            if name.startswith("pay"):
+                self.test.assertFalse(self.may_have_run.get(name), name)
+            self.may_have_run[name] = True
+            connection.resumeProducing()
+
+    def answer(self, place, kind):
+        if connection := self.pick(self.connections, place):
+            if connection.transport.disconnected:
+                return
+            name = connection.delivery and connection.delivery.held.id
+            if kind == "busy" and name and connection.written:
+                self.may_have_run[name] = False
+            connection.dataReceived(ANSWERS[kind])
+
+    def reset(self, place):
+        if connection := self.pick(self.connections, place):
+            self.connections.remove(connection)
+            connection.connectionLost(Failure(ConnectionLost()))
+
+    def leave(self, place):
+        if name := self.pick(list(self.clients), place):
+            self.clients.pop(name).connectionLost(Failure(ConnectionLost()))
+
+    def list(self, name, how):
+        told = dict(LISTED[how])
+        if how == "moved":
+            told["addr"] = "127.0.0.1:%d" % (8000 + len(self.clients))
+        self.network.list(entry(name, told.pop("build", 41), **told))
+
+    def news(self, cap):
+        self.sidecar.tell(i.News(41, 1, i.RELEASED if cap == 1.0 else i.ON_TRIAL, False, i.DONE, cap, 0))
+
+    def turn(self):
+        """The loop tells of the connections that were ended."""
+        ended = [one for one in self.connections if one.transport.disconnecting or one.transport.disconnected]
+        for connection in ended:
+            self.connections.remove(connection)
+            connection.connectionLost(Failure(ConnectionLost()))
+
+    def served(self, place):
+        """One that waits for its answer gets a good one."""
+        if connection := self.pick([one for one in self.open() if one.written and one.waiting], place):
+            self.answer(self.connections.index(connection), "good")
+
+    def answered(self, number):
+        """Whatever may come, on any connection."""
+        self.answer(number // len(ANSWERS), sorted(ANSWERS)[number % len(ANSWERS)])
+
+    def back(self, name):
+        self.list(name, "ready")
+
+    def move(self, name):
+        self.list(name, "moved")
+
+    def moment(self, seconds):
+        pass_on(self.network, seconds)
+        self.dialled()
+
+    later = moment
+
+    def step(self, what, number):
+        choices = WHAT[what][1]
+        getattr(self, what)(*(choices[number % len(choices)] if choices else (number,)))
+        self.check()
+
+    def check(self):
+        same, dials, by_pod = self.test.assertEqual, self.dialled(), self.pools.by_pod
+        same((self.faults, self.network.faults), ([], []))
+        same(self.pools.dialling, len(dials))
+        same({id(one) for one in self.pools.connections}, {id(one) for one in self.connections})
+        live = self.sidecar.deadlines.live
+        for call, arguments in live.values():
+            for one in (getattr(call, "__self__", None), *arguments):
+                self.test.assertFalse(type(one) is PodConnection and one not in self.connections, call)
+        for pool in by_pod.values():
+            same(pool.dialling, sum(dial.pool is pool for dial, _ in dials))
+            self.test.assertLessEqual(len(pool.waiting), pool.dialling)
+            for connection in pool.idle:
+                same((connection.waiting, connection.delivery, connection.connector.pool), (None, None, pool))
+                same((connection.transport.disconnecting, connection.transport.disconnected), (False, False))
+            for attempt in pool.waiting:
+                same((attempt.out, attempt.connection, attempt.deadline in live), (True, None, True))
+        for connection in self.connections:
+            if connection.transport.disconnecting or connection.transport.disconnected:
+                self.test.assertIsNone(connection.waiting)
+        for held in self.sidecar.transactions:
+            same(held.out, sum(attempt.out for attempt in held.attempts))
+            self.test.assertTrue(held.out or not held.over, held.id)
+            for attempt in held.attempts:
+                where = sum(attempt in pool.waiting for pool in by_pod.values()) + any(
+                    one.delivery is attempt and one.waiting is not None for one in self.connections)
+                same(where, 1) if attempt.out else None
+
+    def end(self):
+        """Nothing more comes from outside: each request has its one answer, and nothing is kept."""
+        for _ in range(40):
+            while self.dialled():
+                self.fail(0)
+            self.turn()
+            self.moment(1.0)
+            self.turn()
+            self.check()
+        self.test.assertEqual((len(self.sidecar.transactions), self.sidecar.by_id, self.pools.unwritten()), (0, {}, []))
+        for name, client in self.clients.items():
+            self.test.assertRegex(client.transport.value(), rb"^(\$1\r\nv|-[^\r]*)\r\n$", name)
+        self.test.assertEqual((len(self.pools), self.connections), (0, []))
+        kept = [call for call, arguments in self.sidecar.deadlines.live.values()
+                for one in (getattr(call, "__self__", None), *arguments)
+                if type(one).__name__ in ("Attempt", "Held", "Pool", "PodConnection")]
+        self.test.assertEqual(kept, [])
+
+
+class AnyOrder(unittest.TestCase):
+    @settings(derandomize=True, max_examples=120, deadline=None, database=None)
+    @given(STEPS)
+    def test_whatever_the_order_counts_agree_and_nothing_is_left(self, steps):
+        with mock.patch.object(logs, "fault"), mock.patch.object(logs, "log"):
+            world = World(self)
+            for step in steps:
+                world.step(*step)
+            world.end()
