An answer from a pod without end, or of arrays in arrays, ends its connection at once

Cause: pod.py bounded each string of an answer (512 KiB) and nothing else: 64 parts in four depths of arrays were allowed, kept until whole (memory), and gone through again from the start with each piece that came (resp.py, Parser.feed). Seen in a probe: 1.6 MB of nested arrays of empty strings, in pieces of 1 kB, took 20 s of processor time for the first 232 kB, in which the sidecar does nothing else. A load report had no bound and may hold nan or inf.

Change: an answer has no arrays in it and at most 576 KiB; what goes beyond ends its connection as one that may have run, and a whole value before it stands. A load report of over 4 KiB, or with a value that is not finite, is none.

Tests: tests/test_ends_pods.py, BadAnswers; all four fail with the change taken out. That another request notices nothing, that what was read is let go, that a line is logged is tested for each. Ruled out: the decisions took nan, inf and absurd loads for none before.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -520,6 +520,66 @@
         self.assertEqual([name for name in held.heard if name in names], [])
 
 
+class BadAnswers(unittest.TestCase):
+    """What a pod sends without sense or end costs its own connection, and is let go."""
+    BULK = b"$%d\r\n%s\r\n" % (500_000, b"x" * 500_000)
+
+    def ended(self, content):
+        """(how the attempt ended, how much was read) of one that gets this in pieces, beside another request."""
+        network, read = Network(entry("s-1")), 0
+        ends, client, other = counted(network), network.ask("01", lane="pay"), network.ask("02")
+        connection, beside = network.connect(network.streams), network.connect(network.streams + 1)
+        for one in (connection, beside):
+            one.resumeProducing()
+        with mock.patch.object(logs, "seldom") as told:
+            for at in range(0, len(content), 65536):
+                if not connection.transport.disconnected:
+                    connection.dataReceived(content[at:at + 65536])
+                    read += len(content[at:at + 65536])
+        self.assertTrue(connection.transport.disconnected, content[:20])
+        self.assertEqual(connection.parser.held, 0)
+        if not client.transport.value().startswith(b"$"):
+            self.assertIn("unheard answer", [call.args[0] for call in told.call_args_list])
+        beside.dataReceived(ANSWER)
+        self.assertEqual(other.transport.value(), b"$1\r\nv\r\n")
+        connection.connectionLost(Failure(ConnectionLost()))
+        self.assertEqual((len(network.sidecar.transactions), network.faults), (0, []))
+        self.assertEqual([name for name, *_ in ends], ["01", "02"])
+        return ends[0][2], read
+
+    def test_what_can_be_no_answer_ends_as_one_that_may_have_run(self):
+        for content in (b"$999999999999999999\r\n", b"*3\r\n$999999\r\n", b"*64\r\n" * 2, b"*1\r\n*1\r\n*1\r\n",
+                        b"*999999999\r\n", b"*-5\r\n", b"+" + b"x" * 9000, b"-" + b"x" * 9000, b":" + b"9" * 9000,
+                        b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"\x00" * 70_000, b"+OK\r\n" * 20_000):
+            self.assertEqual(self.ended(content)[0], i.RESET, content[:20])
+
+    def test_an_answer_without_end_is_not_read_for_ever(self):
+        for content in (b"*64\r\n" + self.BULK * 8, b"*64\r\n$1\r\nv\r\n" + self.BULK * 8):
+            outcome, read = self.ended(content)
+            self.assertEqual((outcome, read < 800_000), (i.DONE, True))  # its value was whole
+
+    def test_an_array_in_an_answer_ends_it_and_a_whole_value_before_it_stands(self):
+        self.assertEqual(self.ended(b"*3\r\n$1\r\nv\r\n" + b"*64\r\n" * 3)[0], i.DONE)
+
+    def test_a_load_report_that_is_none_is_let_go_and_the_value_stands(self):
+        network = Network(entry("s-1"))
+        network.sidecar.terms = network.sidecar.terms._replace(reports=("load", "queue"))
+        for report, load in ((b"load=0.5,queue=3", (0.5, 3.0)), (b"queue=3,load=0.5,more=9", (0.5, 3.0)),
+                             (b"load=nan,queue=3", None), (b"load=0.5,queue=inf", None), (b"load=1e999,queue=1", None),
+                             (b"load=-inf,queue=3", None), (b"load=0.5", None), (b"load,queue=3", None),
+                             (b"\xff\xfe", None), (b",=,,", None), (b"load=0.5,queue=3," + b"a=1," * 99_000, None)):
+            heard = []
+            network.ask(f"{report[:30]}")
+            connection = network.connect()
+            connection.resumeProducing()
+            handle = network.sidecar.balancer.handle
+            network.sidecar.balancer.handle = lambda now, events, handle=handle, heard=heard: (
+                heard.extend(events) or handle(now, events))
+            connection.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$%d\r\n%s\r\n" % (len(report), report))
+            network.sidecar.balancer.handle = handle
+            self.assertEqual([(event.outcome, event.load) for event in heard], [(i.DONE, load)], report[:30])
+
+
 ANSWERS = {"good": ANSWER, "busy": b"-BUSY\r\n", "error": b"-ERR failed\r\n", "part": ANSWER[:9], "twice": ANSWER * 2,
            "spoilt": ANSWER[:-5] + b"$x1\r\n", "noise": b"noise\r\n", "null": b"*1\r\n$-1\r\n"}
 LISTED = {"ready": {}, "draining": {"state": "Terminating"}, "gone": {"state": "Gone"},
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -10,6 +10,8 @@
 from .reached import NOT_CONNECTED, Broken, WholeWriter, nothing_waits
 
 MOST_VALUE = 512 * 1024     # a value is 64 KiB at most, by the protocol; pods were seen to send up to 400,000 bytes
+MOST_ANSWER = MOST_VALUE + 64 * 1024  # all its parts: what goes on beyond that has no end
+MOST_REPORT = 4 * 1024      # a longer load report is none: to read it would hold up all others
 PARTS = 3                   # of a good answer: the value, null, the load report or null
 
 
@@ -26,7 +28,8 @@
         return Answer(None, None, message.text)
     if isinstance(message, list) and message and isinstance(message[0], memoryview):
         report = message[2] if len(message) == PARTS else None
-        return Answer(message[0], bytes(report) if isinstance(report, memoryview) else None, None)
+        told = isinstance(report, memoryview) and len(report) <= MOST_REPORT
+        return Answer(message[0], bytes(report) if told else None, None)
     return None
 
 
@@ -34,11 +37,21 @@
     """For a delivery of which nobody asks to hear when its answer begins."""
 
 
+class AnswerParser(resp.Parser):
+    """For answers: an array has no arrays in it, or few bytes would make a parser go through many parts again and
+    again."""
+
+    def _array(self, buffer, at, length, depth):
+        if depth:
+            raise resp.Malformed("an array in an answer")
+        return super()._array(buffer, at, length, depth)
+
+
 class PodConnection(WholeWriter, Protocol):
     """Its owner is told of made(connection), ready(connection), ending(connection) and lost(connection)."""
 
     def __init__(self, owner, connector):
-        self.owner, self.connector, self.parser = owner, connector, resp.Parser(MOST_VALUE)
+        self.owner, self.connector, self.parser = owner, connector, AnswerParser(MOST_VALUE)
         self.waiting, self.given_up, self.slot, self.used_at, self.rests_until = None, False, None, None, None
         self.begun, self.deadlines, self.delivery = nothing, [], None
 
@@ -70,7 +83,9 @@
             messages += self.parser.feed(data)
         except resp.Malformed as error:
             wrong = f"unreadable answer: {error}"
-            # What is wrong behind a whole value does not make it another one.
+        if self.parser.held > MOST_ANSWER:
+            wrong = wrong or f"an answer of over {MOST_ANSWER} bytes"
+        if wrong:  # what is wrong behind a whole value does not make it another one
             messages = messages or [[value] for value in self.parser.first_part()]
         if self.waiting is None or not self.written:
             return self.drop("an answer that nothing asked for")
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -3,6 +3,8 @@
 The only file that knows both sides. It decides nothing: where, when and whether are the Balancer's.
 """
 
+from math import isfinite
+
 from twisted.internet.defer import maybeDeferred, succeed
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
@@ -398,9 +400,10 @@
         """The values of a report of names and values, in the order in which the terms name them."""
         told = dict(pair.partition("=")[::2] for pair in report.decode("utf-8", "replace").split(","))
         try:
-            return tuple(float(told[name]) for name in self.terms.reports)
+            load = tuple(float(told[name]) for name in self.terms.reports)
         except (KeyError, ValueError):
             return None
+        return load if all(map(isfinite, load)) else None
 
     def _close_idle(self, action):
         self.pools.retire(action.pod)
