Settings that can't be used are refused with their key: addresses, classes twice, rates of none

Change: each is a Faulty that begins with its key. A host that the network library can't encode is no address. Calls come at least once in 10^6 s. Read and taken: names that differ in case, 5,000 classes, a window of 0.

--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,212 @@
+"""Settings: none reaches another instance, none that differs is passed over, none is taken that can't be used."""
+
+import copy
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import orjson
+
+from tests.helpers import SETTINGS
+from thymeknot import interface as i
+from thymeknot.benchlink import Host
+from thymeknot.service import configuration
+from thymeknot.service.configuration import Faulty, pairs
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BATCHES, STEP, UNIT = 240, 20_000_000, 100_000
+FIRST_BATCH = 5_000_000_000
+
+
+def example():
+    with open(os.path.join(ROOT, "deploy", "example.json"), "rb") as source:
+        return orjson.loads(source.read())
+
+
+def put(value, path, new):
+    *inner, last = path.split(".")
+    for name in inner:
+        value = value[int(name)] if isinstance(value, list) else value[name]
+    value[int(last) if isinstance(value, list) else last] = new
+
+
+def changed(path, new):
+    told = example()
+    put(told, path, new)
+    return told
+
+
+def other_settings():
+    """Settings that differ from the helpers' in everything, with the same names for other classes."""
+    told = copy.deepcopy(SETTINGS)
+    told.update(balancers=40, discovery="subscribe", stats={"names": ["rate"], "source": "piggyback"})
+    told["categories"] = [
+        {"name": name, "semantics": effect, "key_scope": scope, "window": 700_000_000, "promise": 400_000_000,
+         "give_up": 900_000_000, "worth": worth, "late_worth": 0.0}
+        for name, effect, scope, worth in (("read", "at_most_once", "all", 9.0), ("pay", "idempotent", "all", 0.1),
+                                           ("weigh", "deduplicated", "cell", 2.0))]
+    told["permissions"].update(max_attempts=2, max_retry_after=0, second_copies=True, may_cancel=False,
+                               retry_after=False)
+    told["rules"].update(cold_from=0.05, cold=9_000_000_000, fall_multiple=1.1, overload_for=500_000_000)
+    told["extra"].update(window=900_000_000, allowance=1.0, guarded_stages=1, waves=[0.1, 0.2, 1.0],
+                         counts="each_class", keys_stay=False, swap="replace", decided_by="first_voice",
+                         vote_life=1_500_000_000, calls_per_s=8.0)
+    return told
+
+
+class Played:
+    """One instance and its pods, that answer by turns; the same events whatever else the host holds."""
+    OUTCOMES = "delivered", "app_error", "delivered", "shed", "delivered", "expired", "dial_failed"
+
+    def __init__(self, name, settings, lanes, zone):
+        self.name, self.settings, self.lanes, self.zone = name, settings, lanes, zone
+        self.left, self.answers, self.actions = {}, [], []
+
+    def events(self, at, table):
+        """The lines of a batch. table: the numbers of its lists."""
+        if at == 0:
+            pods = [f"ENTRY {self.zone} 1 0 on - {self.zone}:{port} m {41 + port % 2}" for port in range(5)]
+            return [f"NEW_INSTANCE {self.name} 77 " + " ".join(pairs(self.settings)),
+                    f"CENSUS {table} {len(pods)}", *pods, f"ANNOUNCE {self.name} cached 1 {table}",
+                    f"ROLLOUT_STATE {self.name} 42 0 0 0 delivered 0.5 0"]
+        lines, self.answers = self.answers, []
+        for number in range(at % 3):
+            lane, name = self.lanes[(at + number) % len(self.lanes)], f"{at:x}a{number}"
+            self.left[name] = 0
+            lines.append(f"INGRESS {self.name} {name} {lane} - {at % 5} 800000000 - 0 0")
+        return lines
+
+    def hear(self, lines, now):
+        for line in lines:
+            self.actions.append(line)
+            word, _, *values = line.split(" ")
+            if word == "TRY":
+                name, pod = values[:2]
+                attempt = self.left[name]
+                self.left[name] += 1
+                how = self.OUTCOMES[len(self.actions) % len(self.OUTCOMES)]
+                self.answers.append(f"RESULT {self.name} {name} {how} {int(how == 'delivered')} {15 * UNIT} {pod} "
+                                    f"{attempt} -")
+            elif word == "NOTIFY_ME":
+                self.answers.append(f"TICK_DUE {self.name} {values[1]}")
+            elif word == "VERDICT":
+                self.answers.append(f"ROLLOUT_STATE {self.name} {values[0]} {values[1]} 0 1 delivered 0.5 0")
+
+
+def play(*played):
+    """All that each of them does in one host."""
+    host = Host()
+    for at in range(BATCHES):
+        lines = [line for table, one in enumerate(played) for line in one.events(at, table)]
+        replies = host.batch((FIRST_BATCH + at * STEP) // UNIT, lines)
+        for one in played:
+            one.hear([line for line in replies if line.split(" ")[1] == one.name], at)
+    return [one.actions for one in played]
+
+
+def made(name="sidecar-2"):
+    """Two instances whose settings have nothing in common."""
+    return (Played("sidecar-1", SETTINGS, ("read", "mark", "pay"), "10.0.0.1"),
+            Played(name, other_settings(), ("pay", "weigh", "read"), "10.0.0.2"))
+
+
+def alone(place, name="sidecar-2"):
+    """What one of them does in a process of its own: nothing that another left in this one can reach it."""
+    code = f"import json; from tests.test_settings import made, play; print(json.dumps(play(made({name!r})[{place}])))"
+    ended = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True, timeout=60)
+    return json.loads(ended.stdout)[0]
+
+
+class Interleaved(unittest.TestCase):
+    def test_two_with_other_settings_in_one_process_decide_as_each_alone(self):
+        expected = [alone(0), alone(1)]
+        self.assertEqual(play(*made()), expected)
+        self.assertEqual(play(*reversed(made())), expected[::-1])
+        for actions in expected:  # it decided on more than one thing, and never failed
+            self.assertGreater(len({line.split(" ")[0] for line in actions}), 2)
+            self.assertFalse([line for line in actions if line.startswith("FAULT")])
+        self.assertNotEqual(*[[line.split(" ")[0] for line in actions] for actions in expected])
+
+    def test_one_that_starts_anew_with_other_settings_keeps_nothing_of_the_former(self):
+        first, second = made("sidecar-1")
+        host = Host()
+        for at in range(50):
+            first.hear(host.batch((FIRST_BATCH + at * STEP) // UNIT, first.events(at, 0)), at)
+        host.batch((FIRST_BATCH + 49 * STEP) // UNIT, [f"KILLED {first.name}"])
+        for at in range(BATCHES):
+            second.hear(host.batch((FIRST_BATCH + at * STEP) // UNIT, second.events(at, 0)), at)
+        self.assertEqual(second.actions, alone(1, "sidecar-1"))
+
+
+class Refused(unittest.TestCase):
+    def refuse(self, told, key):
+        with self.assertRaises(Faulty) as caught:
+            configuration.read(told, 0)
+        self.assertIn(key, str(caught.exception))
+
+    def test_numbers_that_are_none_or_out_of_bounds_are_named(self):
+        numbers = ["nan", "inf", "-inf", -1, -10**18, "", None, True, [], "9" * 5000]
+        for path in ("balancers", "categories.0.give_up", "categories.0.worth", "permissions.max_open",
+                     "rules.cold_from", "rules.fall_multiple", "rules.overload_for", "extra.window",
+                     "extra.allowance", "extra.vote_life", "extra.calls_per_s", "extra.waves.1"):
+            for number in numbers:
+                named = path.removesuffix(".1") if path.endswith("waves.1") else path
+                self.refuse(changed(f"settings.{path}", number), named)
+        for path in ("categories.0.promise", "categories.0.give_up", "extra.window", "extra.vote_life",
+                     "extra.vote_wait", "rules.overload_for", "permissions.conn_idle", "permissions.max_attempts",
+                     "extra.calls_per_s", "balancers"):
+            self.refuse(changed(f"settings.{path}", 0), path)
+        for small in (1e-320, 1e-9):
+            self.refuse(changed("settings.extra.calls_per_s", small), "extra.calls_per_s")
+
+    def test_no_class_a_class_twice_and_one_without_a_name_are_named(self):
+        self.refuse(changed("settings.categories", []), "categories.count")
+        self.refuse(changed("settings.categories.2.name", "read"), "categories.2.name")
+        for name in ("", None, "-"):
+            self.refuse(changed("settings.categories.1.name", name), "categories.1.name")
+
+    def test_addresses_that_nothing_can_be_reached_at_are_named(self):
+        for path in ("listen", "discovery", "deployer.address"):
+            for text in ("x:²", "²", "x:" + "9" * 5000, "x:65536", "x:0", ":80", "a" * 300 + ":80", "\0:80", "a b\n:8"):
+                self.refuse(changed(path, text), f"{path}: is no address")
+
+    def test_what_is_nested_too_deep_or_stands_in_place_of_an_object_is_named(self):
+        deep = {}
+        for _ in range(1020):
+            deep = {"a": deep}
+        self.refuse(changed("settings.deep", deep), "settings: are nested too deep")
+        for path in ("limits", "deployer"):
+            self.refuse(changed(path, 5), f"{path}: is no object")
+        self.refuse(changed("known.servers.0.started_ms", 1e308), "known")
+
+    def test_a_file_that_is_no_text_of_json_is_named(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "config.json")
+            for content in (b"", b"\xff", b"NaN", b"[]", b"[" * 5000, json.dumps(example()).encode()[:-1]):
+                with open(path, "wb") as target:
+                    target.write(content)
+                with self.assertRaises(Faulty):
+                    configuration.load({"NODE_CONFIG": path}, 0)
+            with self.assertRaises(Faulty):
+                configuration.load({"NODE_CONFIG": folder}, 0)
+
+
+class Taken(unittest.TestCase):
+    def test_names_that_differ_in_case_are_classes_of_their_own(self):
+        told = changed("settings.categories.1.name", "Read")
+        lanes = configuration.read(told, 0).terms.lanes
+        self.assertEqual((lanes["read"].effect, lanes["Read"].effect), (i.RETRIABLE, i.FINGERPRINTED))
+
+    def test_thousands_of_classes_and_no_time_for_repeats(self):
+        told = example()
+        told["settings"]["categories"] = [{**told["settings"]["categories"][1], "name": f"c{number}", "window": 0}
+                                          for number in range(5000)]
+        read = configuration.read(told, 0).terms
+        self.assertEqual((len(read.lanes), read.lanes["c4999"].window), (5000, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/thymeknot/service/configuration.py
+++ b/thymeknot/service/configuration.py
@@ -52,8 +52,12 @@
 
 def _at(value, path, kind, *default):
     """What stands at a dotted path, checked for its type."""
-    for name in path.split("."):
-        value = value.get(name) if isinstance(value, dict) else None
+    *inner, last = path.split(".")
+    for at, name in enumerate(inner, 1):
+        value = value.get(name, {})
+        if not isinstance(value, dict):
+            raise Faulty(f"{'.'.join(inner[:at])}: is no object: {value!r}"[:200])
+    value = value.get(last)
     if value is None and default:
         return default[0]
     if value is None:
@@ -64,12 +68,22 @@
 
 
 def _address(value, path):
-    host, _, port = _at(value, path, str).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise Faulty(f"{path}: is no address with a port: {_at(value, path, str)!r}")
+    text = _at(value, path, str)
+    host, _, port = text.rpartition(":")
+    # Other digits than these are no number, and a long row of them is one that takes too long to read.
+    if not _host(host) or not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65536):
+        raise Faulty(f"{path}: is no address with a port: {text!r}"[:200])
     return host, int(port)
 
 
+def _host(text):
+    """Whether the network library can look for it: what it can't encode, it raises at every use."""
+    try:
+        return bool(text) and text.isprintable() and bool(text.encode("idna"))
+    except UnicodeError:
+        return False
+
+
 def _seed(value):
     text = _at(value, "seed", (str, int))
     try:
@@ -82,7 +96,10 @@
     """The Start that an object tells. epoch: Unix time less the clock, in tenths of a millisecond."""
     if not isinstance(told, dict):
         raise Faulty("the configuration is no object")
-    settings = pairs(_at(told, "settings", dict))
+    try:
+        settings = pairs(_at(told, "settings", dict))
+    except RecursionError:
+        raise Faulty("settings: are nested too deep") from None
     try:
         terms, reach = wire.terms(settings), wire.reach(settings)
     except wire.Malformed as error:
@@ -95,6 +112,8 @@
         known = discovery.read_list(_at(told, "known", dict), epoch, i.REMEMBERED)
     except discovery.Unreadable as error:
         raise Faulty(f"known.{error}") from None
+    except OverflowError as error:  # a number that reads well and leaves its bounds where it is used
+        raise Faulty(f"known: {error}") from None
     sockets = _at(told, "limits.sockets", int, SOCKETS)
     if sockets < 64:
         raise Faulty(f"limits.sockets: {sockets} are too few, 64 at least")
--- a/thymeknot/wire.py
+++ b/thymeknot/wire.py
@@ -5,6 +5,7 @@
 from . import interface as i
 
 UNIT = 100_000  # nanoseconds in a tenth of a millisecond
+LEAST_RATE = 1e-6  # a second; less is no rate, and the time between two leaves the numbers
 
 OUTCOMES = {"delivered": i.DONE, "app_error": i.ERROR, "shed": i.FULL, "expired": i.EXPIRED,
             "dial_failed": i.UNCONNECTED, "dropped": i.RESET, "revoked": i.RECALLED, "unused": i.UNSENT}
@@ -131,6 +132,13 @@
     return value
 
 
+def _rate(text):
+    value = _positive(text)
+    if value < LEAST_RATE:
+        raise ValueError(text)
+    return value
+
+
 def _length(text):
     value = int(text) // UNIT
     if value <= 0:
@@ -180,6 +188,11 @@
     read = _Settings(pairs).read
     lanes = [_lane(read, at) for at in range(read("categories.count", _whole))]
     bools = BOOLS.__getitem__
+    names = set()
+    for at, lane in enumerate(lanes):
+        if lane.name in names:  # one of them would be served by the limits of the other
+            raise Malformed(f"setting categories.{at}.name comes twice: {lane.name!r}")
+        names.add(lane.name)
     return i.Terms(
         lanes={lane.name: lane for lane in lanes},
         balancers=read("balancers", _whole),
@@ -206,7 +219,7 @@
         votes_to_revert=read("extra.votes_to_revert", _whole),
         vote_life=read("extra.vote_life", _length),
         vote_wait=read("extra.vote_wait", _length),
-        votes_per_s=read("extra.calls_per_s", _positive),
+        votes_per_s=read("extra.calls_per_s", _rate),
     )
 
 
