A new configuration with another seed is told that the seed waits for a start

Cause: the README says that other keys that differ are named in the log and wait; the seed was not among those that Sidecar.reconfigure compares.

Change: `seed` is. `known` and `deployer.news` are not named, since they only tell how things stood at a start, nor `limits.memory_mb` and `limits.cores`, which the program does not read.

Measured: tests/test_settings.py names each key; with the mend taken out its test fails on `seed`.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -11,6 +11,7 @@
 import orjson
 
 from tests.helpers import SETTINGS
+from tests.test_sidecar import Network
 from thymeknot import interface as i
 from thymeknot.benchlink import Host
 from thymeknot.service import configuration
@@ -141,6 +142,43 @@
         self.assertEqual(second.actions, alone(1, "sidecar-1"))
 
 
+class Reloaded(unittest.TestCase):
+    def later(self, told):
+        network = Network()
+        network.sidecar.start = configuration.read(example(), 0)
+        return network, network.sidecar.reconfigure(configuration.read(told, 0))
+
+    def test_each_key_that_waits_for_a_start_is_named(self):
+        cases = {"name": ("name", "other"), "listen": ("listen", "127.0.0.1:6380"), "seed": ("seed", "77"),
+                 "limits.sockets": ("limits.sockets", 512)}
+        for key, (path, new) in cases.items():
+            self.assertEqual(self.later(changed(path, new))[1], [key])
+        settings = {"categories.0.name": "other", "categories.1.window": 1, "permissions.max_attempts": 1,
+                    "permissions.conn_idle": 1_000_000, "permissions.connect_timeout": 1_000_000,
+                    "permissions.max_open": 7, "rules.cold": 0, "extra.calls_per_s": 8, "discovery": "subscribe",
+                    "balancers": 7, "stats.names": ["rate"]}
+        for path, new in settings.items():
+            self.assertEqual(self.later(changed(f"settings.{path}", new))[1], ["settings"], path)
+        told = {**changed("name", "other"), "settings": other_settings(), "seed": "1"}
+        self.assertEqual(self.later(told)[1], ["name", "seed", "settings"])
+
+    def test_what_nothing_waits_for_is_not_named(self):
+        """Addresses are taken up; the list and the news told how things stood; the rest the program does not read."""
+        for path, new in {"discovery": "127.0.0.1:8501", "deployer.address": "127.0.0.1:6401",
+                          "known": {"version": 8, "full": True, "servers": []}, "deployer.news.version": 42,
+                          "limits.memory_mb": 32, "limits.cores": 0.5, "settings.unheard": 1}.items():
+            self.assertEqual(self.later(changed(path, new))[1], [], path)
+
+    def test_the_settings_it_started_with_stay_whole(self):
+        network = Network()
+        sidecar = network.sidecar
+        before = sidecar.terms, sidecar.reach, sidecar.balancer.terms, sidecar.most_clients
+        sidecar.reconfigure(configuration.read({**example(), "settings": other_settings()}, 0))
+        self.assertEqual((sidecar.terms, sidecar.reach, sidecar.balancer.terms, sidecar.most_clients), before)
+        for was, stays in zip(before, (sidecar.terms, sidecar.reach, sidecar.balancer.terms)):
+            self.assertIs(was, stays)
+
+
 class Refused(unittest.TestCase):
     def refuse(self, told, key):
         with self.assertRaises(Faulty) as caught:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -112,15 +112,16 @@
 
     def reconfigure(self, start):
         """Takes up the addresses of a new configuration; calls that are out end at the former ones. What it knows
-        of pods and builds is older than what the streams have told. Gives the keys that take a new start."""
+        of pods and builds is older than what the streams have told. Gives the keys that take a new start; `known` and
+        `deployer.news` are not among them, since they only tell how things stood then."""
         if start.discovery != self.discovery.address:
             self.discovery = self._caller(start.discovery)
             self.watch.move(self.discovery)
         if start.platform != self.platform.address:
             self.platform = self._caller(start.platform)
             self.stream.move(self.platform)
-        keys = {"name": "name", "listen": "listen", "sockets": "limits.sockets", "terms": "settings",
-                "reach": "settings"}
+        keys = {"name": "name", "listen": "listen", "seed": "seed", "sockets": "limits.sockets",
+                "terms": "settings", "reach": "settings"}
         return sorted({key for field, key in keys.items()
                        if getattr(start, field) != getattr(self.start, field)})
 
