At its end a sidecar takes each connection that the machine has accepted, not one of them

Cause: Sidecar.finish has the port take what waits (port.doRead), and Twisted's Port takes no more at once than came together the last time (numberAccepts in tcp.py); closing it resets the rest. Of 30 clients that had connected and asked while the process stood still over its last half second, 1 was served and 29 were reset.

Change: life lifts that number before it calls finish. A drain by a fleet's permit calls finish by itself and has the same fault; it would be mended for both in Sidecar.finish.

Measured: the test, with the process stopped over its end, has 30 of 30 answered; with the line taken out it ends in a reset.

--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -212,6 +212,25 @@
             self.assertEqual((client.answer(), client.answer()), (b"01", b""))
         self.assertEqual(running.process.wait(PATIENCE), 0)
 
+    def test_each_connection_that_the_machine_accepted_before_the_end_is_answered(self):
+        pod = self.pod()
+        running = self.program(pod.entry("s-1"))
+        with running.client() as first:
+            self.assertEqual(first.ask("PING"), b"+PONG")  # one came the last time: so many are taken at once
+            running.process.send_signal(signal.SIGTERM)
+            running.logged("stopping")
+            self.assertEqual(first.ask("PING"), b"+PONG")  # the loop has gone on: its end is set
+            begun = time.monotonic()
+            running.process.send_signal(signal.SIGSTOP)
+            clients = [running.client() for _ in range(30)]
+            for number, client in enumerate(clients):
+                self.addCleanup(client.__exit__)
+                client.send("SVC.QUERY", "a", f"{number:02x}", READ)
+            time.sleep(max(0, begun + 2 * life.SERVES_ON - time.monotonic()))  # the end comes while it stands still
+            running.process.send_signal(signal.SIGCONT)
+            self.assertEqual([client.answer() for client in clients], [b"%02x" % number for number in range(30)])
+        self.assertEqual(running.process.wait(PATIENCE), 0)
+
     def test_the_features_of_one_that_stops_take_up_no_file(self):
         for stopping in (False, True):
             made = life.Life({"NODE_CONFIG": "deploy/example.json"}, None)
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -10,6 +10,7 @@
 STOPS = signal.SIGTERM, signal.SIGINT
 SERVES_ON = 0.5             # seconds after SIGTERM in which new connections still come
 LAST = 0.05                 # and for what the last answers need to go out
+WAITING = 1024              # connections that the machine may have accepted, more than the listener's backlog
 # Where lists are pushed, what the agent on the machine has counts as told from the first moment, and the list that the
 # configuration holds is older: it listens once the agent has spoken, or after this long. An agent that is up answers
 # at once; one that is silent longer is down, and learns nothing that could count as told.
@@ -132,10 +133,16 @@
         self.extra.leave()
         logs.log("stopping", clients=len(self.sidecar.clients), transactions=len(self.sidecar.transactions))
         if self.serving:
-            self.reactor.callLater(SERVES_ON, self.sidecar.finish, self._emptied)
+            self.reactor.callLater(SERVES_ON, self._finish)
         else:
             self._emptied()
 
+    def _finish(self):
+        """What the machine has accepted is owed its answers. A port takes no more at once than came together the last
+        time, and closing it resets the others."""
+        self.sidecar.port.numberAccepts = WAITING
+        self.sidecar.finish(self._emptied)
+
     def _emptied(self):
         logs.log("stopped")
         self.reactor.callLater(LAST, self.reactor.stop)
