--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -133,6 +133,24 @@
             self.assertEqual((events[:2], set(events[2:]) - {"stream ended"}), (["stopping", "stopped"], set()))
 
 
+    def test_a_sighup_while_it_loads_does_not_end_it(self):
+        """Sent to itself at the import of the module that reads the file, so before anything of the start."""
+        code = """import os, runpy, signal, sys
+class Finder:
+    def find_spec(self, name, path, target=None):
+        if name == "orjson":
+            os.kill(os.getpid(), signal.SIGHUP)
+sys.meta_path.insert(0, Finder())
+runpy.run_module("thymeknot", run_name="__main__")"""
+        start = subprocess.Popen
+        with mock.patch("tests.helpers.subprocess.Popen",
+                        lambda words, **more: start([words[0], "-c", code], **more)):
+            running = Program()
+        self.addCleanup(running.__exit__)
+        with running.__enter__().client() as client:
+            self.assertEqual(client.ask("PING"), b"+PONG")
+
+
 class FirstList(WithPods):
     def waiting(self, *entries):
         """The program once its watch is asked for: whatever it listens for without a list, it does so by now."""
