--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -133,6 +133,24 @@
             self.assertEqual((events[:2], set(events[2:]) - {"stream ended"}), (["stopping", "stopped"], set()))
 
 
+    def test_a_sighup_while_it_loads_does_not_end_it(self):
+        """Sent to itself at the import of the module that reads the file, so before anything of the start."""
+        code = """import os, runpy, signal, sys
+class Finder:
+    def find_spec(self, name, path, target=None):
+        if name == "orjson":
+            os.kill(os.getpid(), signal.SIGHUP)
+sys.meta_path.insert(0, Finder())
+runpy.run_module("thymeknot", run_name="__main__")"""
+        start = subprocess.Popen
+        with mock.patch("tests.helpers.subprocess.Popen",
+                        lambda words, **more: start([words[0], "-c", code], **more)):
+            running = Program()
+        self.addCleanup(running.__exit__)
+        with running.__enter__().client() as client:
+            self.assertEqual(client.ask("PING"), b"+PONG")
+
+
 class FirstList(WithPods):
     def waiting(self, *entries):
         """The program once its watch is asked for: whatever it listens for without a list, it does so by now."""
@@ -216,6 +234,25 @@
             self.assertEqual((client.answer(), client.answer()), (b"01", b""))
         self.assertEqual(running.process.wait(PATIENCE), 0)
 
+    def test_each_connection_that_the_machine_accepted_before_the_end_is_answered(self):
+        pod = self.pod()
+        running = self.program(pod.entry("s-1"))
+        with running.client() as first:
+            self.assertEqual(first.ask("PING"), b"+PONG")  # one came the last time: so many are taken at once
+            running.process.send_signal(signal.SIGTERM)
+            running.logged("stopping")
+            self.assertEqual(first.ask("PING"), b"+PONG")  # the loop has gone on: its end is set
+            begun = time.monotonic()
+            running.process.send_signal(signal.SIGSTOP)
+            clients = [running.client() for _ in range(30)]
+            for number, client in enumerate(clients):
+                self.addCleanup(client.__exit__)
+                client.send("SVC.QUERY", "a", f"{number:02x}", READ)
+            time.sleep(max(0, begun + 2 * life.SERVES_ON - time.monotonic()))  # the end comes while it stands still
+            running.process.send_signal(signal.SIGCONT)
+            self.assertEqual([client.answer() for client in clients], [b"%02x" % number for number in range(30)])
+        self.assertEqual(running.process.wait(PATIENCE), 0)
+
     def test_the_features_of_one_that_stops_take_up_no_file(self):
         for stopping in (False, True):
             made = life.Life({"NODE_CONFIG": "deploy/example.json"}, None)
