--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -78,6 +78,11 @@
             play(*STARTS, ("listed", 1, "Gone", -1), ("listed", 2, "Gone", -1), ("pod_does", 0, "twice", 30, -1),
                  ("ask", 0, 0, 2, 0, 1, -1), ("passes", 31, -1), ("ask", 1, 0, 2, 0, 1, -1), ("passes", 100, -1))
 
+    def test_what_has_not_begun_to_go_out_is_not_begun_after_a_drain(self):
+        with mock.patch.object(orders, "PODS_TAKE_NOTHING", True):
+            play(*STARTS, *(("pod_takes", pod, 0, -1) for pod in range(3)), ("ask", 0, 0, 2, 0, 3, -1),
+                 *(("listed", pod, "Terminating", -1) for pod in range(3)), ("passes", 100, -1))
+
     def test_answers_that_take_no_time_are_no_fault(self):
         with mock.patch.object(orders, "ANSWERS_AT_ONCE", True):
             play(*STARTS, ("pod_does", 1, "twice", 0, -1), ("pod_takes", 0, 40, -1), ("flood", 1, 2, -1),
