--- a/tests/orders.py
+++ b/tests/orders.py
@@ -622,7 +622,7 @@
             raise Wrong(f"{what}: begun after its drain was told")
         if pod.stale_at is not None and wire.made_at < pod.stale_at and begun > pod.stale_at + TOLD_SLACK:
             raise Wrong(f"{what}: begun on a connection to the process before")
-        if (self.closed_at is not None and pod.build >= self.told_news["version"]
+        if (self.closed_at is not None and pod.known[1] >= self.told_news["version"]
                 and begun > self.closed_at + CAP_SLACK):
             raise Wrong(f"{what}: begun though the newest build takes nothing")
 
