`limits` that is null counts as left out again

Cause: the check that an inner key stands in an object took null for one that is not; seen by tests.test_sidecar.Configuration.test_defaults_and_unknown_keys, that failed since.

Change: null is left out, as before; a number, text, list or false is still refused by its key.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -217,7 +217,8 @@
             deep = {"a": deep}
         self.refuse(changed("settings.deep", deep), "settings: are nested too deep")
         for path in ("limits", "deployer"):
-            self.refuse(changed(path, 5), f"{path}: is no object")
+            for other in (5, "x", [], False):
+                self.refuse(changed(path, other), f"{path}: is no object")
         self.refuse(changed("known.servers.0.started_ms", 1e308), "known")
 
     def test_a_file_that_is_no_text_of_json_is_named(self):
--- a/thymeknot/service/configuration.py
+++ b/thymeknot/service/configuration.py
@@ -54,7 +54,8 @@
     """What stands at a dotted path, checked for its type."""
     *inner, last = path.split(".")
     for at, name in enumerate(inner, 1):
-        value = value.get(name, {})
+        value = value.get(name)
+        value = {} if value is None else value  # null is as good as left out
         if not isinstance(value, dict):
             raise Faulty(f"{'.'.join(inner[:at])}: is no object: {value!r}"[:200])
     value = value.get(last)
