A connection to a pod that comes up with bytes on it fails what it was dialled for, at once

Change: when a connection has come up and what waits is still more than the dials under way, the one that has waited longest fails as never connected, as after a failed dial.

Tests: tests/test_ends_pods.py, Full, and the property test, which now draws such connections, too: both fail without the change ("4 not less than or equal to 3": attempts that wait, dials), and pass with it.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -520,6 +520,17 @@
         self.assertEqual([name for name in held.heard if name in names], [])
 
 
+class Full(unittest.TestCase):
+    def test_a_connection_that_comes_up_with_something_on_it_fails_what_it_was_dialled_for(self):
+        network = Network(entry("s-1"))
+        ends = counted(network)
+        network.ask("01", lane="pay")
+        connection = network.reactor.tcpClients[-1][2].buildProtocol(None)
+        connection.makeConnection(Stale())
+        self.assertEqual((connection.transport.value(), connection.transport.disconnected), (b"", True))
+        self.assertEqual((ends, pods_dialled(network)), ([("01", 0, i.UNCONNECTED)], [7001, 7001]))
+
+
 class BadAnswers(unittest.TestCase):
     """What a pod sends without sense or end costs its own connection, and is let go."""
     BULK = b"$%d\r\n%s\r\n" % (500_000, b"x" * 500_000)
@@ -587,7 +598,8 @@
 # What comes, how often among all that comes, and its choices; a number chooses, or says which of what there is.
 WHAT = {"ask": (6, [("read", 200), ("read", 5000), ("mark", 5000), ("pay", 200), ("pay", 5000)]),
         "exchange": (5, [("read", 5000), ("mark", 5000), ("pay", 5000)]),
-        "up": (6, None), "flush": (6, None), "served": (8, None), "answered": (2, None), "fail": (2, None),
+        "up": (6, None), "up_full": (1, None), "flush": (6, None), "served": (8, None), "answered": (2, None),
+        "fail": (2, None),
         "reset": (1, None), "leave": (1, None), "turn": (3, [()]), "moment": (6, [(0.005,), (0.02,), (0.1,)]),
         "later": (1, [(0.3,), (1.0,)]), "news": (1, [(0.0,), (1.0,), (1.0,)]), "back": (1, [("s-1",), ("s-2",)]),
         "list": (2, [(name, how) for name in ("s-1", "s-2") for how in sorted(LISTED)]),
@@ -596,6 +608,10 @@
                            st.integers(0, 63)), min_size=50, max_size=90)
 
 
+class Stale(Transport):
+    stale = True
+
+
 class World:
     """A network of two pods on which all that can come in any order does: each step is one thing that comes."""
 
@@ -630,12 +646,16 @@
         name = f"{lane}-{len(self.clients)}"
         self.clients[name] = self.network.ask(name, lane=lane, left=left)
 
-    def up(self, place):
+    def up(self, place, transport=Transport):
         if dial := self.pick(self.dialled(), place):
             self.dials.remove(dial)
             connection = dial[0].buildProtocol(None)
             self.connections.append(connection)
-            connection.makeConnection(Transport())
+            connection.makeConnection(transport())
+
+    def up_full(self, place):
+        """The pod answers, or closes, before anything was asked."""
+        self.up(place, Stale)
 
     def exchange(self, lane, left):
         """One is asked, and written at once."""
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from ..protocol.pod import PodConnector
+from ..protocol.reached import NOT_CONNECTED, Broken
 from .slots import Slots
 
 IDLE_PART = 0.8             # of the told idle time: then a connection is retired, before the pod does it
@@ -105,7 +106,9 @@
 
     def _not_connected(self, broken, connector):
         self._dialled(connector)
-        pool = connector.pool
+        self._fall_short(connector.pool, broken)
+
+    def _fall_short(self, pool, broken):
         if len(pool.waiting) > pool.dialling:  # else the one that it was dialled for has gone on another
             pool.waiting.popleft().not_connected(broken)
 
@@ -115,6 +118,8 @@
         connection.slot = self.connections.add(connection)
         self._stand(connection, 0)
         self._look(connection)
+        # A pod that is full, or ending, may say so before anything is asked: such a connection carries nothing.
+        self._fall_short(connection.connector.pool, Broken(NOT_CONNECTED, "an answer before anything was asked"))
 
     def ready(self, connection):
         """What it carried has been answered: it rests before it is used again, and what comes meanwhile ends it."""
