A dial to where a pod was carries nothing once its list names another address

Cause: a pod listed at another address under the same start and build stands still, so _withdraw took back nothing; what waited for the dial to the former address was written there when it came up (pools.py, _serve).

Change: what waits is asked whether it may be written there, at the pool's address; else it ends as not sent and is decided anew, which dials the new address.

Test: Held, test_a_dial_to_where_its_pod_was_carries_nothing_and_it_goes_to_where_it_is; fails without the change. Left: a request already written in part to the former address is let go on.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -419,6 +419,14 @@
             for name, change in changes.items():
                 self.assertNotEqual(self.changed(change, written), b"", (name, written))
 
+    def test_a_dial_to_where_its_pod_was_carries_nothing_and_it_goes_to_where_it_is(self):
+        network = Network(entry("s-1"))
+        network.ask("01")
+        network.list(entry("s-1", addr="127.0.0.1:8001"))
+        self.assertEqual(network.connect().transport.value(), b"")
+        self.assertEqual(pods_dialled(network), [7001, 8001])
+        self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
+
     def test_news_of_an_earlier_build_takes_back_what_waits_for_one_that_is_none_then(self):
         back = i.News(41, 0, i.RELEASED, False, i.DONE, 1.0, 0)
         self.assertEqual(self.changed(lambda network: network.sidecar.tell(back), False), b"")
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -22,8 +22,8 @@
 
 class Pools:
     """Carries deliveries to pods, one at a time on a connection. A delivery is asked to write_to(connection)
-    when it has one, if it still may_be_written(), else to withdraw(), and told not_connected(broken) when none comes
-    up for it."""
+    when it has one, if it still may_be_written(address), else to withdraw(), and told not_connected(broken) when none
+    comes up for it."""
 
     def __init__(self, reactor, deadlines, reach, most, fault):
         self.reactor, self.deadlines, self.reach = reactor, deadlines, reach
@@ -64,7 +64,7 @@
     def _serve(self, pool):
         """The delivery that has waited longest is next, as soon as a connection has rested or come up."""
         while pool.waiting:
-            if not pool.waiting[0].may_be_written():
+            if not pool.waiting[0].may_be_written(pool.address):
                 pool.waiting.popleft().withdraw()
             elif connection := self._rested(pool):
                 self._write(pool.waiting.popleft(), connection)
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -61,11 +61,12 @@
             return self.ends
         return min(self.ends, suspect.at + lane.window) if lane.effect == i.FINGERPRINTED else 0
 
-    def may_be_written(self):
-        """Whether what was decided holds still: it may have waited since, for a connection."""
+    def may_be_written(self, address):
+        """Whether what was decided holds still, there: it may have waited since, for a connection."""
         pod, newest = self.pod, self.sidecar.news.build if self.sidecar.news else None
         return (pod is not None and not self.held.over and self.sidecar.clock() < self.write_by
-                and self.sidecar._stands(pod) and (newest == self.newest or pod.build < newest))
+                and self.sidecar._stands(pod) and self.sidecar.addresses[pod.address] == address
+                and (newest == self.newest or pod.build < newest))
 
     def withdraw(self):
         self.give_up(i.UNSENT)
@@ -355,7 +356,7 @@
         attempt = Attempt(self, held, self.listed.get(action.pod), now, min(now + action.time_out, held.ends))
         held.attempts.append(attempt)
         held.out += 1
-        if attempt.number >= self.terms.max_deliveries or not attempt.may_be_written():
+        if attempt.number >= self.terms.max_deliveries or not attempt.may_be_written(self.addresses.get(action.pod)):
             return self.ended(attempt, i.UNSENT)
         attempt.deadline = self.deadlines.add(attempt.write_by, attempt.due)
         if not self.pools.send(action.pod, self.addresses[action.pod], attempt):
