The line on an unheard answer names its reason

Cause: a pod whose answers were ended (flood, noise, half a value) showed as `unheard answer` without why; the reason stood in the Broken and was dropped (sidecar.py, _came_back).

Change: a field `reason`: what was wrong with the answer or the connection, "late", "given up", or "in part or unreadable". Still once a second at most.

Test: BadAnswers wants the reason of each that ends a connection; without the change the field is missing.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -558,7 +558,8 @@
         self.assertTrue(connection.transport.disconnected, content[:20])
         self.assertEqual(connection.parser.held, 0)
         if not client.transport.value().startswith(b"$"):
-            self.assertIn("unheard answer", [call.args[0] for call in told.call_args_list])
+            lines = [call.kwargs["reason"] for call in told.call_args_list if call.args[0] == "unheard answer"]
+            self.assertRegex(lines[-1], "answer")  # what was wrong with it
         beside.dataReceived(ANSWER)
         self.assertEqual(other.transport.value(), b"$1\r\nv\r\n")
         connection.connectionLost(Failure(ConnectionLost()))
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -90,13 +90,13 @@
         self.sidecar.ended(self, i.UNCONNECTED)
 
     def _begun(self):
-        self.sidecar.answered_unheard(self)
+        self.sidecar.answered_unheard(self, "in part or unreadable")
 
     def _came_back(self, end):
         """What came of it, as a value."""
         good = isinstance(end, Answer) and end.failure is None
         if (good and not self.out) or (self.out and isinstance(end, Broken) and end.reached == WRITTEN):
-            self.sidecar.answered_unheard(self)
+            self.sidecar.answered_unheard(self, "late" if good else end.reason)
         if not self.out:
             return
         if isinstance(end, Broken):
@@ -112,7 +112,7 @@
         self.out = False  # its one end is this: what its connection says of its own is none
         self.sidecar.pools.give_up(self, self.connection)
         if written:
-            self.sidecar.answered_unheard(self)
+            self.sidecar.answered_unheard(self, "given up")
         self.sidecar.ended(self, outcome or (i.EXPIRED if written else i.UNCONNECTED))
 
 
@@ -391,10 +391,11 @@
         if self.why is not None and held.over and not held.out:
             self.why.over(held.id)
 
-    def answered_unheard(self, attempt):
+    def answered_unheard(self, attempt, reason):
         """An answer that came too late, in part, spoilt, or may yet come: its key counts as answered."""
         command, after = attempt.held.command, self.clock() - attempt.at
-        logs.seldom("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after)
+        logs.seldom("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after,
+                    reason=reason)
         self.tell(i.AnsweredUnheard((command.key or command.id).decode(), attempt.pod.build))
 
     def _load(self, report):
