--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from ..protocol.pod import PodConnector
+from ..protocol.reached import NOT_CONNECTED, Broken
 from .slots import Slots
 
 IDLE_PART = 0.8             # of the told idle time: then a connection is retired, before the pod does it
@@ -21,8 +22,8 @@
 
 class Pools:
     """Carries deliveries to pods, one at a time on a connection. A delivery is asked to write_to(connection)
-    when it has one, if it still may_be_written(), else to withdraw(), and told not_connected(broken) when none comes
-    up for it."""
+    when it has one, if it still may_be_written(address), else to withdraw(), and told not_connected(broken) when none
+    comes up for it."""
 
     def __init__(self, reactor, deadlines, reach, most, fault):
         self.reactor, self.deadlines, self.reach = reactor, deadlines, reach
@@ -63,7 +64,7 @@
     def _serve(self, pool):
         """The delivery that has waited longest is next, as soon as a connection has rested or come up."""
         while pool.waiting:
-            if not pool.waiting[0].may_be_written():
+            if not pool.waiting[0].may_be_written(pool.address):
                 pool.waiting.popleft().withdraw()
             elif connection := self._rested(pool):
                 self._write(pool.waiting.popleft(), connection)
@@ -105,7 +106,9 @@
 
     def _not_connected(self, broken, connector):
         self._dialled(connector)
-        pool = connector.pool
+        self._fall_short(connector.pool, broken)
+
+    def _fall_short(self, pool, broken):
         if len(pool.waiting) > pool.dialling:  # else the one that it was dialled for has gone on another
             pool.waiting.popleft().not_connected(broken)
 
@@ -115,6 +118,8 @@
         connection.slot = self.connections.add(connection)
         self._stand(connection, 0)
         self._look(connection)
+        # A pod that is full, or ending, may say so before anything is asked: such a connection carries nothing.
+        self._fall_short(connection.connector.pool, Broken(NOT_CONNECTED, "an answer before anything was asked"))
 
     def ready(self, connection):
         """What it carried has been answered: it rests before it is used again, and what comes meanwhile ends it."""
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -62,11 +62,12 @@
             return self.ends
         return min(self.ends, suspect.at + lane.window) if lane.effect == i.FINGERPRINTED else 0
 
-    def may_be_written(self):
-        """Whether what was decided holds still: it may have waited since, for a connection."""
+    def may_be_written(self, address):
+        """Whether what was decided holds still, there: it may have waited since, for a connection."""
         pod, newest = self.pod, self.sidecar.news.build if self.sidecar.news else None
         return (pod is not None and not self.held.over and self.sidecar.clock() < self.write_by
-                and self.sidecar._stands(pod) and (newest == self.newest or pod.build < newest))
+                and self.sidecar._stands(pod) and self.sidecar.addresses[pod.address] == address
+                and (newest == self.newest or pod.build < newest))
 
     def withdraw(self):
         self.give_up(i.UNSENT)
@@ -90,13 +91,13 @@
         self.sidecar.ended(self, i.UNCONNECTED)
 
     def _begun(self):
-        self.sidecar.answered_unheard(self)
+        self.sidecar.answered_unheard(self, "in part or unreadable")
 
     def _came_back(self, end):
         """What came of it, as a value."""
         good = isinstance(end, Answer) and end.failure is None
         if (good and not self.out) or (self.out and isinstance(end, Broken) and end.reached == WRITTEN):
-            self.sidecar.answered_unheard(self)
+            self.sidecar.answered_unheard(self, "late" if good else end.reason)
         if not self.out:
             return
         if isinstance(end, Broken):
@@ -112,7 +113,7 @@
         self.out = False  # its one end is this: what its connection says of its own is none
         self.sidecar.pools.give_up(self, self.connection)
         if written:
-            self.sidecar.answered_unheard(self)
+            self.sidecar.answered_unheard(self, "given up")
         self.sidecar.ended(self, outcome or (i.EXPIRED if written else i.UNCONNECTED))
         self.may_have_run = written
 
@@ -422,7 +423,7 @@
         attempt = Attempt(self, held, self.listed.get(action.pod), now, min(now + action.time_out, held.ends))
         held.attempts.append(attempt)
         held.out += 1
-        if attempt.number >= self.terms.max_deliveries or not attempt.may_be_written():
+        if attempt.number >= self.terms.max_deliveries or not attempt.may_be_written(self.addresses.get(action.pod)):
             return self.ended(attempt, i.UNSENT)
         attempt.deadline = self.deadlines.add(attempt.write_by, attempt.due)
         if not self.pools.send(action.pod, self.addresses[action.pod], attempt):
@@ -459,10 +460,11 @@
         if self.why is not None and held.over and not held.out:
             self.why.over(held.id)
 
-    def answered_unheard(self, attempt):
+    def answered_unheard(self, attempt, reason):
         """An answer that came too late, in part, spoilt, or may yet come: its key counts as answered."""
         command, after = attempt.held.command, self.clock() - attempt.at
-        logs.seldom("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after)
+        logs.seldom("unheard answer", id=attempt.held.id, pod=attempt.pod.address, after=after,
+                    reason=reason)
         self.tell(i.AnsweredUnheard((command.key or command.id).decode(), attempt.pod.build))
 
     def _load(self, report):
