A new connection is waited for until its first command; what comes until the listener closes is taken

Cause: processes' drains under a busy machine showed clients without an answer on new connections. finish closed each connection that was idle 30 ms after it was taken, also one whose first command was still on its way; and the loop closes its listener a turn after it is told to, so what the machine accepted in that turn was reset.

Change: one that never spoke is waited for until half a second after it opened; the listener is emptied once more just before it closes.

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -117,6 +117,16 @@
         network.pass_on(2 * LINGERS)
         self.assertEqual(len(network.sidecar.clients), 0)
 
+    def test_a_new_connection_is_waited_for_until_its_first_command_has_come(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        connection.finish()
+        network.pass_on(4_000)
+        near.sendall(PING)
+        network.step()
+        network.pass_on(2 * LINGERS)
+        self.assertEqual(all_of(near), PONG)
+
     def test_an_error_behind_good_commands_is_told_whatever_comes_behind_it(self):
         network = self.network()
         near, connection = self.opens(network)
@@ -253,6 +263,11 @@
         network.pass_on(2 * LINGERS)
         network.step(9)
         self.assertEqual([all_of(near) for near in crowd], [PONG] * 30)
+        self.assertEqual(emptied, [])  # the first may be about to say its first word
+        network.pass_on(5_000)
+        network.pass_on(2 * LINGERS)
+        network.step(9)
+        self.assertEqual(all_of(first), b"")
         self.assertEqual(emptied, [True])
 
 
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -15,6 +15,7 @@
 MOST_WAITING = 64           # commands in hand on one connection; beyond it, it is not read on
 SPEAKS_WITHIN = 25_000      # tenths of a millisecond: for a first command, and for one that has begun
 READS_WITHIN = 100_000      # for a client that has stopped reading its answers, or does not read the last ones
+SPEAKS_FIRST = 5_000        # a new connection that is to end still has its first command coming
 LINGERS = 2_000             # from the end of sending to the close: a close over unread bytes resets, which may
                             # destroy the last answer on its way
 LOOKS = 1_000               # how often one that is not read from is asked whether its client is still there
@@ -75,11 +76,12 @@
     def __init__(self, owner):
         self.owner, self.parser, self.deadlines = owner, resp.Parser(), owner.deadlines
         self.slot, self.first, self.places = None, 0, deque()
-        self.sound, self.closing, self.reading, self.used_at = True, False, True, 0
+        self.sound, self.closing, self.reading, self.used_at, self.opened_at = True, False, True, 0, 0
         self.spoke, self.blocked, self.ended, self.flushing, self.gone = False, False, False, False, False
-        self.due, self.last, self.looking, self.linger = None, None, None, LINGERS
+        self.due, self.last, self.looking, self.waits, self.linger = None, None, None, None, LINGERS
 
     def connectionMade(self):
+        self.opened_at = self.deadlines.clock()
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self._expect(SPEAKS_WITHIN)
@@ -87,7 +89,7 @@
 
     def connectionLost(self, reason):
         self.sound, self.gone = False, True
-        for deadline in (self.due, self.last, self.looking):
+        for deadline in (self.due, self.last, self.looking, self.waits):
             self.deadlines.cancel(deadline)
         self.owner.left(self)
 
@@ -226,8 +228,13 @@
             self.transport.abortConnection()
 
     def finish(self):
-        """Closes once everything owed is answered; a command that has begun to come is waited for."""
+        """Closes once everything owed is answered; a command that has begun to come is waited for, and on a new
+        connection the first one."""
         self.closing = True
+        speaks = self.opened_at + SPEAKS_FIRST
+        if self.sound and self.linger and not self.spoke and self.deadlines.clock() < speaks:
+            self.waits = self.deadlines.add(speaks, self.finish) if self.waits is None else self.waits
+            return
         if not self.ended and not self.places and (not self.sound or self.idle()):
             self.ended = True
             self.transport.unregisterProducer()
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -201,6 +201,7 @@
         self.emptied, self.killed, self.returning = emptied, killed, None
         if not self.drained:
             self._accept_all()
+            self.reactor.callLater(0, self._accept_last)  # and what comes until it closes, just before that
             self.drained = maybeDeferred(self.port.stopListening)
         self.deadlines.cancel(self.finishing)
         self.finishing = self.deadlines.add(self.clock() + READ_FIRST, self._finish_clients)
@@ -213,6 +214,10 @@
             if self.port.sessionno == before:
                 return
 
+    def _accept_last(self):
+        if self.drained and not self.drained.called:
+            self._accept_all()
+
     drain = finish          # for a while: a fleet's permit lets it go out, and `undrain` brings it back
 
     def undrain(self, listens, failed):
