--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -9,7 +9,7 @@
 IDLE_PART = 0.8             # of the told idle time: then a connection is retired, before the pod does it
 LATE = 5_000                # what was given up is read from for so long: an answer may be on its way
 AGAIN = 10_000              # a connection is looked at no more often than that
-REST = 200                  # after an answer: a second one may come some milliseconds late, and answers carry no id
+REST = 100                  # after an answer: a second one may come some milliseconds late, and answers carry no id
 
 
 class Pool:
