What waits or is written in part is taken back as its pod moves, not sent on at the former address

Cause: `_listing` took back what no longer stands by start and build alone, and a pool learnt of its pod's new address by the next `send` (`Pools._move`). Until then what waited went on waiting for a dial to the former address (up to the told time for connections, and its failure counted against the pod), what was written in part was written on there, and idle connections there were kept. Change: `unwritten` gives the address with each delivery, `_listing` withdraws what is meant for another one, and `keep_only` lets go of pools elsewhere. Tests: a row `moved` of what takes back what waits and what is written in part; the test of a dial to where a pod was asks for the new dial at the list, not at the former dial's end (stricter; its former order dialled later). Both fail with the mend taken out. Ran: tests.test_ends_pods, test_ends_streams, test_sidecar, test_asking, test_orders, test_settings: pass.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -401,6 +401,7 @@
             "gone": lambda network: network.list(entry("s-1", build=42, state="Gone")),
             "restart": lambda network: network.list(entry("s-1", build=42, started_ms=5000)),
             "other build": lambda network: network.list(entry("s-1", build=41)),
+            "moved": lambda network: network.list(entry("s-1", build=42, addr="127.0.0.1:8001")),
             "lower cap": lambda network: network.sidecar.tell(i.News(42, 0, i.ON_TRIAL, False, i.DONE, 0.0, 0)),
             "going back": lambda network: network.sidecar.tell(i.News(42, 0, i.GOING_BACK, False, i.DONE, 0.0, 0)),
             "withdrawn": lambda network: network.sidecar.tell(i.News(42, 0, i.WITHDRAWN, False, i.DONE, 0.0, 0)),
@@ -423,9 +424,10 @@
         network = Network(entry("s-1"))
         network.ask("01")
         network.list(entry("s-1", addr="127.0.0.1:8001"))
-        self.assertEqual(network.connect().transport.value(), b"")
-        self.assertEqual(pods_dialled(network), [7001, 8001])
+        self.assertEqual(pods_dialled(network), [7001, 8001])  # at once, not when the former dial ends
+        self.assertEqual(network.connect(network.streams).transport.value(), b"")
         self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
+        self.assertEqual(len(network.sidecar.pools), 2)  # the former is ended, and the loop has not told of it yet
 
     def test_news_of_an_earlier_build_takes_back_what_waits_for_one_that_is_none_then(self):
         back = i.News(41, 0, i.RELEASED, False, i.DONE, 1.0, 0)
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -36,8 +36,8 @@
     def send(self, pod, address, delivery):
         """Takes the latest used idle connection that has rested, or dials. False where that would be one too many."""
         pool = self.by_pod.get(pod)
-        if pool is None or pool.address != address:
-            pool = self._move(pod, address)
+        if pool is None:
+            pool = self.by_pod[pod] = Pool(pod, address)
         connection = None if pool.waiting else self._rested(pool)
         if connection:
             self._write(delivery, connection)
@@ -78,17 +78,6 @@
         connection.delivery = delivery
         delivery.write_to(connection)
 
-    def _move(self, pod, address):
-        """A new pool for a pod, which takes over what waits at its former address."""
-        self.retire(pod)
-        former, pool = self.by_pod.get(pod), Pool(pod, address)
-        self.by_pod[pod] = pool
-        if former:
-            pool.waiting, former.waiting = former.waiting, deque()
-            for _ in pool.waiting:
-                self._dial(pool)
-        return pool
-
     def _dial(self, pool):
         pool.dialling += 1
         self.dialling += 1
@@ -165,9 +154,10 @@
                 pool.waiting.remove(delivery)
 
     def unwritten(self):
-        """The deliveries that are decided, but wait for a connection or are not written whole: none has run."""
-        return [delivery for pool in self.by_pod.values() for delivery in pool.waiting] + [
-            connection.delivery for connection in self.connections
+        """The deliveries that are decided, but wait for a connection or are not written whole, and the address that
+        each is meant for: none has run."""
+        return [(delivery, pool.address) for pool in self.by_pod.values() for delivery in pool.waiting] + [
+            (connection.delivery, connection.connector.pool.address) for connection in self.connections
             if connection.waiting is not None and not connection.written]
 
     def retire(self, pod):
@@ -175,12 +165,12 @@
         if pod in self.by_pod:
             self._close(list(self.by_pod[pod].idle))
 
-    def keep_only(self, pods):
-        """Lets go of what is held to other pods than these; what is out on a connection there may end."""
-        for pod in [pod for pod in self.by_pod if pod not in pods]:
+    def keep_only(self, addresses):
+        """Lets go of what is held to other pods than these, or elsewhere; what is out on a connection there may end.
+        Nothing waits for one that is let go: it was withdrawn."""
+        for pod in [pod for pod, pool in self.by_pod.items() if addresses.get(pod) != pool.address]:
             self.retire(pod)
-            if not self.by_pod[pod].waiting:
-                del self.by_pod[pod]
+            del self.by_pod[pod]
 
     def _close(self, connections):
         for connection in connections:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -509,8 +509,8 @@
         self.inbox.append(listing.pods)
         if self.gossip is not None:
             self.gossip.listed()
-        self._withdraw(lambda pod: not self._stands(pod))
-        self.pools.keep_only(self.listed.keys() - changed)
+        self._withdraw(lambda pod, address: not self._stands(pod) or self.addresses[pod.address] != address)
+        self.pools.keep_only({pod: at for pod, at in self.addresses.items() if pod not in changed})
         self.tell()
 
     def _stands(self, pod):
@@ -522,8 +522,8 @@
         """What is not written whole must not be carried past what was told since; until its last byte none runs."""
         deciding, self.deciding = self.deciding, True  # what they become is decided with the news at hand
         try:
-            for attempt in self.pools.unwritten():
-                if fails(attempt.pod):
+            for attempt, address in self.pools.unwritten():
+                if fails(attempt.pod, address):
                     attempt.withdraw()
         finally:
             self.deciding = deciding
@@ -567,7 +567,7 @@
             return
         old, self.news, self.news_at = self.news, news, self.clock()
         if old and old.build == news.build and (news.cap < old.cap or news.phase != old.phase):
-            self._withdraw(lambda pod: pod.build >= news.build)
+            self._withdraw(lambda pod, _: pod.build >= news.build)
 
     def _stream_reader(self):
         events = http.EventStream()
