Exposure holds when an attempt is written: dials that come up late at once no longer bunch past the cap

Cause: the decisions count an attempt when it is decided (`Balancer._may_try`), and it is written up to the told time for connections later (`Pools._serve`). In a window W the pods of a trial could get what was decided in W + D. Change: `memory/exposure.py` counts what was taken and what was written in the window, with the settings' terms alone; `Attempt.may_be_written` asks it, and what does not fit is withdrawn as never run and decided anew. thymeknot/sidecar.py: the asking, the counting, one line each in `take` and `__init__`. Test: `Bunched`, which fails with `allows` giving True.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -15,10 +15,11 @@
 from twisted.internet.error import ConnectionLost
 from twisted.python.failure import Failure
 
-from tests.helpers import PATIENCE, PodPeer, until, words_of
+from tests.helpers import PATIENCE, PodPeer, command, until, words_of
 from tests.test_sidecar import ANSWER, Network, Transport, entry
 from tests.test_sockets import MARK, PAY, READ, WithPods, value
 from thymeknot import interface as i
+from thymeknot.laboratory.rules import Checker
 from thymeknot.memory import pools
 from thymeknot.protocol import discovery
 from thymeknot.protocol.pod import PodConnection
@@ -441,6 +442,49 @@
         self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
 
 
+class Bunched(unittest.TestCase):
+    """Dials that hang for nearly the told time and come up at once: all that waited is written in one moment."""
+    HANG, RATE, CAP = 1.0, 20, 0.5
+
+    def test_exposure_is_kept_to_when_it_is_written(self):
+        for seed in range(3):
+            network, chance = Network(*(entry(f"s-{at}", 41 + at // 5) for at in range(1, 9)), version=42, step=0,
+                                      status="trial", maxWeight=self.CAP), random.Random(seed)
+            sidecar, client, live, seen, trial = network.sidecar, network.client(), [], network.streams, 0
+            sidecar.pools.reach = sidecar.reach._replace(connect_within=int(self.HANG * 10_000) + 100)
+            terms, dials = sidecar.terms, []
+            checker = Checker(terms.lanes, 0, terms.exposure_window, terms.allowance + 2)  # as the protocol has it
+            checker.cap(0, "", 42, self.CAP * 1.04, 0, "trial")
+            for step in range(2000):
+                now, hangs = step * 100, step >= 800 and step % 400 < self.HANG * 100
+                network.reactor.advance(0.01)
+                network.reactor.advance(0)
+                if chance.random() < self.RATE / 100:
+                    checker.taken(now, "", f"{step}", "read", now + 50_000)
+                    client.dataReceived(command("SVC.QUERY", f"{chance.random()}", f"{step}", "c=read,d=5000"))
+                dials += [dial for dial in network.reactor.tcpClients[seen:] if dial[1] > 7000]
+                seen = len(network.reactor.tcpClients)
+                for dial in [dial for dial in dials if dial[1] <= 7004 or not hangs]:
+                    dials.remove(dial)
+                    live.append(dial[2].buildProtocol(None))
+                    live[-1].makeConnection(Transport())
+                for connection in list(live):
+                    pod = connection.connector.pool.pod
+                    if connection.transport.value():
+                        name, build = connection.transport.value().split(b"\r\n")[6].decode(), sidecar.listed[pod].build
+                        checker.sent(now, "", name, pod, build, "read")
+                        connection.transport.clear()
+                        connection.resumeProducing()
+                        trial += build == 42
+                    elif connection.waiting is not None:
+                        connection.dataReceived(ANSWER)
+                    elif connection.transport.disconnecting or (hangs and int(pod[2:]) > 4):  # the pod pauses
+                        live.remove(connection)
+                        connection.connectionLost(Failure(ConnectionLost()))
+            self.assertEqual([text for rule, _, text in checker.broken if rule == 5], [])
+            self.assertGreater(trial, 80)
+
+
 class HeldPod:
     """A pod that takes connections only when it is told to: until then they do not come up."""
 
--- /dev/null
+++ b/thymeknot/memory/exposure.py
@@ -0,0 +1,37 @@
+"""Rule 5 as it stands when an attempt is written: it may have waited for its connection since it was decided, and what
+comes up at once would bunch."""
+
+from .. import interface as i
+from ..records import Ring
+
+BUCKETS = 120               # of the window, as the decisions count it
+
+
+class Exposure:
+    """What was taken and what was written to the newest build on trial, over the settings' window."""
+
+    def __init__(self, terms):
+        self.terms, self.taken, self.written, self.build = terms, {}, {}, None
+
+    def _ring(self, rings, lane):
+        return rings.setdefault(self.terms.by_lane and lane, Ring(self.terms.exposure_window, BUCKETS))
+
+    @staticmethod
+    def _counts(news, build):
+        return news is not None and news.phase == i.ON_TRIAL and news.build == build
+
+    def took(self, now, lane):
+        self._ring(self.taken, lane).add(now)
+
+    def wrote(self, now, news, build, lane):
+        if self._counts(news, build):
+            if build != self.build:
+                self.build, self.written = build, {}
+            self._ring(self.written, lane).add(now)
+
+    def allows(self, now, news, build, lane):
+        """Whether one more may be written there now."""
+        if not self._counts(news, build) or build != self.build:
+            return True
+        taken = self._ring(self.taken, lane).total(now, True)
+        return self._ring(self.written, lane).total(now) + 1 <= self.terms.allowance + news.cap * taken
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -12,6 +12,7 @@
 from . import interface as i
 from .asking.belief import Belief
 from .balance import PROOF, Balancer
+from .memory.exposure import Exposure
 from .memory.pools import Pools
 from .memory.slots import Slots
 from .protocol import discovery, http, platform, resp
@@ -67,7 +68,8 @@
         pod, newest = self.pod, self.sidecar.news.build if self.sidecar.news else None
         return (pod is not None and not self.held.over and self.sidecar.clock() < self.write_by
                 and self.sidecar._stands(pod) and self.sidecar.addresses[pod.address] == address
-                and (newest == self.newest or pod.build < newest))
+                and (newest == self.newest or pod.build < newest) and self.sidecar.exposure.allows(
+                    self.sidecar.clock(), self.sidecar.news, pod.build, self.held.command.lane))
 
     def withdraw(self):
         self.give_up(i.UNSENT)
@@ -82,8 +84,9 @@
             self.deadline = self.sidecar.deadlines.add(self.ends, self.due)
 
     def write_to(self, connection):
-        self.connection = connection
-        left = max(1, (self.ends - self.sidecar.clock()) // 10)
+        self.connection, now = connection, self.sidecar.clock()
+        self.sidecar.exposure.wrote(now, self.sidecar.news, self.pod.build, self.held.command.lane)
+        left = max(1, (self.ends - now) // 10)
         delivered = connection.deliver(self.held.command.words(left), self._begun)
         delivered.addCallback(self._came_back)
 
@@ -128,7 +131,7 @@
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
         self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
         self.listed, self.addresses, self.version = {}, {}, start.known.version
-        self.news, self.news_at = None, 0
+        self.news, self.news_at, self.exposure = None, 0, Exposure(start.terms)
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
         self.returning = None       # the way back that is under way, from the end of its listener to the next one
@@ -360,6 +363,7 @@
         held.slot = self.by_id[name] = self.transactions.add(held)
         held.deadline = self.deadlines.add(held.ends + OVERDUE, self._overdue, held)
         key = command.key.decode() or None
+        self.exposure.took(connection.used_at, command.lane)
         if self.why is not None:
             self.why.taken(name, command)
         return self.tell(i.Taken(name, command.lane, command.tenant, key, left, None, command.repeat, False))
