A key that the newest build answers meanwhile: what waits for an earlier build is decided anew

Cause: that a key stays is asked when an attempt is decided (`Balancer._send`, pins) and was not asked when it is written. Two requests with one key can go two ways: the trial's room is full for the first, or it is a repeat. Change: `Attempt._key_stays`, asked by `may_be_written`; it reads the decisions' own set, `Balancer.pins`. thymeknot/sidecar.py: `may_be_written` and the new method. Test: `Held.test_a_key_that_the_newest_build_answered_meanwhile...`, red before the change (written to the earlier build); where keys do not stay it is written as before. In memory alone. Ran: test_ends_pods, test_orders, test_sidecar.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -430,6 +430,18 @@
         self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
         self.assertEqual(len(network.sidecar.pools), 2)  # the former is ended, and the loop has not told of it yet
 
+    def test_a_key_that_the_newest_build_answered_meanwhile_goes_to_no_earlier_one(self):
+        for keys_stay, goes_to in ((True, 7002), (False, 7001)):
+            network = Network(entry("s-1"), entry("s-2", build=42), version=42, step=0, status="trial", maxWeight=0.5)
+            network.sidecar.balancer.terms = network.sidecar.terms._replace(keys_stay=keys_stay)
+            network.ask("01", lane="pay")
+            self.assertEqual(pods_dialled(network), [7001])
+            network.sidecar.tell(i.AnsweredUnheard("key", 42))  # by an attempt of another request with this key
+            self.assertEqual(bool(network.connect().transport.value()), not keys_stay)
+            self.assertEqual(pods_dialled(network)[-1], goes_to)
+            if keys_stay:
+                self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
+
     def test_news_of_an_earlier_build_takes_back_what_waits_for_one_that_is_none_then(self):
         back = i.News(41, 0, i.RELEASED, False, i.DONE, 1.0, 0)
         self.assertEqual(self.changed(lambda network: network.sidecar.tell(back), False), b"")
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -65,11 +65,18 @@
 
     def may_be_written(self, address):
         """Whether what was decided holds still, there: it may have waited since, for a connection."""
-        pod, newest = self.pod, self.sidecar.news.build if self.sidecar.news else None
-        return (pod is not None and not self.held.over and self.sidecar.clock() < self.write_by
+        pod, now, news = self.pod, self.sidecar.clock(), self.sidecar.news
+        newest = news.build if news else None
+        return (pod is not None and not self.held.over and now < self.write_by
                 and self.sidecar._stands(pod) and self.sidecar.addresses[pod.address] == address
-                and (newest == self.newest or pod.build < newest) and self.sidecar.exposure.allows(
-                    self.sidecar.clock(), self.sidecar.news, pod.build, self.held.command.lane))
+                and (newest == self.newest or pod.build < newest) and not self._key_stays()
+                and self.sidecar.exposure.allows(now, news, pod.build, self.held.command.lane))
+
+    def _key_stays(self):
+        """Whether its key stays with the newest build, which has answered it since."""
+        news, command = self.sidecar.news, self.held.command
+        return (news is not None and self.pod.build < news.build and news.phase in (i.ON_TRIAL, i.RELEASED)
+                and (command.key or command.id).decode() in self.sidecar.balancer.pins)
 
     def withdraw(self):
         self.give_up(i.UNSENT)
