After SIGHUP a new address is asked from version 0 on, not from what the former one counted

Cause: the watch asked with `Sidecar.version`, whichever address had told it. `Belief` holds that each address counts for itself; a service that counts otherwise would answer with what changed after a number of another count, and what it had before that would never be told. Change: `Sidecar._since` gives the version that this address told, else 0. Checked: with a whole list of a lower or higher version, a change and an empty change from the new address, one dial refused before: each is taken at once as it comes, and the next asking there names its own version. Test: `Moves.test_a_new_address_is_asked_for_all_that_it_has...`, red before (index=9). In memory alone. Ran: test_ends_streams, test_asking, test_sidecar, test_orders pass.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -264,6 +264,24 @@
             self.assertEqual((list(self.network.sidecar.listed), old.transport.disconnected), (["s-2"], True))
             self.assertLess(self.network.reactor.seconds() - began, 3)
 
+    def test_a_new_address_is_asked_for_all_that_it_has_and_believed_whatever_its_version(self):
+        for said, names in ((listed(3, "s-2"), ["s-2"]), (listed(12, "s-2"), ["s-2"]),
+                            (listed(3, "s-2", full=False), ["s-1", "s-2"]), (listed(3, full=False), ["s-1"])):
+            self.network = Network(entry("s-1"))
+            old = self.connected(2, listed(8, "s-1"))
+            self.move(self.network, 8)
+            old.dataReceived(chunk(listed(9, "s-1")))  # what the former one counts is not what the new one does
+            self.network.refuse(self.last(8))
+            self.until_asked(8, 1)
+            new = self.connected(8, said)
+            self.assertIn(b"index=0 ", new.transport.value())
+            self.assertEqual((list(self.network.sidecar.listed), old.transport.disconnected), (names, True))
+            new.dataReceived(chunk(listed(4, "s-3", full=False)))
+            self.assertEqual(list(self.network.sidecar.listed), [*names, "s-3"])
+            new.connectionLost(Failure(ConnectionDone()))
+            self.until_asked(8, 4)
+            self.assertIn(b"index=4 ", self.connected(8).transport.value())
+
     def test_what_is_asked_for_at_the_former_address_ends_with_the_move(self):
         self.pass_on(0.05)
         asked = self.connected(2)
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -149,7 +149,7 @@
         chance = Chance(~start.seed)
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
-                                lambda: discovery.watch(self.discovery.host, self.version),
+                                lambda: discovery.watch(self.discovery.host, self._since()),
                                 self._watch_reader, logs.seldom, discovery.FIRST_WORD[self.terms.subscribes],
                                 free=not self.terms.subscribes)  # the agent on the same machine
         self.stream = KeptStream(self.platform, chance, platform.SILENCE,
@@ -524,6 +524,10 @@
         self.pools.keep_only({pod: at for pod, at in self.addresses.items() if pod not in changed})
         self.tell()
 
+    def _since(self):
+        """The version to ask from: each address counts for itself, so from a new one the whole list is wanted."""
+        return self.version if self.belief.source == self.discovery.address else 0
+
     def _stands(self, pod):
         now = self.listed.get(pod.address)
         return now is not None and now.condition == i.READY and (
