A list that was cut and goes on with another ends its watch at once, not at its silence

Cause: `discovery.Lists` reads on by brackets once a line is no JSON. Cut outside of a string, a list stays open: each whole list behind it, of one line or indented, counted as its part and was not taken, though discovery had written it, until the watch fell silent 4.5 s after the last word before. Change: the key `version` or `servers` a second time within an object says that the one before was cut. The watch ends and is asked for anew from the last version taken, so that what the cut list told is not lost either. Test: each cut behind `version` of three forms, none or some signs of life, another list behind in two forms; red before. In memory alone.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -74,12 +74,14 @@
             self.assertLess(self.network.reactor.seconds() - began, 5.1, port)
 
     def test_lines_of_an_object_that_never_ends_are_silence(self):
-        stream, began = self.connected(2, SIGN[2], b'{"version":9,"full":true,"servers":[\n'), 0
-        while self.asked(2) == 1 and began < 12:
-            stream.dataReceived(chunk(b'{"id":"s-2"},\n'))
-            self.pass_on(0.5)
-            began += 0.5
-        self.assertLess(began, 5.1)
+        for line in (b'{"id":"s-2"},\n', SIGN[2]):  # a sign of life behind what was cut is JSON, and none
+            self.network = Network(entry("s-1"))
+            stream, began = self.connected(2, SIGN[2], b'{"version":9,"full":true,"servers":[\n'), 0
+            while self.asked(2) == 1 and began < 12:
+                stream.dataReceived(chunk(line))
+                self.pass_on(0.5)
+                began += 0.5
+            self.assertLess(began, 5.1)
 
     def test_whole_lines_are_life(self):
         streams = {port: self.connected(port, SIGN[port]) for port in (2, 3)}
@@ -585,6 +587,16 @@
             with self.assertRaises(discovery.Unreadable, msg=text):
                 list(discovery.Lists().feed(text))
 
+    def test_a_list_that_was_cut_ends_it_as_soon_as_another_begins(self):
+        for whole in (listed(9, "s-2", "s-3"), listed(9, "s-2", "s-3", indent=0), listed(9, "s-2", "s-3", indent=2)):
+            ends = range(whole.index(b"version") + 9, len(whole) - 2)  # before that only silence tells
+            for at, indent, sign in itertools.product(ends, (None, 2), (b"", b"\n", b"\n\n\n")):
+                lists, another = discovery.Lists(), listed(10, "s-4", "s-5", indent=indent)
+                with self.assertRaises(discovery.Unreadable, msg=whole[:at] + sign):
+                    list(lists.feed(whole[:at] + sign + another))
+        keys = listed(9, "s-2", indent=2).replace(b'"s-2"', b'"\\"servers\\": ["')
+        self.assertEqual(len(list(discovery.Lists().feed(keys * 3))), 3)
+
     def test_a_list_without_an_end_is_bounded(self):
         lists, line, fed = discovery.Lists(), b'"' + b"x" * 60_000 + b'":1,\n', 0
         list(lists.feed(b"{\n"))
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -27,6 +27,7 @@
 STRINGS, BRACKETS = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"'), re.compile(rb"[][{}]")
 NO_JSON = re.compile(rb"[^][{}\s\d:,.+eEtrufalsn-]")
 CLOSERS = {b"{": b"}", b"[": b"]"}
+KEYS = re.compile(rb'"(version|servers)"\s*:')  # that a list has once each, and no entry has
 
 
 class Unreadable(ValueError):
@@ -106,10 +107,11 @@
     """The lists of a watch's body, which comes in slices: one JSON object on a line, or indented, on several.
 
     A line that is JSON costs one reading. Of one that is not, the brackets outside of strings tell whether the object
-    goes on: no string of JSON spans lines. Each line is looked at once, and the whole once it is there."""
+    goes on: no string of JSON spans lines. Each line is looked at once, and the whole once it is there. One that was
+    cut and goes on with another list is none: what follows would count as its part for ever."""
 
     def __init__(self):
-        self.lines, self.begun, self.closers = http.Lines(), None, bytearray()
+        self.lines, self.begun, self.closers, self.keys = http.Lines(), None, bytearray(), []
 
     def feed(self, content):
         """The objects that are whole now, and None for each sign of life, an empty line between them."""
@@ -131,6 +133,9 @@
         self.begun += line + b"\n"
         if len(self.begun) > http.MOST_LINE:
             raise Unreadable("a list that is too long")
+        self.keys += KEYS.findall(line)
+        if len(self.keys) > len(set(self.keys)):
+            raise Unreadable("a list within another, which was cut")
         plain = STRINGS.sub(b"", line)
         if NO_JSON.search(plain):
             raise Unreadable(f"no JSON: {bytes(line[:50])!r}")
@@ -142,7 +147,7 @@
             else:
                 raise Unreadable(f"no JSON: {bytes(line[:50])!r} closes what is not open")
         if not self.closers:
-            text, self.begun = self.begun, None
+            text, self.begun, self.keys = self.begun, None, []
             yield parse(text)
 
 
