An empty whole list of a new version is believed once a new watch tells it again

Cause: `asking/belief.py` never believed an empty whole list while pods were known. Weighed: believing at once would let one broken answer turn all work away; never believing breaks a rule. The sign is the version: an agent that has heard of nobody yet (just started) has no new one; who has taken note of what is no longer there has. So: of a new version, passed over once, asked for again at once (0.2 to 0.8 s), believed when a new watch tells it again. Without a new version, and as a new address's first word, it is never believed, as before. Lists that waver between the two doubts are asked for less and less often, and none is believed.

--- a/thymeknot/asking/belief.py
+++ b/thymeknot/asking/belief.py
@@ -3,17 +3,30 @@
 Pure. Source: docs/design/vast.md. Changes are always believed: they add to what is known, and a drain binds at once.
 """
 
-FIRM, DOUBTING = "firm", "doubting"
-NEWER, OLDER, EMPTY = "newer", "older", "empty"
-TAKE, KEEP = True, False
-# (state, input) -> next state, effect. An older list told twice in a row is one of a service that counts anew; an empty
-# one is never believed while pods are known: where there are none, keeping them costs connections that fail.
+from typing import NamedTuple
+
+FIRM, DOUBTING, EMPTYING = "firm", "doubting", "emptying"
+NEWER, OLDER, EMPTY, EMPTIED = "newer", "older", "empty", "emptied"
+TAKE, KEEP, ASK = "take", "keep", "ask"
+# (state, input) -> next state, effect. ASK: not taken, but asked for again at once, and taken if it is told again: an
+# older list is one of a service that counts anew, an emptied one (of a version that is new) has taken note of the pods
+# that it no longer names, and what was told counts. Who tells now this, now that is asked less and less often. One that
+# is empty without a new version is of a service that has not heard of the pods yet: keeping them costs connections that
+# fail at most.
 BELIEF = {
-    (FIRM, NEWER): (FIRM, TAKE), (FIRM, OLDER): (DOUBTING, KEEP), (FIRM, EMPTY): (FIRM, KEEP),
-    (DOUBTING, NEWER): (FIRM, TAKE), (DOUBTING, OLDER): (FIRM, TAKE), (DOUBTING, EMPTY): (DOUBTING, KEEP),
+    (FIRM, NEWER): (FIRM, TAKE), (DOUBTING, NEWER): (FIRM, TAKE), (EMPTYING, NEWER): (FIRM, TAKE),
+    (FIRM, OLDER): (DOUBTING, ASK), (DOUBTING, OLDER): (FIRM, TAKE), (EMPTYING, OLDER): (DOUBTING, KEEP),
+    (FIRM, EMPTY): (FIRM, KEEP), (DOUBTING, EMPTY): (DOUBTING, KEEP), (EMPTYING, EMPTY): (EMPTYING, KEEP),
+    (FIRM, EMPTIED): (EMPTYING, ASK), (DOUBTING, EMPTIED): (EMPTYING, KEEP), (EMPTYING, EMPTIED): (FIRM, TAKE),
 }
 
 
+class Doubt(NamedTuple):
+    """Why a list is passed over, and whether it is believed if it is told again."""
+    reason: str
+    again: bool
+
+
 class Belief:
     """One for each sidecar. source: the address that tells; each counts for itself."""
 
@@ -21,13 +34,17 @@
         self.state, self.source, self.version = FIRM, None, None
 
     def doubt(self, source, version, whole, names, known):
-        """Why a list of this version, which names so many, is passed over while so many are known; None where it is
-        taken, and its version is the last."""
+        """The Doubt of a list of this version, which names so many, while so many are known; None where it is taken,
+        and its version is the last."""
         if source != self.source:
             self.state, self.source, self.version = FIRM, source, version
-        what = EMPTY if whole and known and not names else OLDER if whole and version < self.version else NEWER
-        self.state, taken = BELIEF[self.state, what]
-        if not taken:
-            return f"version {version} " + ("names no pod" if what == EMPTY else f"is older than {self.version}")
+        if whole and known and not names:
+            what = EMPTIED if version > self.version else EMPTY
+        else:
+            what = OLDER if whole and version < self.version else NEWER
+        self.state, effect = BELIEF[self.state, what]
+        if effect != TAKE:
+            reason = f"is older than {self.version}" if what == OLDER else "names no pod"
+            return Doubt(f"version {version} {reason}", effect == ASK)
         self.version = version
         return None
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -35,13 +35,13 @@
 
 
 class Unbelieved(Unreadable):
-    """A list that reads well and would take all that is known. One that names nobody is never believed, and the peer is
-    asked again less and less often. An older one is believed if it comes again, and all that it tells counts as told
-    meanwhile: the peer is asked as if its stream had stood."""
+    """A list that reads well and would take all that is known. Where it is never believed, the peer is asked again less
+    and less often. Where it is if it comes again, all that it tells counts as told meanwhile: the peer is asked as if
+    its stream had stood."""
 
-    def __init__(self, doubt, names):
-        super().__init__(doubt)
-        self.how = STOOD if names else REFUSED
+    def __init__(self, reason, again):
+        super().__init__(reason)
+        self.how = STOOD if again else REFUSED
 
 
 class Listing(NamedTuple):
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -502,7 +502,7 @@
         whole, names = listing.pods.kind != i.CHANGES, len(listing.pods.pods)
         doubt = self.belief.doubt(source, listing.version, whole, names, len(self.listed))
         if doubt:
-            raise discovery.Unbelieved(doubt, names)
+            raise discovery.Unbelieved(*doubt)
         self.version = listing.version
         before, self.listed = self.listed, dict(self.listed) if listing.pods.kind == i.CHANGES else {}
         changed = set()
