HTTP: interim answers are passed over, and 204 and 304 have no body whatever their heads say

Cause: `http.Parser._head` took a 1xx head for the answer: a vote that was answered `100` and then `200` was read until the connection closed and counted as one that may count, and a stream was ended with "status 100". Of a 204 or 304 a length or chunks in the head were waited for, up to the call's time. Change: 100 to 199 give nothing and the next head is read; 204 and 304 end with their head. Tests: both, whole and split byte by byte; red before. Beside it, green before and after: chunk extensions and trailers, trailers without end, line feeds alone, a 200, 301 or 500 without a body; each has one outcome, in time, and keeps little. In memory alone. Ran: test_ends_streams, test_protocol pass.

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -380,6 +380,17 @@
                                  (chunk(b"data: " + b"x" * 60_000 + b"\n"), 3)):
                 self.ends(port, *[flood] * times)
 
+    def test_a_stream_that_ends_and_has_trailers_without_end_is_asked_for_anew(self):
+        for port in (2, 3):
+            self.network, began = Network(entry("s-1")), 0
+            stream = self.connected(port, SIGN[port])
+            stream.dataReceived(b"0\r\n")
+            while self.asked(port) == 1 and began < 9:
+                stream.dataReceived(b"X: y\r\n" * 99)
+                self.pass_on(0.5)
+                began += 0.5
+            self.assertLess(began, 5.1)
+
     def test_sizes_that_are_none_end_it(self):
         for size in (b"", b"-1", b"+1", b"0x1", b"1_0", b"zz", b" 1", b"fffffff", b"f" * 9, b"\xb2", b"1;"[1:]):
             self.ends(2, size + b"\r\n")
@@ -500,6 +511,40 @@
         call.dataReceived(self.sized(b"<Error><Code>throttled</Code></Error>", 400) + self.sized(self.NEWS))
         self.assertEqual(self.outcomes(), [i.FULL])
 
+    def test_interim_answers_are_passed_over_and_some_have_no_body(self):
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\n"
+        for said, outcomes in ((interim + self.sized(self.NEWS), [i.DONE]), (interim, []),
+                               (b"HTTP/1.1 204 X\r\nContent-Length: 9\r\n\r\n", [i.EXPIRED]),
+                               (b"HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n", [i.EXPIRED])):
+            for step in (1, len(said)):
+                self.setUp()
+                self.vote()
+                call = self.written()
+                for at in range(0, len(said), step):
+                    call.dataReceived(said[at:at + step])
+                self.assertEqual(self.outcomes(), outcomes, said)
+        stream = self.connected(2)
+        stream.dataReceived(interim + HEAD + chunk(listed(9, "s-2")))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_odd_chunks_trailers_and_answers_without_a_body_have_one_outcome_in_time(self):
+        size = b"%x" % len(self.NEWS)
+        whole = HEAD + size + b' ;a="b;c"\r\n' + self.NEWS + b"\r\n00;x\r\nX: y\r\n"
+        for said, outcome, at_once in (
+                (whole + b"\r\n", i.DONE, True), (whole + b"X: y\r\n" * 9000, i.EXPIRED, False),
+                (HEAD + size + b"\n" + self.NEWS + b"\n0\n\n", i.EXPIRED, False), (HEAD + b"\r\n", i.EXPIRED, True),
+                (HEAD + size + b";" + b"x" * 17_000, i.EXPIRED, True), (whole + b"x" * 17_000, i.EXPIRED, True),
+                (HEAD + b"0\r\n\r\n", i.EXPIRED, True), (self.sized(b""), i.EXPIRED, True),
+                (self.sized(b"", 500), i.EXPIRED, True), (self.sized(b"", 301), i.EXPIRED, True)):
+            self.setUp()
+            self.vote()
+            call = self.written()
+            call.dataReceived(said)
+            self.assertEqual((self.outcomes(), call.transport.disconnected), ([outcome] * at_once, at_once), said[:90])
+            self.assertLess(len(call.parser.rest), 20_000)
+            self.pass_on(1.3)
+            self.assertEqual((self.outcomes(), self.network.sidecar.platform.out), ([outcome], 0), said[:90])
+
     def test_an_answer_without_a_length_is_whole_only_where_the_peer_ends_it(self):
         for end, cut, outcome in ((ConnectionDone, 0, i.DONE), (ConnectionLost, 0, i.EXPIRED),
                                   (ConnectionDone, 60, i.EXPIRED)):
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 from urllib.parse import urlencode
 
-NO_BODY = (204, 304)
+INTERIM = range(100, 200)   # the answer itself is yet to come
+NO_BODY = (204, 304)        # whatever their heads say of one
 FIELDS = ("", "event", "data", "id", "retry")  # of an event; the nameless one is a comment
 MOST_EVENT = 64 * 1024
 STATUS, LENGTH = re.compile(r"[0-9]{3}"), re.compile(r"[0-9]{1,10}")
@@ -71,11 +72,14 @@
             raise Malformed("no status line")
         headers = {name.strip().lower(): text.strip()
                    for name, _, text in (line.partition(":") for line in lines)}
-        head, after = Head(int(words[1]), headers), end + 4
-        if headers.get("transfer-encoding", "").lower() == "chunked":
+        status, after = int(words[1]), end + 4
+        if status in INTERIM:
+            return [], after
+        head = Head(status, headers)
+        if status not in NO_BODY and headers.get("transfer-encoding", "").lower() == "chunked":
             self.state = self._chunk
             return [head], after
-        length = headers.get("content-length", "0" if int(words[1]) in NO_BODY else None)
+        length = "0" if status in NO_BODY else headers.get("content-length")
         if length is None:
             self.state = self._until_closed
             return [head], after
