Tests: answers that end, reset or come in single bytes; spoilt ones in the rest; a pod that restarts in place

None shows a fault; each rules a suspect out. Over sockets, with the program stopped until both have come (SIGSTOP, the pod's queue empty): a whole answer of 1,000 bytes with the end or a reset behind it is passed on, once; an answer in single bytes is one. In memory: five spoilt answers within a connection's rest end it and answer nobody; another process under the same id and address gets nothing on what stood idle or was dialled before, and what was out on the former one may end.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -1,13 +1,19 @@
 """What is still owed when an attempt, a connection or a dial to a pod ends: each order is stepped by hand."""
 
+import array
+import fcntl
+import itertools
 import queue
 import random
 import select
+import signal
 import socket
 import struct
+import termios
 import threading
 import time
 import unittest
+from pathlib import Path
 from unittest import mock
 
 from hypothesis import given, settings
@@ -185,11 +191,12 @@
         return network, connection, clients
 
     def test_a_second_answer_within_the_rest_answers_nobody(self):
-        for waits in (True, False):
+        spoilt = b"*", b"\r\n", b"\xff" * 70_000, b"-BUSY\r\n", b"*3\r\n$1\r\nw\r\n$x"
+        for waits, late in itertools.product((True, False), (ANSWER.replace(b"v", b"w"), *spoilt)):
             network, connection, clients = self.answered(*["02"] * waits)
             network.reactor.advance(0.009)
             clients += [network.ask("02")] * (not waits)
-            connection.dataReceived(ANSWER.replace(b"v", b"w"))
+            connection.dataReceived(late)
             network.reactor.advance(0.02)
             self.assertTrue(connection.transport.disconnected)
             self.assertEqual((connection.transport.value(), clients[1].transport.value()), (b"", b""))
@@ -243,6 +250,30 @@
         self.assertEqual(pods_dialled(network), [7001, 7001])  # it never ran, so a binding one may go again
 
 
+class Restarted(unittest.TestCase):
+    def test_another_process_at_the_same_address_gets_nothing_on_what_was_open_or_dialled_before(self):
+        for change in ({"build": 40}, {"started_ms": 9}):
+            network = Network(entry("s-1"))
+            clients = [network.ask(name) for name in ("01", "02")]
+            idle, out = network.connect(network.streams), network.connect(network.streams + 1)
+            for connection in (idle, out):
+                connection.resumeProducing()
+            idle.dataReceived(ANSWER)
+            clients.append(network.ask("03"))  # the idle one rests: it is dialled for
+            network.sidecar.balancer.pins.clear()  # else the key stays with the former build
+            network.list(entry("s-1", **change))
+            self.assertTrue(idle.transport.disconnecting)
+            self.assertEqual(network.connect(network.streams + 2).transport.value(), b"")
+            self.assertEqual(pods_dialled(network), [7001] * 4)
+            new = network.connect()
+            self.assertIn(b"$2\r\n03\r\n", new.transport.value())
+            new.resumeProducing()
+            for connection in (out, new):  # what was out may end, and its connection ends with it
+                connection.dataReceived(ANSWER)
+            self.assertEqual((out.transport.disconnected, new.transport.disconnected), (True, False))
+            self.assertEqual([client.transport.value() for client in clients], [b"$1\r\nv\r\n"] * 3)
+
+
 class Cost(unittest.TestCase):
     def dials(self, rest, a_second, pods, took):
         """Connections dialled in half a minute, of pods that take so many steps of 5 ms for an answer."""
@@ -316,6 +347,62 @@
             until(lambda: pod.copies, two)
 
 
+class EndsBehind(PodPeer):
+    """Ends the connection behind its whole answer, and the program reads neither until both have come."""
+
+    def __init__(self, reset):
+        self.reset, self.process = reset, None
+        super().__init__()
+
+    def stand_still(self):
+        self.process.send_signal(signal.SIGSTOP)
+        until(lambda: Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(") ")[2][0] == "T",
+              lambda: time.sleep(0.001))
+
+    def serve(self, connection, source):
+        words = words_of(source)
+        self.heard.put(words)
+        self.stand_still()
+        connection.sendall(value(words[2] * 1000))
+        unread = array.array("i", [1])
+        until(lambda: unread[0] == 0, lambda: fcntl.ioctl(connection, termios.TIOCOUTQ, unread))
+        if self.reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        source.close()
+        connection.close()
+        self.process.send_signal(signal.SIGCONT)
+
+
+class BytesOverSockets(PodPeer):
+    """Its answers come byte by byte."""
+
+    def serve(self, connection, source):
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        while (words := words_of(source)) is not None:
+            for byte in value(words[2]):
+                connection.sendall(bytes((byte,)))
+
+
+class AnswersOverSockets(WithPods):
+    def test_a_whole_answer_is_kept_where_the_connection_ends_or_is_reset_behind_it(self):
+        for reset in (False, True):
+            pod = EndsBehind(reset)
+            self.addCleanup(pod.close)
+            running = self.program(pod.entry("s-1"))
+            pod.process = running.process
+            with running.client() as client:
+                for name in (b"1", b"2"):
+                    self.assertEqual(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), name * 1000)
+            self.assertEqual(pod.heard.qsize(), 2)
+
+    def test_an_answer_in_single_bytes_is_one(self):
+        pod = BytesOverSockets()
+        self.addCleanup(pod.close)
+        with self.program(pod.entry("s-1")).client() as client:
+            for name in (b"11", b"12"):
+                self.assertEqual(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), name)
+
+
 class Held(unittest.TestCase):
     """What waits for a connection, or is not written whole, is held to all terms up to its last byte."""
 
