A new address is asked from version 0 on until one of its lists is taken, not until one is passed over

Change: `Sidecar.told_by`, the address of the last list taken. Three lines of thymeknot/sidecar.py. Test: `Moves.test_until_a_new_address_is_believed...`, red before (index=8).

--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -285,6 +285,16 @@
             self.until_asked(8, 4)
             self.assertIn(b"index=4 ", self.connected(8).transport.value())
 
+    def test_until_a_new_address_is_believed_it_is_asked_for_all(self):
+        self.connected(2, listed(8, "s-1"))
+        self.move(self.network, 8)
+        for _ in range(3):
+            empty = self.connected(8, listed(12))
+            self.assertIn(b"index=0 ", empty.transport.value())
+            self.until_asked(8, 2)
+        self.connected(8, listed(12, "s-2"))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
     def test_what_is_asked_for_at_the_former_address_ends_with_the_move(self):
         self.pass_on(0.05)
         asked = self.connected(2)
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -137,7 +137,7 @@
         self.pools = Pools(reactor, deadlines, self.reach, for_pods, logs.fault)
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
         self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
-        self.listed, self.addresses, self.version = {}, {}, start.known.version
+        self.listed, self.addresses, self.version, self.told_by = {}, {}, start.known.version, None
         self.news, self.news_at, self.exposure = None, 0, Exposure(start.terms)
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
@@ -503,7 +503,7 @@
         doubt = self.belief.doubt(source, listing.version, whole, names, len(self.listed))
         if doubt:
             raise discovery.Unbelieved(*doubt)
-        self.version = listing.version
+        self.version, self.told_by = listing.version, source
         before, self.listed = self.listed, dict(self.listed) if listing.pods.kind == i.CHANGES else {}
         changed = set()
         for pod in listing.pods.pods:
@@ -526,7 +526,7 @@
 
     def _since(self):
         """The version to ask from: each address counts for itself, so from a new one the whole list is wanted."""
-        return self.version if self.belief.source == self.discovery.address else 0
+        return self.version if self.told_by == self.discovery.address else 0
 
     def _stands(self, pod):
         now = self.listed.get(pod.address)
