A value that came whole is served also where the connection ends behind it, before the answer's last part

Cause: `PodConnection.connectionLost` ended what was out as a reset wherever the answer was cut, also behind its whole value; where something wrong follows a whole value, `_read` serves it. A binding request that had run was answered as failed, though what the pod made for it was here. Change: `connectionLost` hands on the whole first string, as `_read` does. Test: an answer cut at each of its bytes, by an end and by a reset: served from the value's last byte on, a reset before; red before. The key counts as answered in both. In memory alone. Ran: test_ends_pods, test_orders, test_sidecar, test_failures pass.

--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -18,7 +18,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
 from tests.helpers import PATIENCE, PodPeer, command, until, words_of
@@ -403,6 +403,23 @@
                 self.assertEqual(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), name)
 
 
+class Cut(unittest.TestCase):
+    def test_a_value_that_is_whole_is_served_wherever_the_connection_ends_behind_it(self):
+        value_ends = ANSWER.index(b"v\r\n") + 3
+        for at, why in itertools.product(range(len(ANSWER)), (ConnectionLost, ConnectionDone)):
+            network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+            ends, client = counted(network), network.ask("01", lane="pay")
+            connection = network.connect()
+            connection.resumeProducing()
+            connection.dataReceived(ANSWER[:at])
+            connection.connectionLost(Failure(why()))
+            whole = at >= value_ends
+            self.assertEqual(ends, [("01", 0, i.DONE if whole else i.RESET)], at)
+            self.assertRegex(client.transport.value(), rb"^\$1\r\nv\r\n$" if whole else b"^-ERR")
+            self.assertEqual((network.sidecar.balancer.pins, len(network.sidecar.transactions)), ({"key"}, 0))
+            self.assertEqual((len(network.sidecar.pools), network.faults), (0, []))
+
+
 class Held(unittest.TestCase):
     """What waits for a connection, or is not written whole, is held to all terms up to its last byte."""
 
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -132,6 +132,10 @@
 
     def connectionLost(self, reason):
         self.owner.lost(self)
+        if self.waiting is not None and self.written:
+            for value in self.parser.first_part():  # whole, and cut behind it: as where something wrong follows
+                waiting, self.waiting = self.waiting, None
+                waiting.callback(Answer(value, None, None))
         self._broken(reason.getErrorMessage())
 
 
