A peer that makes no sense again and again is asked less often, as one that refuses

Change: an input SPOILT and a state WARNED in the table: the first spoilt answer is asked again as usual, as before, the next one without a stream that stood between counts as refused. No new value. Tests: `Storms` (seven answers, three services), red before at the two of nonsense; rows of `Waits`, and SPOILT among what is drawn there.

--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -8,7 +8,20 @@
 
 from thymeknot import interface as i
 from thymeknot.asking.belief import Belief
-from thymeknot.asking.pace import AGAIN, FRESH, LONGEST, LOST, REFUSED, SPREAD_MOST, STEADY, STOOD, TURNED_AWAY, Pace
+from thymeknot.asking.pace import (
+    AGAIN,
+    FRESH,
+    LONGEST,
+    LOST,
+    REFUSED,
+    SPOILT,
+    SPREAD_MOST,
+    STEADY,
+    STOOD,
+    TURNED_AWAY,
+    WARNED,
+    Pace,
+)
 from thymeknot.laboratory.agents import IDLE, Connections, Service
 from thymeknot.memory.deadlines import Deadlines
 from thymeknot.protocol.calls import KeptStream
@@ -26,10 +39,16 @@
         for how, age, wait, state in (
                 (LOST, 0, 5_000, FRESH), (REFUSED, STEADY, 5_000, FRESH), (REFUSED, STEADY - 1, 20_000, TURNED_AWAY),
                 (REFUSED, 0, 40_000, TURNED_AWAY), (REFUSED, 0, 60_000, TURNED_AWAY), (REFUSED, 0, 60_000, TURNED_AWAY),
-                (LOST, 0, 60_000, TURNED_AWAY), (STOOD, 0, 5_000, FRESH), (REFUSED, 0, 20_000, TURNED_AWAY)):
+                (LOST, 0, 60_000, TURNED_AWAY), (STOOD, 0, 5_000, FRESH), (REFUSED, 0, 20_000, TURNED_AWAY),
+                (STOOD, 0, 5_000, FRESH), (SPOILT, 0, 5_000, WARNED), (LOST, 0, 5_000, WARNED),
+                (SPOILT, STEADY, 5_000, FRESH), (SPOILT, 0, 5_000, WARNED), (STOOD, 0, 5_000, FRESH),
+                (SPOILT, 0, 5_000, WARNED), (SPOILT, STEADY - 1, 20_000, TURNED_AWAY),
+                (SPOILT, 0, 40_000, TURNED_AWAY), (STOOD, 0, 5_000, FRESH), (SPOILT, 0, 5_000, WARNED),
+                (REFUSED, 0, 20_000, TURNED_AWAY)):
             self.assertEqual((pace.ended(how, age), pace.state), (wait, state))
 
-    @given(st.lists(st.tuples(st.sampled_from((REFUSED, LOST, STOOD)), st.integers(0, 10 * STEADY)), max_size=60),
+    @given(st.lists(st.tuples(st.sampled_from((REFUSED, LOST, SPOILT, STOOD)), st.integers(0, 10 * STEADY)),
+                    max_size=60),
            st.integers(1, 2 ** 60), st.integers(1, 10_000))
     def test_it_is_asked_again_within_bounds_whatever_comes(self, ends, seed, asking):
         pace = Pace(Chance(seed).draw)
--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -365,6 +365,23 @@
             self.assertRegex(self.network.ask().transport.value(), b"^-BUSY")
 
 
+class Storms(WithNetwork):
+    def test_a_peer_that_refuses_or_makes_no_sense_again_and_again_is_asked_less_often(self):
+        news = b"event: progress\ndata: version=41&step=1&status=released&maxWeight=1&observedAgoMs=5\n\n"
+        for port, asked_for, most in ((2, False, 90), (2, True, 20), (3, False, 20)):
+            good = chunk(listed(8, "s-1") if port == 2 else news)
+            for said in (*(HEAD.replace(b"200", status) for status in (b"301", b"500", b"503")), b"noise\r\n\r\n",
+                         HEAD + chunk(b"noise\n"), HEAD + good + chunk(b"noise\n"), HEAD + good + b"0\r\n\r\n"):
+                self.network = Network(entry("s-1"), asked_for=asked_for)
+                kept = {2: self.network.sidecar.watch, 3: self.network.sidecar.stream}[port]
+                self.pass_on(0.1)
+                for _ in range(600):
+                    if kept.asked and kept.asked.transport is None:
+                        self.connected(port).dataReceived(said)
+                    self.pass_on(0.1)
+                self.assertLess(self.asked(port), most, (port, asked_for, said))
+
+
 class BadInput(WithNetwork):
     def ends(self, port, *said):
         """These bytes end the stream that stands, alone, with a reason of bounded length; which is given."""
--- a/thymeknot/asking/pace.py
+++ b/thymeknot/asking/pace.py
@@ -10,14 +10,17 @@
 STEADY = 2 * SECOND         # what ends sooner after its asking was refused, though it had begun
 SPREAD, SPREAD_MOST = 500, 4 * SECOND  # for each that asks, and in all: within it all ask first
 
-FRESH, TURNED_AWAY = "fresh", "turned away"
-REFUSED, LOST, STOOD = "refused", "lost", "stood"
+FRESH, WARNED, TURNED_AWAY = "fresh", "warned", "turned away"
+REFUSED, LOST, SPOILT, STOOD = "refused", "lost", "spoilt", "stood"
 # (state, input) -> next state, what the count of refusals in a row becomes. A refusal says that all ask too much;
-# a link that is cut or an answer that is spoilt says nothing of that, and changes nothing.
+# a link that is cut says nothing of that, and changes nothing. An answer that is spoilt may be one of few; the next one
+# says that the service makes no sense, and asking it twice a second for ever helps nobody.
 PACE = {
     (FRESH, REFUSED): (TURNED_AWAY, 1), (FRESH, LOST): (FRESH, 0), (FRESH, STOOD): (FRESH, 0),
     (TURNED_AWAY, REFUSED): (TURNED_AWAY, 1), (TURNED_AWAY, LOST): (TURNED_AWAY, 0),
     (TURNED_AWAY, STOOD): (FRESH, None),
+    (FRESH, SPOILT): (WARNED, 0), (WARNED, SPOILT): (TURNED_AWAY, 1), (TURNED_AWAY, SPOILT): (TURNED_AWAY, 1),
+    (WARNED, REFUSED): (TURNED_AWAY, 1), (WARNED, LOST): (WARNED, 0), (WARNED, STOOD): (FRESH, None),
 }
 
 
@@ -32,9 +35,9 @@
         return int(self.draw() * min(SPREAD_MOST, SPREAD * asking))
 
     def ended(self, how, age=0):
-        """An asking, or what it brought, ended: REFUSED, LOST or STOOD. age: since it was asked for; what was refused
-        after it had stood for a while was not turned away. Gives how long to wait."""
-        if how == REFUSED and age >= STEADY:
+        """An asking, or what it brought, ended: REFUSED, LOST, SPOILT or STOOD. age: since it was asked for; what was
+        refused or spoilt after it had stood for a while was not turned away. Gives how long to wait."""
+        if how in (REFUSED, SPOILT) and age >= STEADY:
             how = STOOD
         self.state, step = PACE[self.state, how]
         self.refusals = 0 if step is None else self.refusals + step
@@ -44,6 +47,6 @@
         """Four times what is usual after the first refusal, twice that after each further one, up to the longest."""
         least, most = AGAIN
         wait = least + int(self.draw() * (most - least))
-        if self.state == FRESH:
+        if self.state != TURNED_AWAY:
             return wait
         return min(wait << min(self.refusals + 1, 10), int(self.longest * (0.5 + self.draw() / 2)))
--- a/thymeknot/protocol/calls.py
+++ b/thymeknot/protocol/calls.py
@@ -6,7 +6,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from ..asking.pace import LONGEST, LONGEST_FREE, LOST, REFUSED, Pace
+from ..asking.pace import LONGEST, LONGEST_FREE, LOST, REFUSED, SPOILT, Pace
 from . import http
 from .reached import NOT_CONNECTED, Broken, WholeWriter
 
@@ -103,7 +103,7 @@
                 if isinstance(part, http.Body) and self.read(part.content):
                     self.owner.heard(self)
         except Exception as error:  # what can't be read ends this connection alone
-            self.owner.ended(self, f"unreadable: {error}"[:MOST_REASON], how=getattr(error, "how", LOST))
+            self.owner.ended(self, f"unreadable: {error}"[:MOST_REASON], how=getattr(error, "how", SPOILT))
             self.drop()
 
     def connectionLost(self, reason):
@@ -238,7 +238,7 @@
             asked.drop()
 
     def ended(self, stream, reason, how=REFUSED):
-        """how: REFUSED where the peer ended it; no connection, silence and what is spoilt are LOST."""
+        """how: REFUSED where the peer ended it, SPOILT where it made no sense; no connection and silence are LOST."""
         if not self.has(stream):
             return
         now = self.deadlines.clock()
