A dial that has reached itself carries nothing: its echo was served as a pod's answer

Cause: a machine that dials a port of its own from the range that it dials from may get that very port as the near end where nobody listens there (a probe: `connect` of a bound socket to itself comes up and reads what it writes; range 32768 to 60999 here). `Pools.made` took it for the pod, and the request that came back is an array that begins with a string: the client was served `SVC.QUERY`, which no pod made. Change: `PodConnection.is_to_itself`, asked once by `Pools.made`; what was dialled for has never run and is decided anew. Test: `Full.test_a_dial_that_has_reached_itself...`, red before with that value. In memory; the stand-in of orders.py said the pod's address for its own, and says another now. Pods on other machines are not concerned.

--- a/tests/orders.py
+++ b/tests/orders.py
@@ -188,10 +188,11 @@
         self.reactor.rig.stirred = True
         self.failIfNotConnected(error.ConnectionRefusedError())
 
-    def getHost(self):
+    def getPeer(self):
         return self.addr
 
-    getPeer = getHost
+    def getHost(self):
+        return ("127.0.0.1", self.wire.fileno())  # another one than the pod's
 
 
 class DialConnector(tcp.Connector):
--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -701,6 +701,22 @@
         self.assertEqual((ends, pods_dialled(network)), ([("01", 0, i.UNCONNECTED)], [7001, 7001]))
 
 
+    def test_a_dial_that_has_reached_itself_carries_nothing(self):
+        """At a port of this machine that nobody listens at: what is written comes back, and reads as an answer."""
+        network = Network(entry("s-1"))
+        ends, client = counted(network), network.ask("01", lane="pay")
+        connection, transport = network.reactor.tcpClients[-1][2].buildProtocol(None), Transport()
+        transport.peerAddr = transport.getHost()
+        connection.makeConnection(transport)
+        if asked := transport.value():
+            connection.resumeProducing()
+            connection.dataReceived(asked)
+        self.assertEqual((client.transport.value(), transport.value(), transport.disconnected), (b"", b"", True))
+        self.assertEqual((ends, pods_dialled(network)), ([("01", 0, i.UNCONNECTED)], [7001, 7001]))
+        connection.connectionLost(Failure(ConnectionLost()))
+        self.assertEqual((len(network.sidecar.pools), network.faults), (1, []))
+
+
 class BadAnswers(unittest.TestCase):
     """What a pod sends without sense or end costs its own connection, and is let go."""
     BULK = b"$%d\r\n%s\r\n" % (500_000, b"x" * 500_000)
--- a/thymeknot/memory/pools.py
+++ b/thymeknot/memory/pools.py
@@ -104,11 +104,14 @@
     def made(self, connection):
         """A connection has come up."""
         self._dialled(connection.connector)
-        connection.slot = self.connections.add(connection)
-        self._stand(connection, 0)
-        self._look(connection)
+        connection.slot, connection.used_at = self.connections.add(connection), self.deadlines.clock()
+        if connection.is_to_itself():
+            connection.drop("a dial that has reached itself")
+        else:
+            self._stand(connection, 0)
+            self._look(connection)
         # A pod that is full, or ending, may say so before anything is asked: such a connection carries nothing.
-        self._fall_short(connection.connector.pool, Broken(NOT_CONNECTED, "an answer before anything was asked"))
+        self._fall_short(connection.connector.pool, Broken(NOT_CONNECTED, "nothing to carry an attempt came up"))
 
     def ready(self, connection):
         """What it carried has been answered: it rests before it is used again, and what comes meanwhile ends it."""
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -63,6 +63,14 @@
         """Whether nothing has come since the last answer: not its second copy, and not the end."""
         return nothing_waits(self.transport)
 
+    def is_to_itself(self):
+        """Whether both ends are this one: a machine may dial from the very port that it dials where nobody listens
+        there, and what is written comes back, which reads as an answer."""
+        try:
+            return self.transport.getHost() == self.transport.getPeer()
+        except (OSError, TypeError):  # it has gone already, or has no address of its own
+            return False
+
     def deliver(self, words, begun=nothing):
         """Sends a command. The Deferred fires with an Answer or a Broken; begun() is called before, where an answer
         comes in part or can't be read: the pod has written it."""
