--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -583,6 +583,16 @@
             call.connectionLost(Failure(end()))
             self.assertEqual((self.outcomes(), self.network.faults), ([outcome], []))
 
+    def test_a_platform_that_closes_at_once_may_count_the_vote_only_where_it_was_written_whole(self):
+        for whole, end in itertools.product((False, True), (ConnectionDone, ConnectionLost)):
+            self.setUp()
+            self.vote()
+            call = self.connected(3)
+            call.resumeProducing() if whole else None
+            call.connectionLost(Failure(end()))
+            self.assertEqual((self.outcomes(), self.network.sidecar.platform.out),
+                             ([i.EXPIRED if whole else i.ERROR], 0))
+
     def test_an_answer_with_a_length_that_ends_before_it_may_count(self):
         self.vote()
         call = self.written()
