--- a/tests/test_ends_pods.py
+++ b/tests/test_ends_pods.py
@@ -1,24 +1,31 @@
 """What is still owed when an attempt, a connection or a dial to a pod ends: each order is stepped by hand."""
 
+import array
+import fcntl
+import itertools
 import queue
 import random
 import select
+import signal
 import socket
 import struct
+import termios
 import threading
 import time
 import unittest
+from pathlib import Path
 from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
-from tests.helpers import PATIENCE, PodPeer, until, words_of
+from tests.helpers import PATIENCE, PodPeer, command, until, words_of
 from tests.test_sidecar import ANSWER, Network, Transport, entry
 from tests.test_sockets import MARK, PAY, READ, WithPods, value
 from thymeknot import interface as i
+from thymeknot.laboratory.rules import Checker
 from thymeknot.memory import pools
 from thymeknot.protocol import discovery
 from thymeknot.protocol.pod import PodConnection
@@ -184,11 +191,12 @@
         return network, connection, clients
 
     def test_a_second_answer_within_the_rest_answers_nobody(self):
-        for waits in (True, False):
+        spoilt = b"*", b"\r\n", b"\xff" * 70_000, b"-BUSY\r\n", b"*3\r\n$1\r\nw\r\n$x"
+        for waits, late in itertools.product((True, False), (ANSWER.replace(b"v", b"w"), *spoilt)):
             network, connection, clients = self.answered(*["02"] * waits)
             network.reactor.advance(0.009)
             clients += [network.ask("02")] * (not waits)
-            connection.dataReceived(ANSWER.replace(b"v", b"w"))
+            connection.dataReceived(late)
             network.reactor.advance(0.02)
             self.assertTrue(connection.transport.disconnected)
             self.assertEqual((connection.transport.value(), clients[1].transport.value()), (b"", b""))
@@ -242,6 +250,30 @@
         self.assertEqual(pods_dialled(network), [7001, 7001])  # it never ran, so a binding one may go again
 
 
+class Restarted(unittest.TestCase):
+    def test_another_process_at_the_same_address_gets_nothing_on_what_was_open_or_dialled_before(self):
+        for change in ({"build": 40}, {"started_ms": 9}):
+            network = Network(entry("s-1"))
+            clients = [network.ask(name) for name in ("01", "02")]
+            idle, out = network.connect(network.streams), network.connect(network.streams + 1)
+            for connection in (idle, out):
+                connection.resumeProducing()
+            idle.dataReceived(ANSWER)
+            clients.append(network.ask("03"))  # the idle one rests: it is dialled for
+            network.sidecar.balancer.pins.clear()  # else the key stays with the former build
+            network.list(entry("s-1", **change))
+            self.assertTrue(idle.transport.disconnecting)
+            self.assertEqual(network.connect(network.streams + 2).transport.value(), b"")
+            self.assertEqual(pods_dialled(network), [7001] * 4)
+            new = network.connect()
+            self.assertIn(b"$2\r\n03\r\n", new.transport.value())
+            new.resumeProducing()
+            for connection in (out, new):  # what was out may end, and its connection ends with it
+                connection.dataReceived(ANSWER)
+            self.assertEqual((out.transport.disconnected, new.transport.disconnected), (True, False))
+            self.assertEqual([client.transport.value() for client in clients], [b"$1\r\nv\r\n"] * 3)
+
+
 class Cost(unittest.TestCase):
     def dials(self, rest, a_second, pods, took):
         """Connections dialled in half a minute, of pods that take so many steps of 5 ms for an answer."""
@@ -315,6 +347,79 @@
             until(lambda: pod.copies, two)
 
 
+class EndsBehind(PodPeer):
+    """Ends the connection behind its whole answer, and the program reads neither until both have come."""
+
+    def __init__(self, reset):
+        self.reset, self.process = reset, None
+        super().__init__()
+
+    def stand_still(self):
+        self.process.send_signal(signal.SIGSTOP)
+        until(lambda: Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(") ")[2][0] == "T",
+              lambda: time.sleep(0.001))
+
+    def serve(self, connection, source):
+        words = words_of(source)
+        self.heard.put(words)
+        self.stand_still()
+        connection.sendall(value(words[2] * 1000))
+        unread = array.array("i", [1])
+        until(lambda: unread[0] == 0, lambda: fcntl.ioctl(connection, termios.TIOCOUTQ, unread))
+        if self.reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        source.close()
+        connection.close()
+        self.process.send_signal(signal.SIGCONT)
+
+
+class BytesOverSockets(PodPeer):
+    """Its answers come byte by byte."""
+
+    def serve(self, connection, source):
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        while (words := words_of(source)) is not None:
+            for byte in value(words[2]):
+                connection.sendall(bytes((byte,)))
+
+
+class AnswersOverSockets(WithPods):
+    def test_a_whole_answer_is_kept_where_the_connection_ends_or_is_reset_behind_it(self):
+        for reset in (False, True):
+            pod = EndsBehind(reset)
+            self.addCleanup(pod.close)
+            running = self.program(pod.entry("s-1"))
+            pod.process = running.process
+            with running.client() as client:
+                for name in (b"1", b"2"):
+                    self.assertEqual(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), name * 1000)
+            self.assertEqual(pod.heard.qsize(), 2)
+
+    def test_an_answer_in_single_bytes_is_one(self):
+        pod = BytesOverSockets()
+        self.addCleanup(pod.close)
+        with self.program(pod.entry("s-1")).client() as client:
+            for name in (b"11", b"12"):
+                self.assertEqual(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), name)
+
+
+class Cut(unittest.TestCase):
+    def test_a_value_that_is_whole_is_served_wherever_the_connection_ends_behind_it(self):
+        value_ends = ANSWER.index(b"v\r\n") + 3
+        for at, why in itertools.product(range(len(ANSWER)), (ConnectionLost, ConnectionDone)):
+            network = Network(entry("s-1", build=42), version=42, step=0, status="trial", maxWeight=1.0)
+            ends, client = counted(network), network.ask("01", lane="pay")
+            connection = network.connect()
+            connection.resumeProducing()
+            connection.dataReceived(ANSWER[:at])
+            connection.connectionLost(Failure(why()))
+            whole = at >= value_ends
+            self.assertEqual(ends, [("01", 0, i.DONE if whole else i.RESET)], at)
+            self.assertRegex(client.transport.value(), rb"^\$1\r\nv\r\n$" if whole else b"^-ERR")
+            self.assertEqual((network.sidecar.balancer.pins, len(network.sidecar.transactions)), ({"key"}, 0))
+            self.assertEqual((len(network.sidecar.pools), network.faults), (0, []))
+
+
 class Held(unittest.TestCase):
     """What waits for a connection, or is not written whole, is held to all terms up to its last byte."""
 
@@ -401,6 +506,7 @@
             "gone": lambda network: network.list(entry("s-1", build=42, state="Gone")),
             "restart": lambda network: network.list(entry("s-1", build=42, started_ms=5000)),
             "other build": lambda network: network.list(entry("s-1", build=41)),
+            "moved": lambda network: network.list(entry("s-1", build=42, addr="127.0.0.1:8001")),
             "lower cap": lambda network: network.sidecar.tell(i.News(42, 0, i.ON_TRIAL, False, i.DONE, 0.0, 0)),
             "going back": lambda network: network.sidecar.tell(i.News(42, 0, i.GOING_BACK, False, i.DONE, 0.0, 0)),
             "withdrawn": lambda network: network.sidecar.tell(i.News(42, 0, i.WITHDRAWN, False, i.DONE, 0.0, 0)),
@@ -423,9 +529,22 @@
         network = Network(entry("s-1"))
         network.ask("01")
         network.list(entry("s-1", addr="127.0.0.1:8001"))
-        self.assertEqual(network.connect().transport.value(), b"")
-        self.assertEqual(pods_dialled(network), [7001, 8001])
+        self.assertEqual(pods_dialled(network), [7001, 8001])  # at once, not when the former dial ends
+        self.assertEqual(network.connect(network.streams).transport.value(), b"")
         self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
+        self.assertEqual(len(network.sidecar.pools), 2)  # the former is ended, and the loop has not told of it yet
+
+    def test_a_key_that_the_newest_build_answered_meanwhile_goes_to_no_earlier_one(self):
+        for keys_stay, goes_to in ((True, 7002), (False, 7001)):
+            network = Network(entry("s-1"), entry("s-2", build=42), version=42, step=0, status="trial", maxWeight=0.5)
+            network.sidecar.balancer.terms = network.sidecar.terms._replace(keys_stay=keys_stay)
+            network.ask("01", lane="pay")
+            self.assertEqual(pods_dialled(network), [7001])
+            network.sidecar.tell(i.AnsweredUnheard("key", 42))  # by an attempt of another request with this key
+            self.assertEqual(bool(network.connect().transport.value()), not keys_stay)
+            self.assertEqual(pods_dialled(network)[-1], goes_to)
+            if keys_stay:
+                self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
 
     def test_news_of_an_earlier_build_takes_back_what_waits_for_one_that_is_none_then(self):
         back = i.News(41, 0, i.RELEASED, False, i.DONE, 1.0, 0)
@@ -439,6 +558,49 @@
         self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
 
 
+class Bunched(unittest.TestCase):
+    """Dials that hang for nearly the told time and come up at once: all that waited is written in one moment."""
+    HANG, RATE, CAP = 1.0, 20, 0.5
+
+    def test_exposure_is_kept_to_when_it_is_written(self):
+        for seed in range(3):
+            network, chance = Network(*(entry(f"s-{at}", 41 + at // 5) for at in range(1, 9)), version=42, step=0,
+                                      status="trial", maxWeight=self.CAP), random.Random(seed)
+            sidecar, client, live, seen, trial = network.sidecar, network.client(), [], network.streams, 0
+            sidecar.pools.reach = sidecar.reach._replace(connect_within=int(self.HANG * 10_000) + 100)
+            terms, dials = sidecar.terms, []
+            checker = Checker(terms.lanes, 0, terms.exposure_window, terms.allowance + 2)  # as the protocol has it
+            checker.cap(0, "", 42, self.CAP * 1.04, 0, "trial")
+            for step in range(2000):
+                now, hangs = step * 100, step >= 800 and step % 400 < self.HANG * 100
+                network.reactor.advance(0.01)
+                network.reactor.advance(0)
+                if chance.random() < self.RATE / 100:
+                    checker.taken(now, "", f"{step}", "read", now + 50_000)
+                    client.dataReceived(command("SVC.QUERY", f"{chance.random()}", f"{step}", "c=read,d=5000"))
+                dials += [dial for dial in network.reactor.tcpClients[seen:] if dial[1] > 7000]
+                seen = len(network.reactor.tcpClients)
+                for dial in [dial for dial in dials if dial[1] <= 7004 or not hangs]:
+                    dials.remove(dial)
+                    live.append(dial[2].buildProtocol(None))
+                    live[-1].makeConnection(Transport())
+                for connection in list(live):
+                    pod = connection.connector.pool.pod
+                    if connection.transport.value():
+                        name, build = connection.transport.value().split(b"\r\n")[6].decode(), sidecar.listed[pod].build
+                        checker.sent(now, "", name, pod, build, "read")
+                        connection.transport.clear()
+                        connection.resumeProducing()
+                        trial += build == 42
+                    elif connection.waiting is not None:
+                        connection.dataReceived(ANSWER)
+                    elif connection.transport.disconnecting or (hangs and int(pod[2:]) > 4):  # the pod pauses
+                        live.remove(connection)
+                        connection.connectionLost(Failure(ConnectionLost()))
+            self.assertEqual([text for rule, _, text in checker.broken if rule == 5], [])
+            self.assertGreater(trial, 80)
+
+
 class HeldPod:
     """A pod that takes connections only when it is told to: until then they do not come up."""
 
@@ -539,6 +701,22 @@
         self.assertEqual((ends, pods_dialled(network)), ([("01", 0, i.UNCONNECTED)], [7001, 7001]))
 
 
+    def test_a_dial_that_has_reached_itself_carries_nothing(self):
+        """At a port of this machine that nobody listens at: what is written comes back, and reads as an answer."""
+        network = Network(entry("s-1"))
+        ends, client = counted(network), network.ask("01", lane="pay")
+        connection, transport = network.reactor.tcpClients[-1][2].buildProtocol(None), Transport()
+        transport.peerAddr = transport.getHost()
+        connection.makeConnection(transport)
+        if asked := transport.value():
+            connection.resumeProducing()
+            connection.dataReceived(asked)
+        self.assertEqual((client.transport.value(), transport.value(), transport.disconnected), (b"", b"", True))
+        self.assertEqual((ends, pods_dialled(network)), ([("01", 0, i.UNCONNECTED)], [7001, 7001]))
+        connection.connectionLost(Failure(ConnectionLost()))
+        self.assertEqual((len(network.sidecar.pools), network.faults), (1, []))
+
+
 class BadAnswers(unittest.TestCase):
     """What a pod sends without sense or end costs its own connection, and is let go."""
     BULK = b"$%d\r\n%s\r\n" % (500_000, b"x" * 500_000)
--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+import random
 import signal
 import socket
 import tracemalloc
@@ -74,12 +75,14 @@
             self.assertLess(self.network.reactor.seconds() - began, 5.1, port)
 
     def test_lines_of_an_object_that_never_ends_are_silence(self):
-        stream, began = self.connected(2, SIGN[2], b'{"version":9,"full":true,"servers":[\n'), 0
-        while self.asked(2) == 1 and began < 12:
-            stream.dataReceived(chunk(b'{"id":"s-2"},\n'))
-            self.pass_on(0.5)
-            began += 0.5
-        self.assertLess(began, 5.1)
+        for line in (b'{"id":"s-2"},\n', SIGN[2]):  # a sign of life behind what was cut is JSON, and none
+            self.network = Network(entry("s-1"))
+            stream, began = self.connected(2, SIGN[2], b'{"version":9,"full":true,"servers":[\n'), 0
+            while self.asked(2) == 1 and began < 12:
+                stream.dataReceived(chunk(line))
+                self.pass_on(0.5)
+                began += 0.5
+            self.assertLess(began, 5.1)
 
     def test_whole_lines_are_life(self):
         streams = {port: self.connected(port, SIGN[port]) for port in (2, 3)}
@@ -264,6 +267,34 @@
             self.assertEqual((list(self.network.sidecar.listed), old.transport.disconnected), (["s-2"], True))
             self.assertLess(self.network.reactor.seconds() - began, 3)
 
+    def test_a_new_address_is_asked_for_all_that_it_has_and_believed_whatever_its_version(self):
+        for said, names in ((listed(3, "s-2"), ["s-2"]), (listed(12, "s-2"), ["s-2"]),
+                            (listed(3, "s-2", full=False), ["s-1", "s-2"]), (listed(3, full=False), ["s-1"])):
+            self.network = Network(entry("s-1"))
+            old = self.connected(2, listed(8, "s-1"))
+            self.move(self.network, 8)
+            old.dataReceived(chunk(listed(9, "s-1")))  # what the former one counts is not what the new one does
+            self.network.refuse(self.last(8))
+            self.until_asked(8, 1)
+            new = self.connected(8, said)
+            self.assertIn(b"index=0 ", new.transport.value())
+            self.assertEqual((list(self.network.sidecar.listed), old.transport.disconnected), (names, True))
+            new.dataReceived(chunk(listed(4, "s-3", full=False)))
+            self.assertEqual(list(self.network.sidecar.listed), [*names, "s-3"])
+            new.connectionLost(Failure(ConnectionDone()))
+            self.until_asked(8, 4)
+            self.assertIn(b"index=4 ", self.connected(8).transport.value())
+
+    def test_until_a_new_address_is_believed_it_is_asked_for_all(self):
+        self.connected(2, listed(8, "s-1"))
+        self.move(self.network, 8)
+        for _ in range(3):
+            empty = self.connected(8, listed(12))
+            self.assertIn(b"index=0 ", empty.transport.value())
+            self.until_asked(8, 2)
+        self.connected(8, listed(12, "s-2"))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
     def test_what_is_asked_for_at_the_former_address_ends_with_the_move(self):
         self.pass_on(0.05)
         asked = self.connected(2)
@@ -310,16 +341,46 @@
         self.assertLess(self.network.reactor.seconds() - began, 2.1)
 
     def test_an_empty_list_is_asked_for_less_often_where_a_service_is_shared(self):
-        for asked_for, most in ((False, 45), (True, 8)):
-            self.network = Network(entry("s-1"), asked_for=asked_for)
+        wavers = listed(9), listed(3, "s-2")  # now this, now that
+        for asked_for, most, said in ((False, 45, [listed(7)]), (True, 8, [listed(7)]), (False, 45, wavers),
+                                      (True, 8, wavers)):
+            self.network, said = Network(entry("s-1"), asked_for=asked_for), itertools.cycle(said)
             self.pass_on(0.1)
             for _ in range(200):
                 if self.network.sidecar.watch.asked and self.network.sidecar.watch.asked.transport is None:
-                    self.connected(2, listed(9))
+                    self.connected(2, next(said))
                 self.pass_on(0.1)
             self.assertEqual(list(self.network.sidecar.listed), ["s-1"])
             self.assertLess(self.asked(2), most)
 
+    def test_an_empty_list_of_a_new_version_that_a_new_watch_tells_again_is_believed_in_time(self):
+        for asked_for in (False, True):
+            self.network = Network(entry("s-1"), asked_for=asked_for)
+            self.pass_on(0.1)
+            self.connected(2, listed(8, "s-1"), listed(9))
+            self.assertEqual(list(self.network.sidecar.listed), ["s-1"])
+            self.assertLess(self.until_asked(2, 9), 0.85)
+            self.connected(2, listed(9))
+            self.assertEqual((list(self.network.sidecar.listed), self.network.sidecar.addresses), ([], {}))
+            self.assertRegex(self.network.ask().transport.value(), b"^-BUSY")
+
+
+class Storms(WithNetwork):
+    def test_a_peer_that_refuses_or_makes_no_sense_again_and_again_is_asked_less_often(self):
+        news = b"event: progress\ndata: version=41&step=1&status=released&maxWeight=1&observedAgoMs=5\n\n"
+        for port, asked_for, most in ((2, False, 90), (2, True, 20), (3, False, 20)):
+            good = chunk(listed(8, "s-1") if port == 2 else news)
+            for said in (*(HEAD.replace(b"200", status) for status in (b"301", b"500", b"503")), b"noise\r\n\r\n",
+                         HEAD + chunk(b"noise\n"), HEAD + good + chunk(b"noise\n"), HEAD + good + b"0\r\n\r\n"):
+                self.network = Network(entry("s-1"), asked_for=asked_for)
+                kept = {2: self.network.sidecar.watch, 3: self.network.sidecar.stream}[port]
+                self.pass_on(0.1)
+                for _ in range(600):
+                    if kept.asked and kept.asked.transport is None:
+                        self.connected(port).dataReceived(said)
+                    self.pass_on(0.1)
+                self.assertLess(self.asked(port), most, (port, asked_for, said))
+
 
 class BadInput(WithNetwork):
     def ends(self, port, *said):
@@ -346,6 +407,17 @@
                                  (chunk(b"data: " + b"x" * 60_000 + b"\n"), 3)):
                 self.ends(port, *[flood] * times)
 
+    def test_a_stream_that_ends_and_has_trailers_without_end_is_asked_for_anew(self):
+        for port in (2, 3):
+            self.network, began = Network(entry("s-1")), 0
+            stream = self.connected(port, SIGN[port])
+            stream.dataReceived(b"0\r\n")
+            while self.asked(port) == 1 and began < 9:
+                stream.dataReceived(b"X: y\r\n" * 99)
+                self.pass_on(0.5)
+                began += 0.5
+            self.assertLess(began, 5.1)
+
     def test_sizes_that_are_none_end_it(self):
         for size in (b"", b"-1", b"+1", b"0x1", b"1_0", b"zz", b" 1", b"fffffff", b"f" * 9, b"\xb2", b"1;"[1:]):
             self.ends(2, size + b"\r\n")
@@ -466,6 +538,40 @@
         call.dataReceived(self.sized(b"<Error><Code>throttled</Code></Error>", 400) + self.sized(self.NEWS))
         self.assertEqual(self.outcomes(), [i.FULL])
 
+    def test_interim_answers_are_passed_over_and_some_have_no_body(self):
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\n"
+        for said, outcomes in ((interim + self.sized(self.NEWS), [i.DONE]), (interim, []),
+                               (b"HTTP/1.1 204 X\r\nContent-Length: 9\r\n\r\n", [i.EXPIRED]),
+                               (b"HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n", [i.EXPIRED])):
+            for step in (1, len(said)):
+                self.setUp()
+                self.vote()
+                call = self.written()
+                for at in range(0, len(said), step):
+                    call.dataReceived(said[at:at + step])
+                self.assertEqual(self.outcomes(), outcomes, said)
+        stream = self.connected(2)
+        stream.dataReceived(interim + HEAD + chunk(listed(9, "s-2")))
+        self.assertEqual(list(self.network.sidecar.listed), ["s-2"])
+
+    def test_odd_chunks_trailers_and_answers_without_a_body_have_one_outcome_in_time(self):
+        size = b"%x" % len(self.NEWS)
+        whole = HEAD + size + b' ;a="b;c"\r\n' + self.NEWS + b"\r\n00;x\r\nX: y\r\n"
+        for said, outcome, at_once in (
+                (whole + b"\r\n", i.DONE, True), (whole + b"X: y\r\n" * 9000, i.EXPIRED, False),
+                (HEAD + size + b"\n" + self.NEWS + b"\n0\n\n", i.EXPIRED, False), (HEAD + b"\r\n", i.EXPIRED, True),
+                (HEAD + size + b";" + b"x" * 17_000, i.EXPIRED, True), (whole + b"x" * 17_000, i.EXPIRED, True),
+                (HEAD + b"0\r\n\r\n", i.EXPIRED, True), (self.sized(b""), i.EXPIRED, True),
+                (self.sized(b"", 500), i.EXPIRED, True), (self.sized(b"", 301), i.EXPIRED, True)):
+            self.setUp()
+            self.vote()
+            call = self.written()
+            call.dataReceived(said)
+            self.assertEqual((self.outcomes(), call.transport.disconnected), ([outcome] * at_once, at_once), said[:90])
+            self.assertLess(len(call.parser.rest), 20_000)
+            self.pass_on(1.3)
+            self.assertEqual((self.outcomes(), self.network.sidecar.platform.out), ([outcome], 0), said[:90])
+
     def test_an_answer_without_a_length_is_whole_only_where_the_peer_ends_it(self):
         for end, cut, outcome in ((ConnectionDone, 0, i.DONE), (ConnectionLost, 0, i.EXPIRED),
                                   (ConnectionDone, 60, i.EXPIRED)):
@@ -477,6 +583,16 @@
             call.connectionLost(Failure(end()))
             self.assertEqual((self.outcomes(), self.network.faults), ([outcome], []))
 
+    def test_a_platform_that_closes_at_once_may_count_the_vote_only_where_it_was_written_whole(self):
+        for whole, end in itertools.product((False, True), (ConnectionDone, ConnectionLost)):
+            self.setUp()
+            self.vote()
+            call = self.connected(3)
+            call.resumeProducing() if whole else None
+            call.connectionLost(Failure(end()))
+            self.assertEqual((self.outcomes(), self.network.sidecar.platform.out),
+                             ([i.EXPIRED if whole else i.ERROR], 0))
+
     def test_an_answer_with_a_length_that_ends_before_it_may_count(self):
         self.vote()
         call = self.written()
@@ -538,6 +654,52 @@
         self.assertEqual([event.kind for event in self.heard if type(event) is i.PodList], [i.WHOLE, i.MISSED, i.WHOLE])
 
 
+class Together(WithNetwork):
+    """Changes that come in one chunk are taken as one, and bring about what each alone would."""
+
+    def told(self, chunks):
+        network, lists = Network(entry("s-1"), entry("s-2", 42)), []
+        handle = network.sidecar.balancer.handle
+        network.sidecar.balancer.handle = lambda now, events: lists.extend(
+            event for event in events if type(event) is i.PodList) or handle(now, events)
+        stream = network.connect(0)
+        stream.dataReceived(HEAD)
+        for content in chunks:
+            stream.dataReceived(chunk(content))
+        sidecar = network.sidecar
+        known = {name: known.listed for name, known in sidecar.balancer.pods.items()}
+        self.assertEqual((known, sidecar.addresses.keys()), (sidecar.listed, sidecar.listed.keys()))
+        return (known, sidecar.addresses, sidecar.version, stream.transport.disconnected), len(lists)
+
+    def test_whatever_comes_together_ends_as_one_by_one(self):
+        chance = random.Random(5)
+        for _ in range(200):
+            texts = []
+            for version in range(8, 8 + chance.randint(1, 12)):
+                some = [entry(f"s-{chance.randint(1, 4)}", chance.choice((41, 42)),
+                              chance.choice(("Ready", "Terminating", "Gone")), addr=f"h:{chance.randint(1, 9)}",
+                              started_ms=chance.choice((0, 9))) for _ in range(chance.randint(0, 3))]
+                whole = bool(some) and chance.random() < 0.1
+                texts.append(json.dumps({"version": version, "full": whole, "servers": some}).encode() + b"\n")
+            texts.insert(chance.randint(0, len(texts)), chance.choice((b"\n", b"noise\n", b"\n")))
+            self.assertEqual(self.told([b"".join(texts)])[0], self.told(texts)[0], texts)
+
+    def test_hundreds_of_changes_cost_one_look_at_all_that_are_known(self):
+        _, lists = self.told([b"".join(listed(8 + at, f"s-{at}", full=False) for at in range(1, 400))])
+        self.assertEqual(lists, 1)
+
+    def test_a_pod_that_goes_and_comes_back_in_one_chunk_gets_what_waits_for_it(self):
+        network = self.network
+        network.ask("01")
+        gone = json.dumps({"version": 8, "servers": [entry("s-1", state="Gone")]}).encode() + b"\n"
+        for started, dialled in ((0, 1), (9, 2)):  # the same process, and another one
+            back = json.dumps({"version": 9, "servers": [entry("s-1", started_ms=started)]}).encode() + b"\n"
+            self.connected(2, gone + back) if started == 0 else self.kept[2].stream.dataReceived(chunk(gone + back))
+            self.assertEqual(network.dialled().count(7001), dialled)
+        self.assertEqual(network.connect(network.streams).transport.value(), b"")
+        self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
+
+
 class Indented(WithNetwork):
     def test_a_list_on_several_lines_is_taken_as_soon_as_it_is_whole_however_it_is_split(self):
         for indent in (None, 0, 1, 4):
@@ -567,6 +729,16 @@
             with self.assertRaises(discovery.Unreadable, msg=text):
                 list(discovery.Lists().feed(text))
 
+    def test_a_list_that_was_cut_ends_it_as_soon_as_another_begins(self):
+        for whole in (listed(9, "s-2", "s-3"), listed(9, "s-2", "s-3", indent=0), listed(9, "s-2", "s-3", indent=2)):
+            ends = range(whole.index(b"version") + 9, len(whole) - 2)  # before that only silence tells
+            for at, indent, sign in itertools.product(ends, (None, 2), (b"", b"\n", b"\n\n\n")):
+                lists, another = discovery.Lists(), listed(10, "s-4", "s-5", indent=indent)
+                with self.assertRaises(discovery.Unreadable, msg=whole[:at] + sign):
+                    list(lists.feed(whole[:at] + sign + another))
+        keys = listed(9, "s-2", indent=2).replace(b'"s-2"', b'"\\"servers\\": ["')
+        self.assertEqual(len(list(discovery.Lists().feed(keys * 3))), 3)
+
     def test_a_list_without_an_end_is_bounded(self):
         lists, line, fed = discovery.Lists(), b'"' + b"x" * 60_000 + b'":1,\n', 0
         list(lists.feed(b"{\n"))
--- a/thymeknot/protocol/discovery.py
+++ b/thymeknot/protocol/discovery.py
@@ -27,6 +27,7 @@
 STRINGS, BRACKETS = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"'), re.compile(rb"[][{}]")
 NO_JSON = re.compile(rb"[^][{}\s\d:,.+eEtrufalsn-]")
 CLOSERS = {b"{": b"}", b"[": b"]"}
+KEYS = re.compile(rb'"(version|servers)"\s*:')  # that a list has once each, and no entry has
 
 
 class Unreadable(ValueError):
@@ -34,13 +35,13 @@
 
 
 class Unbelieved(Unreadable):
-    """A list that reads well and would take all that is known. One that names nobody is never believed, and the peer is
-    asked again less and less often. An older one is believed if it comes again, and all that it tells counts as told
-    meanwhile: the peer is asked as if its stream had stood."""
+    """A list that reads well and would take all that is known. Where it is never believed, the peer is asked again less
+    and less often. Where it is if it comes again, all that it tells counts as told meanwhile: the peer is asked as if
+    its stream had stood."""
 
-    def __init__(self, doubt, names):
-        super().__init__(doubt)
-        self.how = STOOD if names else REFUSED
+    def __init__(self, reason, again):
+        super().__init__(reason)
+        self.how = STOOD if again else REFUSED
 
 
 class Listing(NamedTuple):
@@ -102,14 +103,42 @@
                    {pod.address: address for pod, address in entries if address})
 
 
+def folded(listings):
+    """Changes that came together as one: what follows from a list is worked out once, not for each of hundreds. What is
+    wrong behind them takes none of them back."""
+    held, wrong = [], None
+    try:
+        for listing in listings:
+            if held and not listing.pods.kind == held[-1].pods.kind == i.CHANGES:
+                yield _one(held)
+                held = []
+            held.append(listing)
+    except Exception as error:
+        wrong = error
+    if held:
+        yield _one(held)
+    if wrong:
+        raise wrong
+
+
+def _one(listings):
+    first, last = listings[0], listings[-1]
+    if first is last:
+        return first
+    pods = tuple(pod for listing in listings for pod in listing.pods.pods)
+    return Listing(last.version, i.PodList(first.pods.kind, pods),
+                   {pod: address for listing in listings for pod, address in listing.addresses.items()})
+
+
 class Lists:
     """The lists of a watch's body, which comes in slices: one JSON object on a line, or indented, on several.
 
     A line that is JSON costs one reading. Of one that is not, the brackets outside of strings tell whether the object
-    goes on: no string of JSON spans lines. Each line is looked at once, and the whole once it is there."""
+    goes on: no string of JSON spans lines. Each line is looked at once, and the whole once it is there. One that was
+    cut and goes on with another list is none: what follows would count as its part for ever."""
 
     def __init__(self):
-        self.lines, self.begun, self.closers = http.Lines(), None, bytearray()
+        self.lines, self.begun, self.closers, self.keys = http.Lines(), None, bytearray(), []
 
     def feed(self, content):
         """The objects that are whole now, and None for each sign of life, an empty line between them."""
@@ -131,6 +160,9 @@
         self.begun += line + b"\n"
         if len(self.begun) > http.MOST_LINE:
             raise Unreadable("a list that is too long")
+        self.keys += KEYS.findall(line)
+        if len(self.keys) > len(set(self.keys)):
+            raise Unreadable("a list within another, which was cut")
         plain = STRINGS.sub(b"", line)
         if NO_JSON.search(plain):
             raise Unreadable(f"no JSON: {bytes(line[:50])!r}")
@@ -142,7 +174,7 @@
             else:
                 raise Unreadable(f"no JSON: {bytes(line[:50])!r} closes what is not open")
         if not self.closers:
-            text, self.begun = self.begun, None
+            text, self.begun, self.keys = self.begun, None, []
             yield parse(text)
 
 
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -12,6 +12,7 @@
 from . import interface as i
 from .asking.belief import Belief
 from .balance import PROOF, Balancer
+from .memory.exposure import Exposure
 from .memory.pools import Pools
 from .memory.slots import Slots
 from .protocol import discovery, http, platform, resp
@@ -64,10 +65,18 @@
 
     def may_be_written(self, address):
         """Whether what was decided holds still, there: it may have waited since, for a connection."""
-        pod, newest = self.pod, self.sidecar.news.build if self.sidecar.news else None
-        return (pod is not None and not self.held.over and self.sidecar.clock() < self.write_by
+        pod, now, news = self.pod, self.sidecar.clock(), self.sidecar.news
+        newest = news.build if news else None
+        return (pod is not None and not self.held.over and now < self.write_by
                 and self.sidecar._stands(pod) and self.sidecar.addresses[pod.address] == address
-                and (newest == self.newest or pod.build < newest))
+                and (newest == self.newest or pod.build < newest) and not self._key_stays()
+                and self.sidecar.exposure.allows(now, news, pod.build, self.held.command.lane))
+
+    def _key_stays(self):
+        """Whether its key stays with the newest build, which has answered it since."""
+        news, command = self.sidecar.news, self.held.command
+        return (news is not None and self.pod.build < news.build and news.phase in (i.ON_TRIAL, i.RELEASED)
+                and (command.key or command.id).decode() in self.sidecar.balancer.pins)
 
     def withdraw(self):
         self.give_up(i.UNSENT)
@@ -82,8 +91,9 @@
             self.deadline = self.sidecar.deadlines.add(self.ends, self.due)
 
     def write_to(self, connection):
-        self.connection = connection
-        left = max(1, (self.ends - self.sidecar.clock()) // 10)
+        self.connection, now = connection, self.sidecar.clock()
+        self.sidecar.exposure.wrote(now, self.sidecar.news, self.pod.build, self.held.command.lane)
+        left = max(1, (self.ends - now) // 10)
         delivered = connection.deliver(self.held.command.words(left), self._begun)
         delivered.addCallback(self._came_back)
 
@@ -127,8 +137,8 @@
         self.pools = Pools(reactor, deadlines, self.reach, for_pods, logs.fault)
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
         self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
-        self.listed, self.addresses, self.version = {}, {}, start.known.version
-        self.news, self.news_at = None, 0
+        self.listed, self.addresses, self.version, self.told_by = {}, {}, start.known.version, None
+        self.news, self.news_at, self.exposure = None, 0, Exposure(start.terms)
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
         self.returning = None       # the way back that is under way, from the end of its listener to the next one
@@ -139,7 +149,7 @@
         chance = Chance(~start.seed)
         self.discovery, self.platform = self._caller(start.discovery), self._caller(start.platform)
         self.watch = KeptStream(self.discovery, chance, discovery.SILENCE,
-                                lambda: discovery.watch(self.discovery.host, self.version),
+                                lambda: discovery.watch(self.discovery.host, self._since()),
                                 self._watch_reader, logs.seldom, discovery.FIRST_WORD[self.terms.subscribes],
                                 free=not self.terms.subscribes)  # the agent on the same machine
         self.stream = KeptStream(self.platform, chance, platform.SILENCE,
@@ -360,6 +370,7 @@
         held.slot = self.by_id[name] = self.transactions.add(held)
         held.deadline = self.deadlines.add(held.ends + OVERDUE, self._overdue, held)
         key = command.key.decode() or None
+        self.exposure.took(connection.used_at, command.lane)
         if self.why is not None:
             self.why.taken(name, command)
         return self.tell(i.Taken(name, command.lane, command.tenant, key, left, None, command.repeat, False))
@@ -491,8 +502,8 @@
         whole, names = listing.pods.kind != i.CHANGES, len(listing.pods.pods)
         doubt = self.belief.doubt(source, listing.version, whole, names, len(self.listed))
         if doubt:
-            raise discovery.Unbelieved(doubt, names)
-        self.version = listing.version
+            raise discovery.Unbelieved(*doubt)
+        self.version, self.told_by = listing.version, source
         before, self.listed = self.listed, dict(self.listed) if listing.pods.kind == i.CHANGES else {}
         changed = set()
         for pod in listing.pods.pods:
@@ -509,10 +520,14 @@
         self.inbox.append(listing.pods)
         if self.gossip is not None:
             self.gossip.listed()
-        self._withdraw(lambda pod: not self._stands(pod))
-        self.pools.keep_only(self.listed.keys() - changed)
+        self._withdraw(lambda pod, address: not self._stands(pod) or self.addresses[pod.address] != address)
+        self.pools.keep_only({pod: at for pod, at in self.addresses.items() if pod not in changed})
         self.tell()
 
+    def _since(self):
+        """The version to ask from: each address counts for itself, so from a new one the whole list is wanted."""
+        return self.version if self.told_by == self.discovery.address else 0
+
     def _stands(self, pod):
         now = self.listed.get(pod.address)
         return now is not None and now.condition == i.READY and (
@@ -522,8 +537,8 @@
         """What is not written whole must not be carried past what was told since; until its last byte none runs."""
         deciding, self.deciding = self.deciding, True  # what they become is decided with the news at hand
         try:
-            for attempt in self.pools.unwritten():
-                if fails(attempt.pod):
+            for attempt, address in self.pools.unwritten():
+                if fails(attempt.pod, address):
                     attempt.withdraw()
         finally:
             self.deciding = deciding
@@ -532,12 +547,16 @@
         lists, source = discovery.Lists(), self.discovery.address
 
         def read(content):
-            alive = False
-            for told in lists.feed(content):
-                alive = True
-                if told is not None:
-                    self._listing(discovery.read_list(told, self.epoch), source)
-            return alive
+            alive = []
+
+            def listings():
+                for told in lists.feed(content):
+                    alive.append(True)
+                    if told is not None:
+                        yield discovery.read_list(told, self.epoch)
+            for listing in discovery.folded(listings()):
+                self._listing(listing, source)
+            return bool(alive)
         return read
 
     def _subscribe(self, action):
@@ -567,7 +586,7 @@
             return
         old, self.news, self.news_at = self.news, news, self.clock()
         if old and old.build == news.build and (news.cap < old.cap or news.phase != old.phase):
-            self._withdraw(lambda pod: pod.build >= news.build)
+            self._withdraw(lambda pod, _: pod.build >= news.build)
 
     def _stream_reader(self):
         events = http.EventStream()
