A pod that starts at nothing, or at once warm, divides by zero no more; short windows count right

Cause: Known.share divided by rules.cold, which may be 0, for a pod whose start lies ahead of the moment asked for (a clock behind the pod's, or the moment before a period that tallies tell); and it gave 0 for a pod at its start under rules.cold_from 0, by which balance._choose divides. Ring took as many buckets as it was told, of a tenth of a millisecond at least: over a span of fewer moments (an exposure window under 12 ms, in part under 24 ms) it counted what is older, and what was taken before the window made room for deliveries in it: rule 5. Change: a pod's age counts as a moment at least; a ring has as many buckets as cover its span. For spans of whole seconds both give what they gave. Without the change both tests fail (ZeroDivisionError; counts 1 for 0).

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,6 +14,7 @@
 from tests.test_sidecar import Network
 from thymeknot import interface as i
 from thymeknot.benchlink import Host
+from thymeknot.records import Known, Ring
 from thymeknot.service import configuration
 from thymeknot.service.configuration import Faulty, pairs
 
@@ -246,6 +247,21 @@
         read = configuration.read(told, 0).terms
         self.assertEqual((len(read.lanes), read.lanes["c4999"].window), (5000, 0))
 
+    def test_a_pod_that_starts_at_nothing_or_at_once_has_some_capacity(self):
+        for cold, cold_from in ((0, 0.3), (0, 0.0), (50_000, 0.0)):
+            known = Known(i.Pod("p", "a", 1.0, 0, i.READY, 70, "m", 1), 10)
+            terms = configuration.read(example(), 0).terms._replace(cold=cold, cold_from=cold_from)
+            for now in (20, 70, 71):  # the clock may be behind the pod's
+                self.assertGreater(known.share(now, terms), 0, (cold, cold_from, now))
+
+    def test_a_short_span_counts_nothing_older(self):
+        for span in (1, 7, 150):
+            for back in (120, 30, None):
+                ring = Ring(span, 120)
+                ring.add(1000)
+                later = 1000 + span + ring.width
+                self.assertEqual((ring.total(1000, False, back), ring.total(later, False, back)), (1, 0), span)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeknot/records.py
+++ b/thymeknot/records.py
@@ -26,10 +26,12 @@
 
 
 class Ring:
-    """Counts over the last span of time, in buckets that are used again."""
+    """Counts over the last span of time, in buckets that are used again: as many as cover the span, at most as told. In
+    a short span more of them, of a moment at least, would count what is older."""
 
     def __init__(self, span, buckets):
-        self.span, self.width, self.size = span, max(1, -(-span // buckets)), buckets + 1
+        self.span, self.width = span, max(1, -(-span // buckets))
+        self.size = -(-span // self.width) + 1
         self.counts, self.last = [0] * self.size, 0
 
     def _turn(self, now):
@@ -47,7 +49,7 @@
     def total(self, now, full_only=False, back=None):
         """The last `back` buckets' sum (all if None), with the partly covered oldest one or without it."""
         self._turn(now)
-        wanted = (self.size if back is None else back + 1) - full_only
+        wanted = (self.size if back is None else min(self.size, back + 1)) - full_only
         begin = (self.last + 1 - wanted) % self.size
         end = begin + wanted  # slices: every transaction asks for a dozen of these sums
         if end <= self.size:
@@ -86,11 +88,13 @@
         self.side = None            # True: of the newest build; False: of an earlier one
 
     def share(self, at, terms):
-        """The part of its capacity that it has at least: it gains no slower than evenly."""
-        age = at - self.listed.started
+        """The part of its capacity that it has at least: it gains no slower than evenly. Never nothing: what it costs
+        is divided by this, and a pod that starts at no capacity may be asked for at the moment of its start, or before
+        by a clock that is behind."""
+        age = max(1, at - self.listed.started)
         if not self.listed.started or age >= terms.cold:
             return 1.0
-        return terms.cold_from + (1 - terms.cold_from) * max(0, age) / terms.cold
+        return terms.cold_from + (1 - terms.cold_from) * age / terms.cold
 
 
 def merged(pods, event, span):
