Valid settings that were refused: whole numbers as floats, no voter needed, what nothing looks at

Cause: configuration._text wrote 3e9 as 3000000000.0, which wire's whole numbers refuse, and so the program did not start; extra.votes_to_revert 0 was refused, and would divide by zero in the decisions; a key added with '.' or '=' in its name could pass for the path of another one; and key_scope, window, ask_within, max_retry_after and stats.names were asked for where no decision looks at them (no class with a mark, lists pushed, no hint given, no reports). Change: a float that is whole is written as such; no voter needed counts as one, so that each votes as sure as alone; names with '.' or '=' are passed over; what nothing looks at there may be absent or null. All else is refused by its name as before. Without the change of configuration.py the first new test fails, without that of wire.py both do.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -247,6 +247,31 @@
         read = configuration.read(told, 0).terms
         self.assertEqual((len(read.lanes), read.lanes["c4999"].window), (5000, 0))
 
+    def test_what_means_the_same_is_read_as_the_same(self):
+        """Whole numbers as others write them, no voter needed, and keys added that could pass for others."""
+        same, expected = example()["settings"], configuration.read(example(), 0)
+        for *path, key, new in (("extra", "window", float(same["extra"]["window"])), ("balancers", 1.0),
+                                ("extra", "votes_to_revert", 0), ("balancers=9", 9), ("extra.window", 5),
+                                ("extra", "window=1", []), ("extra.window", {"a": None}), ("added", None)):
+            told = example()
+            (told["settings"][path[0]] if path else told["settings"])[key] = new
+            self.assertEqual(configuration.read(told, 0)[-2:], expected[-2:], (path, key, new))
+
+    def test_what_no_decision_looks_at_may_be_left_out(self):
+        told = example()
+        told["settings"].update(stats={}, permissions={**told["settings"]["permissions"], "retry_after": False})
+        del told["settings"]["rules"]["ask_within"], told["settings"]["permissions"]["max_retry_after"]
+        for lane in told["settings"]["categories"]:
+            if lane["semantics"] != "deduplicated":
+                del lane["key_scope"], lane["window"]
+        self.assertEqual(list(configuration.read(told, 0).terms.lanes), ["read", "mark", "pay"])
+        for path, new, named in (("discovery", "subscribe", "ask_within"), ("permissions.retry_after", True, "max_ret"),
+                                 ("categories.0.semantics", "deduplicated", "categories.0.key_scope")):
+            asked = copy.deepcopy(told)
+            put(asked["settings"], path, new)
+            with self.assertRaisesRegex(Faulty, named):
+                configuration.read(asked, 0)
+
     def test_a_pod_that_starts_at_nothing_or_at_once_has_some_capacity(self):
         for cold, cold_from in ((0, 0.3), (0, 0.0), (50_000, 0.0)):
             known = Known(i.Pod("p", "a", 1.0, 0, i.READY, 70, "m", 1), 10)
--- a/thymeknot/service/configuration.py
+++ b/thymeknot/service/configuration.py
@@ -29,12 +29,13 @@
 
 
 SOCKETS = 1024              # where no limit is told
+UNHEARD = set(".=")         # no setting is named with these, and such a name could pass for the path of another one
 
 
 def pairs(value, path=""):
     """The settings' nested object as the wire's names and values."""
     if isinstance(value, dict):
-        return [pair for name, inner in value.items()
+        return [pair for name, inner in value.items() if not UNHEARD & set(name)
                 for pair in pairs(inner, f"{path}.{name}" if path else name)]
     if isinstance(value, list):
         if value and all(isinstance(inner, dict) for inner in value):
@@ -47,6 +48,8 @@
 def _text(value):
     if isinstance(value, bool):
         return str(value).lower()
+    if isinstance(value, float) and value.is_integer():  # as some write a whole number
+        return str(int(value))
     return "-" if value is None else str(value)
 
 
--- a/thymeknot/wire.py
+++ b/thymeknot/wire.py
@@ -115,7 +115,10 @@
     def __init__(self, pairs):
         self.values = dict(pair.partition("=")[::2] for pair in pairs)
 
-    def read(self, name, decode):
+    def read(self, name, decode, unheard=None, heard=True):
+        """unheard: what stands for a setting that may be left out, as no decision looks at it where it is not heard."""
+        if not heard and self.values.get(name, "-") == "-":
+            return unheard
         if name not in self.values:
             raise Malformed(f"required setting {name} is missing")
         try:
@@ -168,6 +171,10 @@
     return value
 
 
+def _voters(text):
+    return max(1, _count(text))  # where none is needed each votes as if it decided alone
+
+
 def _amount(text):
     value = float(text)
     if not 0 <= value < float("inf"):
@@ -176,11 +183,13 @@
 
 
 def _lane(read, at):
-    def own(name, decode):
-        return read(f"categories.{at}.{name}", decode)
-    return i.Lane(own("name", _text), own("semantics", EFFECTS.__getitem__),
-                  own("key_scope", GROUPS.__getitem__), own("window", _span), own("promise", _length),
-                  own("give_up", _length), own("worth", _amount), own("late_worth", _amount))
+    def own(name, *how):
+        return read(f"categories.{at}.{name}", *how)
+    name, effect = own("name", _text), own("semantics", EFFECTS.__getitem__)
+    marked = effect == i.FINGERPRINTED
+    return i.Lane(name, effect, own("key_scope", GROUPS.__getitem__, i.GROUP_ALL, marked),
+                  own("window", _span, 0, marked), own("promise", _length), own("give_up", _length),
+                  own("worth", _amount), own("late_worth", _amount))
 
 
 def terms(pairs):
@@ -193,17 +202,18 @@
         if lane.name in names:  # one of them would be served by the limits of the other
             raise Malformed(f"setting categories.{at}.name comes twice: {lane.name!r}")
         names.add(lane.name)
+    subscribes, retry_after = read("discovery", DISCOVERIES.__getitem__), read("permissions.retry_after", bools)
     return i.Terms(
         lanes={lane.name: lane for lane in lanes},
         balancers=read("balancers", _whole),
-        subscribes=read("discovery", DISCOVERIES.__getitem__),
+        subscribes=subscribes,
         max_deliveries=read("permissions.max_attempts", _whole),
-        max_retry_after=read("permissions.max_retry_after", _span),
+        max_retry_after=read("permissions.max_retry_after", _span, 0, retry_after),
         second_copies=read("permissions.second_copies", bools),
         may_recall=read("permissions.may_cancel", bools),
-        retry_after=read("permissions.retry_after", bools),
-        reports=read("stats.names", _report_names),
-        ask_within=read("rules.ask_within", _span),
+        retry_after=retry_after,
+        reports=read("stats.names", _report_names, (), False),
+        ask_within=read("rules.ask_within", _span, 0, subscribes),
         cold_from=read("rules.cold_from", _share),
         cold=read("rules.cold", _span),
         fall_multiple=read("rules.fall_multiple", _positive),
@@ -216,7 +226,7 @@
         keys_stay=read("extra.keys_stay", bools),
         replaces=read("extra.swap", SWAPS.__getitem__),
         decided_by=read("extra.decided_by", DECIDERS.__getitem__),
-        votes_to_revert=read("extra.votes_to_revert", _whole),
+        votes_to_revert=read("extra.votes_to_revert", _voters),
         vote_life=read("extra.vote_life", _length),
         vote_wait=read("extra.vote_wait", _length),
         votes_per_s=read("extra.calls_per_s", _rate),
