Settings drawn by seed: rules, answers, every class served, and each instance for itself

80 whole settings, each value at an edge or between, from one class to thirty, with odd names and added keys. Same seeds, same verdict.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,10 @@
 """Settings: none reaches another instance, none that differs is passed over, none is taken that can't be used."""
 
 import copy
+import heapq
 import json
 import os
+import random
 import subprocess
 import sys
 import tempfile
@@ -13,7 +15,9 @@
 from tests.helpers import SETTINGS
 from tests.test_sidecar import Network
 from thymeknot import interface as i
+from thymeknot.balance import Balancer
 from thymeknot.benchlink import Host
+from thymeknot.laboratory.rules import Checker
 from thymeknot.records import Known, Ring
 from thymeknot.service import configuration
 from thymeknot.service.configuration import Faulty, pairs
@@ -288,5 +292,248 @@
                 self.assertEqual((ring.total(1000, False, back), ring.total(later, False, back)), (1, 0), span)
 
 
+# What a value may be, from edge to edge: times in nanoseconds, shares, counts.
+EDGES = {
+    "balancers": (1, 2, 6, 500), "discovery": ("automatic", "subscribe"),
+    "stats.names": ([], ["busy"], ["rate", "x y"]),
+    "permissions.max_attempts": (1, 2, 4, 1000), "permissions.max_retry_after": (0, 1, 5 * 10**8, 10**12),
+    "permissions.second_copies": (False, True), "permissions.may_cancel": (False, True),
+    "permissions.retry_after": (False, True), "permissions.connect_timeout": (10**5, 25 * 10**7, 10**11),
+    "permissions.conn_idle": (10**5, 5 * 10**8, 10**13), "permissions.max_open": (1, 100, 10**6),
+    "rules.ask_within": (0, 10**9, 10**10), "rules.cold_from": (0, 0.3, 1), "rules.cold": (0, 10**6, 5e9, 10**12),
+    "rules.fall_multiple": (1, 1.1, 4.0, 100), "rules.overload_for": (10**5, 5 * 10**8, 2 * 10**9, 10**11),
+    "extra.window": (10**5, 17 * 10**6, 10**9, 3e9, 10**13), "extra.allowance": (0, 0.5, 3.0, 10**6),
+    "extra.guarded_stages": (0, 1, 7, 10), "extra.counts": ("all", "each_class"), "extra.keys_stay": (False, True),
+    "extra.waves": ([1], [0.1, 1.0], [0, 0.04, 0.1, 0.2, 0.5, 0.9, 1]), "extra.swap": ("parallel", "replace"),
+    "extra.decided_by": ("first_voice", "by_count", "automatic"), "extra.votes_to_revert": (0, 1, 3, 500, 1000),
+    "extra.vote_life": (10**5, 5 * 10**7, 4 * 10**9, 10**13), "extra.vote_wait": (10**5, 10**9, 10**11),
+    "extra.calls_per_s": (1e-6, 0.3, 0.5, 1, 2.5, 150.0, 10**9)}
+LANE_EDGES = {
+    "semantics": ("idempotent", "deduplicated", "at_most_once"), "key_scope": ("all", "zone", "cell"),
+    "window": (0, 99_999, 3 * 10**8, 2 * 10**9, 10**13), "promise": (10**5, 10**8, 8 * 10**8, 3 * 10**9, 10**11),
+    "give_up": (10**5, 10**8, 2 * 10**9, 10**10), "worth": (0, 1e-9, 1, 5.0, 1e9), "late_worth": (0, 0.2, 1)}
+NAMES = "read", "Read", "a b", "a=b", "a.b", "0", "count", "name", "ключ ✓", "x" * 300, "{}", "-1", "%", "a&b"
+ADDED = {"balancers=1": 0, "extra.window": [], "parties": [{"name": "é", "share": 0.0}], "zones": [], "tier": None}
+
+
+def drawn(chance):
+    """Whole settings that a deployment may have, each of them at an edge or between."""
+    told = example()
+    for path, values in EDGES.items():
+        put(told["settings"], path, chance.choice(values))
+    only = chance.choice([{}, {}, *({"semantics": effect} for effect in LANE_EDGES["semantics"])])
+    told["settings"]["categories"] = [
+        {**{key: chance.choice(values) for key, values in LANE_EDGES.items()}, "name": name, **only}
+        for name in [*chance.sample(NAMES, chance.choice((1, 2, 14))), *map(str, range(5, chance.choice((5, 21))))]]
+    told["settings"].update(ADDED if chance.random() < 0.5 else {})
+    return orjson.loads(orjson.dumps(told))
+
+
+class World:
+    """An instance under drawn settings amid events of every kind, in simulated time, before the checkers' eyes. calm:
+    all is well, and a request comes once the one before is answered."""
+    TURNS, GRACE = 120, 2_500
+    RAN = {**dict.fromkeys((i.ERROR, i.EXPIRED, i.RESET, i.RECALLED)), i.DONE: True,
+           **dict.fromkeys((i.FULL, i.UNCONNECTED, i.UNSENT), False)}
+    PHASES = {i.ON_TRIAL: "trial", i.GOING_BACK: "back", i.RELEASED: "released", i.WITHDRAWN: "withdrawn"}
+
+    def __init__(self, seed, calm=False):
+        self.chance, self.calm, self.now, self.number, self.queue = random.Random(seed), calm, 10**9, 0, []
+        self.terms = terms = configuration.read(drawn(self.chance), 0).terms
+        self.checker = Checker(terms.lanes, self.GRACE, terms.exposure_window, terms.allowance, terms.by_lane,
+                               terms.guarded_stages)
+        self.made, self.pods, self.held, self.said = Balancer(terms, seed, self.now), {}, {}, []
+        self.order = 1, 0, i.RELEASED, 1.0
+        least = min(lane.latency_goal for lane in terms.lanes.values())
+        self.step = min(2_000, least) if calm else self.chance.choice((1, 100, 2_000, 5_000))
+        many = self.chance.choice((1, 4, 12)) if not calm else 8
+        self.listed([self.pod(number, 1 + number % 2) for number in range(many)], i.REMEMBERED)
+        self.tell(self.news())
+
+    # What comes.
+
+    def pod(self, number, build):
+        any_of = self.chance.choice
+        started = 0 if self.calm else any_of((0, 0, self.now, self.now - 3_000, self.now + 50))
+        condition = i.READY if self.calm else any_of((i.READY,) * 6 + (i.DRAINING, i.GONE))
+        return i.Pod(f"p{number}", any_of("ab"), any_of((0.01, 1.0, 100.0)), number % 3, condition, started, "m", build)
+
+    def listed(self, pods, kind):
+        for pod in pods:
+            self.pods[pod.address] = pod
+            self.checker.listed(self.now, 0, pod.address, "ready" if pod.condition == i.READY else "gone")
+        self.tell(i.PodList(kind, tuple(pods)))
+
+    def news(self, answers=False, outcome=i.DONE):
+        build, stage, phase, cap = self.order
+        if outcome != i.DONE:
+            return i.News(build, None, None, answers, outcome, None, None)
+        self.checker.cap(self.now, 0, build, cap, stage, self.PHASES[phase])
+        return i.News(build, stage, phase, answers, i.DONE, cap, 0)
+
+    def moved(self):
+        build, stage, phase, _ = self.order
+        if phase != i.ON_TRIAL:
+            self.order = build + 1, 0, i.ON_TRIAL, self.chance.random()
+        elif stage + 1 < len(self.terms.waves) and self.chance.random() < 0.7:
+            self.order = build, stage + 1, phase, self.chance.choice((0.0, 0.1, 1.0))
+        else:
+            self.order = (build, stage, *self.chance.choice(((i.RELEASED, 1.0), (i.GOING_BACK, 0.0))))
+        self.tell(self.news())
+
+    def asked(self):
+        name, self.number, lane = f"{self.number:x}", self.number + 1, self.chance.choice(list(self.terms.lanes))
+        limit = self.terms.lanes[lane].outer_limit
+        left = limit if self.calm else min(limit, self.chance.choice((1, 100, 5_000, 20_000)))
+        key = None if self.calm else self.chance.choice((None, "k", "ключ", name))
+        self.held[name] = {"lane": lane, "ends": self.now + left, "key": key, "over": False, "sent": [], "streams": 0}
+        self.checker.taken(self.now, 0, name, lane, self.now + left)
+        self.tell(i.Taken(name, lane, self.chance.choice((None, "tenant é")), key, left, None,
+                          self.chance.random() < 0.2, False))
+
+    def turn(self):
+        any_of, build, lane = self.chance.choice, self.order[0], self.chance.choice(list(self.terms.lanes))
+        for _ in range(1 if self.calm else any_of((0, 1, 1, 3))):
+            self.asked()
+        if self.chance.random() < 0.1:
+            self.moved()
+        if self.calm:
+            return
+        pod, spread = any_of(list(self.pods)), any_of((1, 100, 5_000))
+        what = any_of(("list", "tally", "complaint", "doubt", "unheard", "left", "stream", "", "", "", "", ""))
+        if what == "list":
+            self.listed([self.pod(any_of(range(14)), max(1, build - any_of((-1, 0, 0, 1, 1))))
+                         for _ in range(any_of((0, 1, 5)))], any_of((i.CHANGES, i.CHANGES, i.WHOLE)))
+        elif what == "tally":
+            self.tell(*(i.Tally(some, lane, any_of((0, 1, 50)), any_of((0, 0, 1, 20)), spread, any_of((0, 5_000)))
+                        for some in (build - 1, build)))
+        elif what in ("complaint", "doubt", "unheard"):
+            self.tell({"complaint": i.Complaint(spread, pod, lane), "unheard": i.AnsweredUnheard("k", build - 1),
+                       "doubt": i.Doubted(pod, self.pods[pod].build, self.pods[pod].started, self.now + spread)}[what])
+        elif waiting := [name for name, held in self.held.items() if not held["over"]]:
+            name = any_of(waiting)
+            if what == "left":
+                self.over(name, "left")
+                self.tell(i.ClientLeft(name))
+            elif what == "stream" and len(sent := self.held[name]["sent"]) == 1 and sent[0]["out"]:
+                self.held[name]["streams"] = 1
+                self.tell(i.StreamBegan(name, sent[0]["pod"], 0, 1))
+
+    # What the instance does.
+
+    def over(self, name, how):
+        self.held[name]["over"] = True
+        self.checker.answered(self.now, 0, name, how)
+
+    def at(self, moment, act, *values):
+        self.number += 1
+        heapq.heappush(self.queue, (max(moment, self.now), self.number, act, values))
+
+    def tell(self, *events):
+        actions = self.made.handle(self.now, events)
+        self.said.append(repr(actions))
+        for action in actions:
+            self.ACTIONS[type(action)](self, action)
+
+    def deliver(self, action):
+        held, pod = self.held[action.id], self.pods[action.pod]
+        self.checker.sent(self.now, 0, action.id, action.pod, pod.build, held["lane"], held["key"] or action.id)
+        if held["over"] or sum(one["out"] for one in held["sent"]) > self.terms.second_copies or action.time_out <= 0:
+            self.checker._broke(2, self.now, f"{action}: {held}")
+        held["sent"].append({"out": True, "pod": action.pod, "build": pod.build, "at": self.now})
+        if len(held["sent"]) > self.terms.max_deliveries:
+            self.checker._broke(2, self.now, f"{action}: one too many")
+        within = min(action.time_out, held["ends"] - self.now)
+        after = self.chance.choice((0, 1, 50, 2_000, 10**6)) if not self.calm else self.step // 8
+        outcome = self.chance.choice([i.DONE] * 6 + [one for one in self.RAN if one != i.RECALLED])
+        self.at(self.now + min(after, within), self.end, action.id, len(held["sent"]) - 1,
+                i.DONE if self.calm else i.EXPIRED if after > within else outcome)
+
+    def end(self, name, number, outcome):
+        held = self.held[name]
+        attempt = held["sent"][number]
+        if not attempt["out"]:
+            return
+        attempt["out"] = False
+        self.checker.proved(0, name, number, self.RAN[outcome])
+        if (outcome == i.DONE or held["streams"]) and not held["over"]:
+            self.over(name, "done")
+        if outcome == i.DONE and self.terms.keys_stay:
+            self.checker.key_answered(0, held["key"] or name, attempt["build"])
+        load = (float("nan"),) * len(self.terms.reports) if self.chance.random() < 0.1 else None
+        self.tell(i.Ended(name, outcome, held["over"], self.now - attempt["at"], attempt["pod"], number, load))
+
+    def recall(self, action):
+        if self.held[action.id]["sent"][action.number]["out"]:
+            self.at(self.now, self.end, action.id, action.number, i.RECALLED)
+
+    def ask(self, _):
+        self.at(self.now + 100, self.tell, i.PodList(self.chance.choice((i.MISSED, i.CHANGES)), ()))
+
+    def vote(self, action):
+        allowed = {i.ON: self.terms.decided_by != i.BY_CLOCK, i.HOLD: self.terms.decided_by == i.BY_CLOCK}
+        if not allowed.get(action.verdict, True):
+            self.checker._broke(5, self.now, f"{action} is no vote here")
+        self.at(self.now + self.chance.choice((1, 500)), lambda how: self.tell(self.news(True, how)),
+                self.chance.choice((i.DONE, i.DONE, i.FULL, i.UNSENT, i.EXPIRED)))
+
+    ACTIONS = {i.Deliver: deliver, i.Recall: recall, i.Subscribe: ask, i.FetchList: ask, i.Vote: vote,
+               i.Defer: lambda self, action: self.over(action.id, "deferred"),
+               i.Abandon: lambda self, action: self.over(action.id, "abandoned"),
+               i.SetTimer: lambda self, action: self.at(action.at, self.tell, i.TimerDue(action.token)),
+               i.Note: lambda self, action: None}
+
+    def play(self):
+        """Turn by turn; then what is open ends. Gives the breaches, among them what is left over."""
+        for turn in range(self.TURNS):
+            self.at(self.now + self.step * turn, self.turn)
+        last = self.now + self.step * self.TURNS + max(lane.outer_limit for lane in self.terms.lanes.values()) + 1
+        while self.queue[0][0] <= last:
+            self.now, _, act, values = heapq.heappop(self.queue)
+            act(*values)
+            yield
+        self.checker.ended(last + 100)
+        if self.made.open or self.checker.open:
+            self.checker._broke(1, last, f"open yet: {list(self.made.open)} {list(self.checker.open)}")
+        if not any(values and values[0] == i.TimerDue(0) for _, _, _, values in self.queue):
+            self.checker._broke(0, last, "it has stopped looking")
+
+
+def played(*worlds):
+    """What each says, turn and turn about."""
+    plays = [world.play() for world in worlds]
+    while plays:
+        plays = [play for play in plays if next(play, plays) is not plays]
+    return [world.said for world in worlds]
+
+
+class Drawn(unittest.TestCase):
+    """Settings drawn by seed, always the same ones."""
+    SEEDS = range(80)
+
+    def faults(self, seed, calm):
+        world = World(seed, calm)
+        played(world)
+        served = {held["lane"] for held in world.held.values()}
+        unserved = [how for how in world.checker.over.values() if how != "done"] if calm else []
+        return world.checker.broken[:3], unserved, bool(served)
+
+    def test_whatever_is_drawn_each_has_one_answer_in_time_and_the_rules_are_kept(self):
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(self.faults(seed, False), ([], [], True))
+
+    def test_where_all_is_well_no_class_goes_unserved(self):
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(self.faults(seed, True), ([], [], True))
+
+    def test_two_with_other_settings_that_take_turns_decide_as_each_alone(self):
+        for seed in self.SEEDS[::6]:
+            with self.subTest(seed=seed):
+                alone = [played(World(seed))[0], played(World(seed + 1))[0]]
+                self.assertEqual(played(World(seed), World(seed + 1)), alone)
+
+
 if __name__ == "__main__":
     unittest.main()
