--- a/deploy/why.cue
+++ b/deploy/why.cue
@@ -1,4 +1,4 @@
-// The record of decisions, and who may ask for it: `thymeknot why ID`, `thymeknot why find --lane pay-royalty`.
+// The record of decisions, and who may ask for it: `thymeknot why ID`, `thymeknot why find --lane pay`.
 // Off where this file isn't named: python -m thymeknot --operator deploy/why.cue serve
 why: {
 	megabytes: 8                       // some 10,400 entries
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,6 +1,8 @@
 """The sites of our own: names of their own, and what each is meant to bring out."""
 
+import json
 import os
+import re
 import tomllib
 import unittest
 
@@ -55,6 +57,17 @@
             for name in found:
                 self.assertNotRegex(text, rf"(?<![\w-]){name}(?![\w-])", f"{place} names {name}")
 
+    def test_deploy_files_show_no_lane_but_the_example_s(self):
+        folder = os.path.dirname(FOLDER)
+        with open(os.path.join(folder, "example.json"), encoding="utf-8") as source:
+            known = {lane["name"] for lane in json.load(source)["settings"]["categories"]}
+        shown = set()
+        for file in os.listdir(folder):
+            if file.endswith((".toml", ".json", ".cue")):
+                with open(os.path.join(folder, file), encoding="utf-8") as source:
+                    shown.update(re.findall(r"--lane[ =]([^\s`]+)", source.read()))
+        self.assertTrue(shown and shown <= known, shown - known)
+
     def test_one_has_every_effect_and_scope_the_other_few_classes_and_short_times(self):
         many, few = self.sites["harbour-permits"]["class"], self.sites["kiln-orders"]
         self.assertEqual({(one["effect"], one.get("group")) for one in many},
