The program is started at all lower and at all upper edges of the settings, and serves every class

One start with each setting at its least (one sidecar, no waits, 64 descriptors), one at its most (500, seven waves, keys added, no limits told), both with odd and long names of classes, a pod without zone, kind, cell and weight.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from tests.helpers import SETTINGS
+from tests.helpers import PATIENCE, SETTINGS, PodPeer, Program
 from tests.test_sidecar import Network
 from thymeknot import interface as i
 from thymeknot.balance import Balancer
@@ -535,5 +535,36 @@
                 self.assertEqual(played(World(seed), World(seed + 1)), alone)
 
 
+class Started(unittest.TestCase):
+    """The program itself, at all lower edges and at all upper ones together; its classes have times to be served in."""
+
+    def changed(self, edge):
+        def change(told):
+            for path, values in EDGES.items():
+                put(told["settings"], path, values[edge])
+            told["settings"].update(ADDED, discovery="automatic")
+            lane, effects = told["settings"]["categories"][0], LANE_EDGES["semantics"]
+            told["settings"]["categories"] = [
+                {**lane, "name": name, "semantics": effects[number % 3], "worth": edge + 1}
+                for number, name in enumerate(NAMES)]
+            put(told, "limits", [{"sockets": 64}, {"cores": 0.05, "sockets": None, "memory_mb": None}][edge])
+            for key in ("zone", "kind", "cell", "weight"):
+                del told["known"]["servers"][0][key]
+        return change
+
+    def test_it_starts_and_serves_every_class_at_each_edge(self):
+        for edge in (0, -1):
+            pod = PodPeer()
+            self.addCleanup(pod.close)
+            with Program(pod.entry("пoд №1 {x}"), change=self.changed(edge)) as program, program.client() as client:
+                for number, name in enumerate(NAMES * 2):
+                    said = client.ask("SVC.SUBMIT", "k", f"{number:x}", f"c={name},t=té nant,d=5000,k=a", "BODY")
+                    self.assertEqual(said, b"%x" % number, (edge, name))
+                program.process.terminate()
+                self.assertEqual(program.process.wait(PATIENCE), 0)
+                faults = [line for line in list(program.lines.queue) if b'"level":"error"' in line]
+                self.assertEqual(faults, [])
+
+
 if __name__ == "__main__":
     unittest.main()
