--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -202,6 +202,9 @@
                      "extra.vote_wait", "rules.overload_for", "permissions.conn_idle", "permissions.max_attempts",
                      "extra.calls_per_s", "balancers"):
             self.refuse(changed(f"settings.{path}", 0), path)
+        for path in ("categories.0.promise", "rules.cold", "extra.window", "extra.vote_life", "balancers"):
+            for large in (1e300, 2.0 ** 64, 10 ** 19):
+                self.refuse(changed(f"settings.{path}", large), path)
         for small in (1e-320, 1e-9):
             self.refuse(changed("settings.extra.calls_per_s", small), "extra.calls_per_s")
 
--- a/thymeknot/wire.py
+++ b/thymeknot/wire.py
@@ -6,6 +6,7 @@
 
 UNIT = 100_000  # nanoseconds in a tenth of a millisecond
 LEAST_RATE = 1e-6  # a second; less is no rate, and the time between two leaves the numbers
+MOST = 2 ** 63     # of a whole number: more may not be a float any more, and ends in the middle of a decision
 
 OUTCOMES = {"delivered": i.DONE, "app_error": i.ERROR, "shed": i.FULL, "expired": i.EXPIRED,
             "dial_failed": i.UNCONNECTED, "dropped": i.RESET, "revoked": i.RECALLED, "unused": i.UNSENT}
@@ -33,8 +34,8 @@
 
 def _count(text):
     value = int(text)
-    if value < 0:
-        raise ValueError(f"negative: {text}")
+    if not 0 <= value <= MOST:
+        raise ValueError(f"not from 0 to 2^63: {text}")
     return value
 
 
@@ -143,8 +144,8 @@
 
 
 def _length(text):
-    value = int(text) // UNIT
-    if value <= 0:
+    value = _span(text)
+    if not value:
         raise ValueError(text)
     return value
 
@@ -165,8 +166,8 @@
 
 
 def _whole(text):
-    value = int(text)
-    if value < 1:
+    value = _count(text)
+    if not value:
         raise ValueError(text)
     return value
 
