A client's command holds no arrays and 128 KiB at most: else 1 MiB stops the loop for 7 s

Cause: resp.Parser (resp.py, _array, feed) took clients' arrays in arrays, four deep, and went through all parts again with each piece that was read; and 64 strings of 64 KiB, or 64^4 of them, were held as long as none made the command whole (2.5 s, or for ever while one connection in many does so). Pods' answers were bounded before.

Seen: 1,052,672 bytes of empty arrays in pieces of 64 KiB cost resp.Parser 7.1 s of CPU, 0.79 s for one piece; CommandParser ends them at the first piece. Strings in arrays: ended by the probe's time limit, 100 s.

Mend: client.CommandParser. With it taken out both tests fail (held 196608 > 131072; the other error's text).

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -128,15 +128,17 @@
         self.assertEqual(all_of(near), PONG)
 
     def test_an_error_behind_good_commands_is_told_whatever_comes_behind_it(self):
-        network = self.network()
-        near, connection = self.opens(network)
-        near.sendall(PING + b"nonsense\r\n")
-        network.step(1)
-        near.sendall(b"more" * 20_000)  # unread as the connection ends
-        network.step(9)
-        network.pass_on(2 * LINGERS)
-        self.assertEqual(all_of(near), PONG + b"-ERR syntax: neither an array nor a string begins here\r\n")
-        self.assertEqual(len(network.sidecar.clients), 0)
+        for wrong, why in ((b"nonsense\r\n", b"neither an array nor a string begins here"),
+                           (b"*1\r\n*1\r\n", b"an array in a command")):
+            network = self.network()
+            near, connection = self.opens(network)
+            near.sendall(PING + wrong)
+            network.step(1)
+            near.sendall(b"more" * 20_000)  # unread as the connection ends
+            network.step(9)
+            network.pass_on(2 * LINGERS)
+            self.assertEqual(all_of(near), PONG + b"-ERR syntax: " + why + b"\r\n")
+            self.assertEqual(len(network.sidecar.clients), 0)
 
     def test_a_client_that_shuts_its_sending_side_still_gets_what_is_answered(self):
         network = self.network()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,6 +1,7 @@
 """Parsers and writers on whole messages, on every split of them, and on garbage; words and statuses."""
 
 import random
+import time
 import unittest
 
 from tests.helpers import command
@@ -81,6 +82,18 @@
                               ([b"Q", b"k", b"i", b"c=\xff,d=5"], "UTF-8"), ([b"Q", b"k", b"", b"c=a,d=5"], "id")):
             self.assertIn(reason, client.read_command(words))
 
+    def test_what_is_held_of_a_command_that_is_never_whole_is_bounded_and_so_is_the_work_on_it(self):
+        """By the pieces that a connection reads; the arrays are a megabyte, in each other and all but empty."""
+        part, nested = b"$%d\r\n%s\r\n" % (resp.MOST_BULK, b"x" * resp.MOST_BULK), b"*64\r\n"
+        for data in (b"*64\r\n" + 63 * part, nested + 63 * (nested + 64 * (nested + 64 * b"*0\r\n")),
+                     nested + 63 * (nested + 64 * part)):
+            parser, began = client.CommandParser(), time.process_time()
+            with self.assertRaises(resp.Malformed):
+                for at in range(0, len(data), 65536):
+                    list(parser.feed(data[at:at + 65536]))
+                    self.assertLessEqual(parser.held, client.MOST_COMMAND)
+            self.assertLess(time.process_time() - began, 0.1)
+
     def test_what_a_pod_may_answer(self):
         for data, wanted in ((b"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\nq=1\r\n", pod.Answer(b"v", b"q=1", None)),
                              (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", pod.Answer(b"v", None, None)),
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -13,6 +13,7 @@
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
 MOST_WAITING = 64           # commands in hand on one connection; beyond it, it is not read on
+MOST_COMMAND = 2 * resp.MOST_BULK  # all its words: a body, and room for what stands before it
 SPEAKS_WITHIN = 25_000      # tenths of a millisecond: for a first command, and for one that has begun
 READS_WITHIN = 100_000      # for a client that has stopped reading its answers, or does not read the last ones
 SPEAKS_FIRST = 5_000        # a new connection that is to end still has its first command coming
@@ -62,6 +63,21 @@
                    told.get(b"r") == b"1")
 
 
+class CommandParser(resp.Parser):
+    """For commands: no arrays in the array, and a bound on all of it. Else a few kilobytes would have the parser go
+    through a million parts again with each piece, and many strings that are never whole would fill the memory."""
+
+    def feed(self, data):
+        yield from super().feed(data)
+        if self.held > MOST_COMMAND:
+            raise resp.Malformed(f"a command of over {MOST_COMMAND} bytes")
+
+    def _array(self, buffer, at, length, depth):
+        if depth:
+            raise resp.Malformed("an array in a command")
+        return super()._array(buffer, at, length, depth)
+
+
 @implementer(IHalfCloseableProtocol)
 class ClientConnection(Protocol):
     """Its owner is asked to take(connection, place, command), told of gone(connection), once its client waits for
@@ -74,7 +90,7 @@
     is read from there on, and what crosses that is sent once more by its client."""
 
     def __init__(self, owner):
-        self.owner, self.parser, self.deadlines = owner, resp.Parser(), owner.deadlines
+        self.owner, self.parser, self.deadlines = owner, CommandParser(), owner.deadlines
         self.slot, self.first, self.places = None, 0, deque()
         self.sound, self.closing, self.reading, self.used_at, self.opened_at = True, False, True, 0, 0
         self.spoke, self.blocked, self.ended, self.flushing, self.gone = False, False, False, False, False
