No attempt begins for a client that had left before its request was read

Cause: the loop reads a request one turn before its end, or sees a pod's answer before a client's end, and Sidecar._deliver wrote the attempt meanwhile.

Both new tests fail without it.

test_and_what_it_waits_for_is_sent_on_no_more relied on the dial that is not made any more: it now shuts the client's side after the dial, and asserts the dial, too; the same turn is the new test's.

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -153,6 +153,8 @@
         network = self.network(entry("s-1"))
         near, _ = self.opens(network)
         near.sendall(query("01"))
+        network.step()
+        self.assertEqual(network.dialled(), [7001])
         near.shutdown(socket.SHUT_WR)
         network.step(9)
         late = network.connect()
@@ -176,6 +178,38 @@
             self.assertEqual([network.connect(at - dialled).transport.value() for at in range(dialled)],
                              [b""] * dialled)
 
+    def test_what_is_read_after_its_client_has_left_is_not_sent_on(self):
+        """It waited in the machine: for a place, or because the loop was held up. What pods get is in memory here,
+        and written at once."""
+        for leaves in (lambda near: near.close(), lambda near: near.shutdown(socket.SHUT_WR)):
+            network = self.network(entry("s-1"))
+            network.ask("warm")
+            pod = network.connect()
+            pod.resumeProducing()
+            pod.dataReceived(ANSWER)
+            network.pass_on(200)    # it has rested: what is decided is written
+            sent = pod.transport.value()
+            near, connection = self.opens(network)
+            near.sendall(query("01") + query("02"))
+            leaves(near)
+            network.step(1)
+            self.assertEqual((pod.transport.value(), len(network.sidecar.transactions)), (sent, 0))
+            network.step(9)
+            self.assertEqual((len(network.dialled()), network.sidecar.balancer.open), (1, {}))
+            self.assertTrue(connection.gone)
+
+    def test_an_attempt_after_another_is_not_sent_on_either(self):
+        network = self.network(entry("s-1"), entry("s-2"))
+        near, _ = self.opens(network)
+        near.sendall(query("01"))
+        network.step()
+        pod = network.connect()
+        pod.resumeProducing()
+        near.close()                # the loop has not turned since
+        pod.dataReceived(b"-ERR failed\r\n")
+        self.assertEqual((len(network.dialled()), len(network.sidecar.transactions)), (1, 0))
+        self.assertEqual(network.sidecar.balancer.open, {})
+
     def test_an_evicted_connection_frees_its_descriptor_at_once(self):
         network = self.network()
         near, connection = self.opens(network)
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -186,6 +186,8 @@
             self._go_on()
         try:
             for message in self.parser.feed(data):
+                if self.gone:
+                    return
                 self._command(message)
         except resp.Malformed as error:
             self.sound = False  # what follows can't be told apart any more: answer what is owed, then close
--- a/thymeknot/protocol/reached.py
+++ b/thymeknot/protocol/reached.py
@@ -27,6 +27,8 @@
 
 def has_left(transport):
     """Whether the peer has shut its sending side or is gone, whatever waits unread before that."""
+    if transport.disconnected:
+        return True
     poll = select.poll()
     poll.register(transport.getHandle(), select.POLLRDHUP)
     return bool(poll.poll(0))
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -18,7 +18,7 @@
 from .protocol.calls import MOST_REASON, Caller, KeptStream, Reply
 from .protocol.client import ClientConnection
 from .protocol.pod import Answer
-from .protocol.reached import WRITTEN, Broken, nothing_waits
+from .protocol.reached import WRITTEN, Broken, has_left, nothing_waits
 from .records import Chance
 from .service import logs
 from .service.refusals import Refusals
@@ -425,6 +425,8 @@
         now, held = self.clock(), self._held(action.id)
         if held is None:
             return self.inbox.append(i.Ended(action.id, i.UNSENT, True, 0, action.pod, 0, None))
+        if not held.over and has_left(held.connection.transport):  # it was read late, or the loop is not there yet
+            held.connection.readConnectionLost()
         attempt = Attempt(self, held, self.listed.get(action.pod), now, min(now + action.time_out, held.ends))
         held.attempts.append(attempt)
         held.out += 1
