A client that leaves takes along what is not written whole, also where nothing is recalled

Cause: Sidecar.gone left it to the decisions to end attempts (Balancer._close: Recall only if may_recall). Without that permission an attempt that lay in our buffers, the pod's window being full, went on and began whenever the pod took it, whether or not its client was there; and its id's copy waited for it instead of being sent.

Mend: gone withdraws what is not written whole. The new test fails without it (the connection stays).

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -372,6 +372,16 @@
             self.assertEqual(second.transport.value(), b"$1\r\nv\r\n")
             self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
 
+    def test_what_has_not_gone_out_whole_goes_no_further_and_the_copy_is_sent_anew(self):
+        """Also where what is out may not be recalled: it is not out."""
+        for recalls in (True, False):
+            for lane in ("read", "mark", "pay"):
+                network, connection, second = self.left(lane, False, recalls)
+                self.assertTrue(connection.transport.disconnected)
+                self.assertEqual((second.transport.value(), len(network.dialled())), (b"", 2))
+                second.connectionLost(None)
+                self.assertEqual((len(network.sidecar.transactions), network.sidecar.balancer.open), (0, {}))
+
     def test_or_its_failure(self):
         network, connection, second = self.left("pay", True, False)
         connection.connectionLost(Failure(ConnectionLost()))
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -69,6 +69,10 @@
                 and self.sidecar._stands(pod) and self.sidecar.addresses[pod.address] == address
                 and (newest == self.newest or pod.build < newest))
 
+    def written(self):
+        """Whether its last byte has gone to the network."""
+        return self.connection is not None and self.connection.written
+
     def withdraw(self):
         self.give_up(i.UNSENT)
 
@@ -76,7 +80,7 @@
         """At the latest moment to be written by, and at the end of its time."""
         if self.sidecar.clock() >= self.ends:
             self.give_up()
-        elif self.connection is None or not self.connection.written:
+        elif not self.written():
             self.withdraw()
         else:
             self.deadline = self.sidecar.deadlines.add(self.ends, self.due)
@@ -109,7 +113,7 @@
 
     def give_up(self, outcome=None):
         """Ends it, as a time-out where nothing else is said. What was written may be answered yet, unread."""
-        written = self.connection is not None and self.connection.written
+        written = self.written()
         self.out = False  # its one end is this: what its connection says of its own is none
         self.sidecar.pools.give_up(self, self.connection)
         if written:
@@ -332,6 +336,9 @@
                 if self.why is not None:
                     self.why.ended(held.id, self.why.left)
                 self.tell(i.ClientLeft(held.id))
+                for attempt in held.attempts:  # also where none may be recalled: these are not out yet
+                    if attempt.out and not attempt.written():
+                        attempt.withdraw()
                 self._remember(held)
                 self._let_go(held)
 
