No more clients are taken at once than there are places: at the limit they were reset

Cause: Sidecar.opened told the port to stop reading when all places were taken, but tcp.Port.doRead goes on with the accepts it has begun (100 and more), and _accept_all (SIGTERM) took all that the machine had accepted. At the limit of descriptors accept fails with EMFILE, and Twisted's recovery accepts and closes all that wait: requests with them.

Mend: the accepts of a turn are bounded by the places left; beyond these stand at most 8, while those evicted for them close; at the end the listener closes once nothing is left that the machine has accepted, however long places take.

--- a/tests/orders.py
+++ b/tests/orders.py
@@ -204,12 +204,12 @@
 
     def __init__(self, reactor, factory):
         self.reactor, self.factory, self.queue, self.open, self.reads = reactor, factory, [], True, True
-        self.sessionno = 0
+        self.sessionno, self.numberAccepts = 0, 100
 
     def doRead(self):
         if not self.open:
             raise Wrong("a listener that is closed was read")
-        queue, self.queue = self.queue, []
+        queue, self.queue = self.queue[:self.numberAccepts], self.queue[self.numberAccepts:]
         for wire in queue:
             self.sessionno += 1
             protocol = self.factory.buildProtocol(None)
--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -14,6 +14,7 @@
 from tests.test_sidecar import ANSWER, Network, entry
 from thymeknot import interface as i
 from thymeknot.protocol.client import LINGERS, LOOKS, MOST_WAITING, ClientConnection
+from thymeknot.sidecar import CLOSING
 
 PING, PONG = command("PING"), b"+PONG\r\n"
 
@@ -307,6 +308,41 @@
         self.assertEqual(emptied, [True])
 
 
+class Places(unittest.TestCase):
+    """A crowd that the machine has accepted, more than there are places for, as the loop comes to it: each is taken
+    once there is one, and none is closed for want of a descriptor."""
+
+    def taken(self, finishes):
+        network = Real(entry("s-1"), sockets=64)
+        self.addCleanup(network.close)
+        sidecar, network.reactor.listenTCP = network.sidecar, network.loop.listenTCP
+        sidecar.start = sidecar.start._replace(listen=("127.0.0.1", 0))
+        sidecar.serve()
+        address, most, said = sidecar.port.socket.getsockname(), [], []
+        crowd = [socket.create_connection(address, timeout=5) for _ in range(60)]
+        for at, near in enumerate(crowd):
+            self.addCleanup(near.close)
+            near.sendall(query(f"{at}", 300))
+        if finishes:
+            sidecar.finish(lambda: said.append("empty"))
+        for _ in range(200):
+            network.pass_on(100)
+            most.append(len(sidecar.clients))
+        return network, crowd, max(most), said
+
+    def test_by_one_that_serves(self):
+        network, crowd, most, _ = self.taken(False)
+        self.assertLessEqual(most, network.sidecar.most_clients + CLOSING)
+        self.assertEqual({near.recv(99)[:1] for near in crowd}, {b"-"})     # its time is over: nothing else is there
+        self.assertFalse(network.sidecar.held_off)
+
+    def test_by_one_that_ends(self):
+        network, crowd, most, said = self.taken(True)
+        self.assertLessEqual(most, network.sidecar.most_clients + CLOSING)
+        self.assertEqual({all_of(near)[:1] for near in crowd}, {b"-"})
+        self.assertEqual((said, len(network.sidecar.clients), network.sidecar.drained.called), (["empty"], 0, True))
+
+
 class Stopping(unittest.TestCase):
     def test_what_is_taken_after_the_stop_has_its_answer_before_the_kill(self):
         network = Network(entry("s-1"))
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -3,9 +3,10 @@
 The only file that knows both sides. It decides nothing: where, when and whether are the Balancer's.
 """
 
+from functools import partial
 from math import isfinite
 
-from twisted.internet.defer import maybeDeferred, succeed
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 
@@ -27,6 +28,7 @@
 FOR_PODS = 0.4              # of the others: connections to pods; the rest is for clients
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
 LOOKED_AT = 16              # connections that may make room for another: the eldest
+CLOSING = 8                 # connections beyond the places for clients, while those that make room for them close
 CROWDED, IDLE_LEAST = 1 / 3, 2_000  # of the places for clients; tenths of a millisecond
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
@@ -133,6 +135,7 @@
         self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
         self.listed, self.addresses, self.version = {}, {}, start.known.version
         self.news, self.news_at = None, 0
+        self.listening = False      # until all is taken that the machine has accepted, and the listener closes
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
         self.returning = None       # the way back that is under way, from the end of its listener to the next one
@@ -198,24 +201,38 @@
         factory.noisy, factory.buildProtocol = False, lambda address: ClientConnection(self)
         host, port = self.start.listen
         self.port = self.reactor.listenTCP(port, factory, backlog=512, interface=host)
+        self.port.doRead, self.listening = partial(self._accept, self.port, self.port.doRead), True
+
+    def _accept(self, port, accept):
+        """No more at once than there are places for: the network's library closes what finds no descriptor."""
+        port.numberAccepts = max(1, min(port.numberAccepts, self.most_clients - len(self.clients)))
+        accept()
 
     def finish(self, emptied, killed=None):
         """Takes no more: closes each client's connection once it is owed nothing, then calls emptied. killed: the
         moment by which the process may be ended from outside: what is still taken has its answer before that."""
         self.emptied, self.killed, self.returning = emptied, killed, None
         if not self.drained:
-            self._accept_all()
-            self.reactor.callLater(0, self._accept_last)  # and what comes until it closes, just before that
-            self.drained = maybeDeferred(self.port.stopListening)
+            self.drained = Deferred()
+            self._accept_rest()
         self.deadlines.cancel(self.finishing)
         self.finishing = self.deadlines.add(self.clock() + READ_FIRST, self._finish_clients)
 
+    def _accept_rest(self):
+        """Closes the listener once all is taken that the machine has accepted; what finds no place waits for one."""
+        self.held_off = False
+        self._accept_all()
+        if not self.held_off:
+            self.listening = False
+            self.reactor.callLater(0, self._accept_last)  # and what comes until it closes, just before that
+            maybeDeferred(self.port.stopListening).chainDeferred(self.drained)
+
     def _accept_all(self):
         """What the machine has accepted already is taken too; the loop's port takes but some at a time."""
         for _ in range(self.start.sockets):
             before = self.port.sessionno
             self.port.doRead()
-            if self.port.sessionno == before:
+            if self.port.sessionno == before or self.held_off:
                 return
 
     def _accept_last(self):
@@ -230,6 +247,10 @@
         self.deadlines.cancel(self.finishing)
         self.emptied, self.killed, self.held_off = None, None, False
         returning = self.returning = object()
+        if self.listening:  # for what found no place
+            self.drained = None
+            self.port.startReading()
+            return listens()
 
         def closed_before(_):
             if self.returning is not returning:
@@ -244,12 +265,13 @@
         self.drained.addCallback(closed_before)
 
     def _finish_clients(self):
+        self.finishing = None
         for connection in self.clients:
             connection.finish()
         self._if_emptied()
 
     def _if_emptied(self):
-        if self.emptied and not self.clients:
+        if self.emptied and not self.clients and not self.listening:
             emptied, self.emptied = self.emptied, lambda: None  # told once
             emptied()
 
@@ -309,6 +331,8 @@
         # which something waits unread. A crowd of clients that ask once and stay would hold the places that those
         # to come need: from a third of the places on, those that have been idle for a while go when one comes.
         full, now = len(self.clients) >= self.most_clients, self.clock()
+        if self.emptied is not None and self.finishing is None:  # it had to wait for a place
+            connection.finish()
         if not full and len(self.clients) < self.most_clients * CROWDED:
             return
         idle = sorted((one for one in self.clients if one is not connection and not one.closing and not one.places),
@@ -317,16 +341,19 @@
         rested = [one for one in idle if one.idle() and now >= one.used_at + IDLE_LEAST]
         for one in rested[:int(len(self.clients) - self.most_clients * CROWDED)] or (idle[:1] if full else ()):
             one.give_way()
-        if full and not idle and not self.held_off:
-            self.held_off = True
+        if full and (not idle or len(self.clients) >= self.most_clients + CLOSING) and not self.held_off:
+            self.held_off = True    # also until those that make room have closed
             self.port.stopReading()
-            logs.seldom("clients held off", connections=len(self.clients))
+            if not idle:
+                logs.seldom("clients held off", connections=len(self.clients))
 
     def rested(self):
         """A connection is idle: if new ones are held off, the next of them finds whom to take the place of."""
         if self.held_off and self.emptied is None:
             self.held_off = False
             self.port.startReading()
+        elif self.held_off and self.listening:
+            self._accept_rest()
 
     def gone(self, connection):
         """Its client waits for nothing more."""
