A start waits up to 5 s for an address that the process before still has

Cause: Life._listen ended the program with status 2 at the first EADDRINUSE. A process that was told to stop listens on for half a second, and one at the limit of places for longer, until it is killed: a successor that is started meanwhile was a crash.

Mend: Life._in_use tries again every 50 ms, 100 times; what else can be wrong with an address ends it at once, as before. SIGTERM ends the wait, SIGHUP is remembered as before serving. Both new tests fail without it (no such line comes).

--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -5,6 +5,7 @@
 import os
 import queue
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -29,6 +30,14 @@
                       lambda words, **more: start([words[0], "-c", PATIENT], **more))
 
 
+def settled(process):
+    """Once nothing of a signal is pending: what it was sent has been delivered."""
+    def pending():
+        with open(f"/proc/{process.pid}/status", encoding="utf-8") as source:
+            return [line for line in source if line.startswith(("SigPnd", "ShdPnd")) and int(line.split()[1], 16)]
+    until(lambda: not pending(), lambda: None)
+
+
 class Piped(Program):
     """The program whose configuration is a FIFO: it reads when the test writes, and the test knows that it reads."""
 
@@ -58,11 +67,7 @@
         target.close()
 
     def settled(self):
-        """Once nothing of a signal is pending: what it was sent has been delivered."""
-        def pending():
-            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as source:
-                return [line for line in source if line.startswith(("SigPnd", "ShdPnd")) and int(line.split()[1], 16)]
-        until(lambda: not pending(), lambda: None)
+        settled(self.process)
 
 
 class Starting(WithPods):
@@ -110,6 +115,35 @@
         running.__enter__()
         self.assertEqual(running.logged("configuration taken up")["only_at_a_start"], ["name"])
 
+    def in_use(self):
+        """The program as it waits for its address; who has that."""
+        held = []
+
+        def change(told):
+            host, _, port = told["listen"].rpartition(":")
+            held.append(socket.create_server((host, int(port))))
+        running = Program(change=change)
+        self.addCleanup(running.__exit__)
+        self.addCleanup(held[0].close)
+        until(lambda: b'"address in use"' in running.process.stdout.readline(), lambda: None)
+        return running, held[0]
+
+    def test_an_address_that_is_in_use_is_waited_for_and_a_sighup_meanwhile_is_heard(self):
+        running, other = self.in_use()
+        running.write({**running.told, "name": "n2"})
+        running.process.send_signal(signal.SIGHUP)
+        settled(running.process)
+        other.close()
+        running.__enter__()
+        with running.client() as client:
+            self.assertEqual(client.ask("PING"), b"+PONG")
+        self.assertEqual(running.logged("configuration taken up")["only_at_a_start"], ["name"])
+
+    def test_sigterm_ends_that_wait(self):
+        running, _ = self.in_use()
+        running.process.send_signal(signal.SIGTERM)
+        self.assertEqual((running.process.wait(PATIENCE), running.process.stderr.read()), (0, b""))
+
     def test_sigterm_while_the_file_is_read_ends_it_by_the_signal_without_a_word(self):
         for number in (signal.SIGTERM, signal.SIGINT):
             running = self.piped()
--- a/thymeknot/service/events.py
+++ b/thymeknot/service/events.py
@@ -5,7 +5,7 @@
 LEVELS = {
     # life
     "ready": INFO, "stopping": INFO, "stopped": INFO, "switched on": INFO,
-    "configuration taken up": INFO, "configuration kept": WARNING,
+    "address in use": WARNING, "configuration taken up": INFO, "configuration kept": WARNING,
     "operator file taken up": INFO, "operator file kept": WARNING,
     # decisions
     "note": INFO, "vote": INFO, "overdue": ERROR, "fault": ERROR, "not spoken here": WARNING,
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -1,5 +1,6 @@
 """Start, ready, a new configuration and stop of the one program."""
 
+import errno
 import gc
 import signal
 import sys
@@ -16,6 +17,8 @@
 # configuration holds is older: it listens once the agent has spoken, or after this long. An agent that is up answers
 # at once; one that is silent longer is down, and learns nothing that could count as told.
 FIRST_LIST = 0.5
+# The process before this one may hold the address until it is killed, by the platform 3.7 s after SIGTERM or so.
+TRIES, AGAIN = 100, 0.05
 
 
 def clock():
@@ -51,6 +54,7 @@
         self.again, self.serving, self.stopping = False, False, False
         self.epoch = time.time_ns() // 100_000 - clock()
         self.extra = self.reactor = self.sidecar = None
+        self.tries, self.waits = 0, False       # for an address that is in use
 
     def run(self):
         signal.signal(signal.SIGHUP, self._told_to_read)
@@ -89,15 +93,15 @@
 
     def _listen(self):
         """Serves, from now on; the first call counts."""
-        if self.serving or self.stopping:
+        if self.serving or self.stopping or self.waits:
             return
         from twisted.internet.error import CannotListenError
-        self.serving = True
         try:
             self.sidecar.serve()
+            self.serving = True
             self.extra.begin(self.sidecar)
         except CannotListenError as error:
-            return self._fail(f"listen: {error}")
+            return self._in_use(error) or self._fail(f"listen: {error}")
         except features.Faulty as error:
             return self._fail(str(error))
         except Exception as error:  # must not stay up without a listener
@@ -111,6 +115,20 @@
             self.again = False
             self._reconfigure()
 
+    def _in_use(self, error):
+        """Whether it is tried again: another process has the address still."""
+        if self.serving or error.socketError.errno != errno.EADDRINUSE or self.tries >= TRIES:
+            return False
+        if not self.tries:
+            logs.log("address in use", listen=self.sidecar.start.listen)
+        self.tries, self.waits = self.tries + 1, True
+        self.reactor.callLater(AGAIN, self._listen_again)
+        return True
+
+    def _listen_again(self):
+        self.waits = False
+        self._listen()
+
     def _fail(self, why):
         print(f"thymeknot: {why}", file=sys.stderr)
         self.code, self.stopping = 2, True
