A new connection keeps its place before idle ones: its first command is on its way

Cause: Sidecar.opened evicted those that never spoke before all others, however new, and in a crowd after 0.2 s; in a burst these are the connections just accepted, whose command is still on the way.

Mend: for half a second after it opened (as finish waits) it goes last. Both new tests fail without it.

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -381,6 +381,28 @@
         self.assertEqual((said, len(network.sidecar.clients), network.sidecar.drained.called), (["empty"], 0, True))
 
 
+    def test_one_that_is_new_keeps_its_place_before_one_that_is_idle(self):
+        """Its first command is on its way, and a new connection that is closed without an answer counts as refused."""
+        for waited, goes in ((0.0, 1), (0.6, 0)):
+            network = Network(entry("s-1"), sockets=64)
+            new, idle = network.client(), network.client()
+            idle.dataReceived(PING)
+            network.reactor.advance(waited)
+            while not (new.closing or idle.closing):
+                network.client().places.append(None)    # in hand
+            self.assertEqual([one.closing for one in (new, idle)], [at == goes for at in range(2)])
+
+    def test_nor_does_a_crowd_close_it(self):
+        network = Network(entry("s-1"))
+        clients = [network.client() for _ in range(network.sidecar.most_clients // 2)]
+        network.reactor.advance(0.3)
+        network.client()
+        self.assertFalse(any(one.closing for one in clients))
+        network.reactor.advance(0.3)
+        network.client()
+        self.assertTrue(any(one.closing for one in clients))
+
+
 class Stopping(unittest.TestCase):
     def test_what_is_taken_after_the_stop_has_its_answer_before_the_kill(self):
         network = Network(entry("s-1"))
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -189,6 +189,10 @@
     def idle(self):
         return not self.places and not self.parser.held
 
+    def awaited(self, now):
+        """Whether it is new, and the command that it was opened for is on its way."""
+        return not self.spoke and now < self.opened_at + SPEAKS_FIRST
+
     def dataReceived(self, data):
         if not self.sound:
             return
@@ -259,8 +263,8 @@
         """Closes once everything owed is answered; a command that has begun to come is waited for, and on a new
         connection the first one."""
         self.closing = True
-        speaks = self.opened_at + SPEAKS_FIRST
-        if self.sound and self.linger and not self.spoke and self.deadlines.clock() < speaks:
+        if self.sound and self.linger and self.awaited(self.deadlines.clock()):
+            speaks = self.opened_at + SPEAKS_FIRST
             self.waits = self.deadlines.add(speaks, self.finish) if self.waits is None else self.waits
             return
         if not self.ended and not self.places and (not self.sound or self.idle()):
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -327,7 +327,7 @@
 
     def opened(self, connection):
         connection.slot, connection.used_at = self.clients.add(connection), self.clock()
-        # Between transactions a connection may be closed, first one that never said anything whole, but none for
+        # Between transactions a connection may be closed, first one that said nothing whole for half a second, but none for
         # which something waits unread. A crowd of clients that ask once and stay would hold the places that those
         # to come need: from a third of the places on, those that have been idle for a while go when one comes.
         full, now = len(self.clients) >= self.most_clients, self.clock()
@@ -336,9 +336,9 @@
         if not full and len(self.clients) < self.most_clients * CROWDED:
             return
         idle = sorted((one for one in self.clients if one is not connection and not one.closing and not one.places),
-                      key=lambda one: (one.spoke, one.used_at))[:LOOKED_AT]
+                      key=lambda one: (one.awaited(now), one.spoke, one.used_at))[:LOOKED_AT]
         idle = [one for one in idle if nothing_waits(one.transport)]
-        rested = [one for one in idle if one.idle() and now >= one.used_at + IDLE_LEAST]
+        rested = [one for one in idle if one.idle() and now >= one.used_at + IDLE_LEAST and not one.awaited(now)]
         for one in rested[:int(len(self.clients) - self.most_clients * CROWDED)] or (idle[:1] if full else ()):
             one.give_way()
         if full and (not idle or len(self.clients) >= self.most_clients + CLOSING) and not self.held_off:
