A copy of an id is taken where the first's client has left and the loop has not read that yet

Cause: Sidecar._repeated judged by connection.gone, which is set as the end is read. A client that closes a connection and asks with the same id on another was told '-ERR this id is in hand already' where the loop read the copy first (or does not read that connection, 64 in hand), and the first was then let go: neither was answered.

Mend: take asks the machine (_ask_for) before it judges. The test fails without it with that answer; the one on the same connection fails without the look whether it was its own (a second transaction was taken for a client that had gone).

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -217,6 +217,33 @@
             network.pass_on(2 * LINGERS)
             self.assertEqual((near.recv(99), len(network.sidecar.clients)), (PONG, 1) if speaks else (b"", 0))
 
+    def test_a_copy_that_is_read_before_the_end_of_the_firsts_connection_takes_its_place(self):
+        """Its client has closed that connection, and asks on another: the loop may come to this one first, or does not
+        read that one at all."""
+        network = self.network(entry("s-1"))
+        first, _ = self.opens(network)
+        first.sendall(query("01"))
+        network.step()
+        pod = network.connect()
+        pod.resumeProducing()
+        first.close()               # the loop does not turn before the copy is read
+        second = network.ask("01")
+        self.assertEqual(second.transport.value(), b"")
+        network.connect().resumeProducing()
+        self.assertEqual([held.connection for held in network.sidecar.transactions], [second])
+        network.step()
+        self.assertEqual([held.connection for held in network.sidecar.transactions], [second])
+
+    def test_nor_does_a_copy_on_the_same_connection_once_its_client_has_left(self):
+        network = self.network(entry("s-1"))
+        near, _ = self.opens(network)
+        near.sendall(query("01"))
+        network.step()
+        near.sendall(query("01"))
+        near.close()
+        network.step(1)
+        self.assertEqual((len(network.dialled()), len(network.sidecar.transactions)), (1, 0))
+
     def test_what_is_read_after_its_client_has_left_is_not_sent_on(self):
         """It waited in the machine: for a place, or because the loop was held up. What pods get is in memory here,
         and written at once."""
@@ -229,7 +256,7 @@
             network.pass_on(200)    # it has rested: what is decided is written
             sent = pod.transport.value()
             near, connection = self.opens(network)
-            near.sendall(query("01") + query("02"))
+            near.sendall(query("01") + query("02") + query("02"))
             leaves(near)
             network.step(1)
             self.assertEqual((pod.transport.value(), len(network.sidecar.transactions)), (sent, 0))
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -327,8 +327,8 @@
 
     def opened(self, connection):
         connection.slot, connection.used_at = self.clients.add(connection), self.clock()
-        # Between transactions a connection may be closed, first one that said nothing whole for half a second, but none for
-        # which something waits unread. A crowd of clients that ask once and stay would hold the places that those
+        # Between transactions a connection may be closed, first one that said nothing whole for half a second, but none
+        # for which something waits unread. A crowd of clients that ask once and stay would hold the places that those
         # to come need: from a third of the places on, those that have been idle for a while go when one comes.
         full, now = len(self.clients) >= self.most_clients, self.clock()
         if self.emptied is not None and self.finishing is None:  # it had to wait for a place
@@ -369,6 +369,12 @@
                 self._remember(held)
                 self._let_go(held)
 
+    @staticmethod
+    def _ask_for(held):
+        """Whether its client is there: the loop may have read something else before the end, or does not read it."""
+        if not held.over and has_left(held.connection.transport):
+            held.connection.readConnectionLost()
+
     def left(self, connection):
         self.clients.remove(connection.slot)
         self.gone(connection)
@@ -379,6 +385,10 @@
         name = command.id.decode()
         if command.lane not in self.terms.lanes:
             return connection.answer(place, resp.failure("ERR no such lane"))
+        if name in self.by_id:
+            self._ask_for(self._held(name))
+            if connection.gone:  # it was the same
+                return None
         if name in self.by_id or name in self.perhaps:
             return self._repeated(name, connection, place, command)
         if len(self.transactions) + len(self.perhaps) >= self.reach.most_open:
@@ -459,8 +469,7 @@
         now, held = self.clock(), self._held(action.id)
         if held is None:
             return self.inbox.append(i.Ended(action.id, i.UNSENT, True, 0, action.pod, 0, None))
-        if not held.over and has_left(held.connection.transport):  # it was read late, or the loop is not there yet
-            held.connection.readConnectionLost()
+        self._ask_for(held)
         attempt = Attempt(self, held, self.listed.get(action.pod), now, min(now + action.time_out, held.ends))
         held.attempts.append(attempt)
         held.out += 1
