The end waits 1 s at most for places; a signal as the interpreter ends changes no status

Two faults that one trial showed (24 clients, limits.sockets 64, SIGHUP every 50 ms, SIGTERM):

The process had not ended 10 s after SIGTERM. Cause: Sidecar._accept_rest kept the listener open while any connection waited for a place, and the clients came again and again. Mend: _close_listener by deadline, REST_WITHIN.

Its status was -1 the next time. Cause: the interpreter gives signals back their default as it ends, before it clears its modules, and SIGHUP's default ends the process; SIGTERM's and SIGINT's too. Mend: life.serve ignores all three once it is done.

Both new tests fail without their mend (it listens still; status -1). test_ends_life: 19 pass.

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -14,7 +14,7 @@
 from tests.test_sidecar import ANSWER, Network, entry
 from thymeknot import interface as i
 from thymeknot.protocol.client import LINGERS, LOOKS, MOST_WAITING, SPEAKS_WITHIN, ClientConnection
-from thymeknot.sidecar import CLOSING
+from thymeknot.sidecar import CLOSING, REST_WITHIN
 
 PING, PONG = command("PING"), b"+PONG\r\n"
 
@@ -430,6 +430,29 @@
         self.assertTrue(any(one.closing for one in clients))
 
 
+    def test_a_crowd_that_goes_on_coming_does_not_hold_up_the_end(self):
+        network = Real(entry("s-1"), sockets=64)
+        self.addCleanup(network.close)
+        sidecar, network.reactor.listenTCP = network.sidecar, network.loop.listenTCP
+        sidecar.start = sidecar.start._replace(listen=("127.0.0.1", 0))
+        sidecar.serve()
+        address, rounds = sidecar.port.socket.getsockname(), REST_WITHIN // 100 + 2
+
+        def comes(at):
+            near = socket.create_connection(address, timeout=5)
+            self.addCleanup(near.close)
+            near.sendall(query(f"{at}", 300))
+        for at in range(60):
+            comes(at)
+        sidecar.finish(lambda: None)
+        for at in range(rounds):
+            if sidecar.listening:
+                for _ in range(3):
+                    comes(f"{at}.{_}")
+            network.pass_on(100)
+        self.assertEqual((sidecar.listening, sidecar.drained.called), (False, True))
+
+
 class Stopping(unittest.TestCase):
     def test_what_is_taken_after_the_stop_has_its_answer_before_the_kill(self):
         network = Network(entry("s-1"))
--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -23,11 +23,16 @@
 sys.exit(life.main(os.environ))"""
 
 
-def patient():
-    """Has the program wait for its first list for as long as the test does: what comes before it, comes every time."""
+def coded(code):
+    """Has the program started by this code."""
     start = subprocess.Popen
     return mock.patch("tests.helpers.subprocess.Popen",
-                      lambda words, **more: start([words[0], "-c", PATIENT], **more))
+                      lambda words, **more: start([words[0], "-c", code], **more))
+
+
+def patient():
+    """Has the program wait for its first list for as long as the test does: what comes before it, comes every time."""
+    return coded(PATIENT)
 
 
 def settled(process):
@@ -176,15 +181,33 @@
             os.kill(os.getpid(), signal.SIGHUP)
 sys.meta_path.insert(0, Finder())
 runpy.run_module("thymeknot", run_name="__main__")"""
-        start = subprocess.Popen
-        with mock.patch("tests.helpers.subprocess.Popen",
-                        lambda words, **more: start([words[0], "-c", code], **more)):
+        with coded(code):
             running = Program()
         self.addCleanup(running.__exit__)
         with running.__enter__().client() as client:
             self.assertEqual(client.ask("PING"), b"+PONG")
 
 
+    def test_a_signal_as_the_interpreter_ends_does_not_change_how_it_ended(self):
+        """The interpreter gives back its handlers before it clears its modules: what comes then would end it."""
+        for number in (signal.SIGHUP, *life.STOPS):
+            for told, code in ((lambda told: None, 0), (lambda told: told.pop("seed"), 2)):
+                last = f"""import os, sys
+from thymeknot.service import life
+class Last:
+    kill, own = os.kill, os.getpid()
+    def __del__(self):
+        self.kill(self.own, {int(number)})
+last = Last()
+sys.exit(life.main(os.environ))"""
+                with coded(last):
+                    running = Program(change=told)
+                self.addCleanup(running.__exit__)
+                if not code:
+                    running.__enter__().process.send_signal(signal.SIGTERM)
+                self.assertEqual(running.process.wait(PATIENCE), code, number)
+
+
 class FirstList(WithPods):
     def waiting(self, *entries):
         """The program once its watch is asked for: whatever it listens for without a list, it does so by now."""
--- a/thymeknot/service/life.py
+++ b/thymeknot/service/life.py
@@ -40,7 +40,10 @@
 
 def serve(environment, operator):
     """Serves by the environment's configuration and the operator's file at this path, or None. Gives an exit code."""
-    return Life(environment, operator).run()
+    code = Life(environment, operator).run()
+    for number in (signal.SIGHUP, *STOPS):  # the interpreter gives back handlers as it ends: one more would end it so
+        signal.signal(number, signal.SIG_IGN)
+    return code
 
 
 class Life:
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -27,6 +27,7 @@
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, the platform, the loop's own, standard streams
 FOR_PODS = 0.4              # of the others: connections to pods; the rest is for clients
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
+REST_WITHIN = 10_000        # at the end, for connections that the machine has accepted and that find no place
 LOOKED_AT = 16              # connections that may make room for another: the eldest
 CLOSING = 8                 # connections beyond the places for clients, while those that make room for them close
 CROWDED, IDLE_LEAST = 1 / 3, 2_000  # of the places for clients; tenths of a millisecond
@@ -135,7 +136,7 @@
         self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
         self.listed, self.addresses, self.version = {}, {}, start.known.version
         self.news, self.news_at = None, 0
-        self.listening = False      # until all is taken that the machine has accepted, and the listener closes
+        self.listening, self.closes = False, None  # until all is taken that the machine has accepted; its end
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
         self.returning = None       # the way back that is under way, from the end of its listener to the next one
@@ -214,6 +215,7 @@
         self.emptied, self.killed, self.returning = emptied, killed, None
         if not self.drained:
             self.drained = Deferred()
+            self.closes = self.deadlines.add(self.clock() + REST_WITHIN, self._close_listener)
             self._accept_rest()
         self.deadlines.cancel(self.finishing)
         self.finishing = self.deadlines.add(self.clock() + READ_FIRST, self._finish_clients)
@@ -223,9 +225,14 @@
         self.held_off = False
         self._accept_all()
         if not self.held_off:
-            self.listening = False
-            self.reactor.callLater(0, self._accept_last)  # and what comes until it closes, just before that
-            maybeDeferred(self.port.stopListening).chainDeferred(self.drained)
+            self._close_listener()
+
+    def _close_listener(self):
+        """Also where some wait still: a crowd that goes on coming would hold up the end for ever."""
+        self.deadlines.cancel(self.closes)
+        self.listening = False
+        self.reactor.callLater(0, self._accept_last)  # and what comes until it closes, just before that
+        maybeDeferred(self.port.stopListening).chainDeferred(self.drained)
 
     def _accept_all(self):
         """What the machine has accepted already is taken too; the loop's port takes but some at a time."""
@@ -248,6 +255,7 @@
         self.emptied, self.killed, self.held_off = None, None, False
         returning = self.returning = object()
         if self.listening:  # for what found no place
+            self.deadlines.cancel(self.closes)
             self.drained = None
             self.port.startReading()
             return listens()
