Places are counted by what the machine allows too; a crowd at that limit, between processes

Cause: Sidecar counted places by limits.sockets alone; under a lower RLIMIT_NOFILE accept failed before they were taken, and Twisted closed what had come. descriptors() takes the lesser. The limit itself is left as it is.

--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -310,6 +310,26 @@
             self.assertEqual([client.answer() for client in clients], [b"%02x" % number for number in range(30)])
         self.assertEqual(running.process.wait(PATIENCE), 0)
 
+    def test_at_the_limit_of_descriptors_none_that_the_machine_accepted_is_closed_upon(self):
+        """Also where the machine allows fewer than the configuration names."""
+        limited = "import resource\nresource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))\n" + PATIENT
+        for sockets, stops in ((64, False), (64, True), (256, False)):
+            with coded(limited):
+                running = Program(change=lambda told, sockets=sockets: told["limits"].update(sockets=sockets))
+            self.addCleanup(running.__exit__)
+            until(lambda running=running: running.discovery.streams, lambda: time.sleep(0.005))
+            running.discovery.push("\n")
+            running.__enter__().process.send_signal(signal.SIGSTOP)
+            clients = [running.client() for _ in range(100)]
+            for client in clients:
+                self.addCleanup(client.__exit__)
+                client.send("PING")
+            if stops:
+                running.process.send_signal(signal.SIGTERM)
+                time.sleep(2 * life.SERVES_ON)  # the end comes while it stands still
+            running.process.send_signal(signal.SIGCONT)
+            self.assertEqual([client.answer() for client in clients], [b"+PONG"] * 100, (sockets, stops))
+
     def test_the_features_of_one_that_stops_take_up_no_file(self):
         for stopping in (False, True):
             made = life.Life({"NODE_CONFIG": "deploy/example.json"}, None)
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -3,6 +3,7 @@
 The only file that knows both sides. It decides nothing: where, when and whether are the Balancer's.
 """
 
+import resource
 from functools import partial
 from math import isfinite
 
@@ -24,6 +25,7 @@
 from .service import logs
 from .service.refusals import Refusals
 
+LEAST = 64                  # as the configuration has it
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, the platform, the loop's own, standard streams
 FOR_PODS = 0.4              # of the others: connections to pods; the rest is for clients
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
@@ -35,6 +37,12 @@
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
 
+def descriptors(most):
+    """So many of these as the machine allows: where it refuses one, the network's library closes what has come."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return most if allowed == resource.RLIM_INFINITY else min(most, max(allowed, LEAST))
+
+
 class Held:
     """A transaction in hand: whose it is, where its answer belongs, its attempts."""
     __slots__ = ("id", "slot", "command", "connection", "place", "ends", "attempts", "out", "over",
@@ -129,7 +137,7 @@
     def __init__(self, start, reactor, deadlines, epoch):
         self.start, self.reactor, self.deadlines, self.epoch = start, reactor, deadlines, epoch
         self.clock, self.terms, self.reach = deadlines.clock, start.terms, start.reach
-        spare = start.sockets - KEPT_FOR_OTHERS
+        spare = descriptors(start.sockets) - KEPT_FOR_OTHERS
         for_pods = int(spare * FOR_PODS)
         self.pools = Pools(reactor, deadlines, self.reach, for_pods, logs.fault)
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
