A client that does not read its last answers holds a wanted place for 0.5 s, not 10

Cause: give_way waits for what is left to write by READS_WITHIN, ten seconds.

Mend: MAKES_ROOM. The test fails without it (the connection stands).

--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -13,7 +13,7 @@
 from tests.helpers import command
 from tests.test_sidecar import ANSWER, Network, entry
 from thymeknot import interface as i
-from thymeknot.protocol.client import LINGERS, LOOKS, MOST_WAITING, SPEAKS_WITHIN, ClientConnection
+from thymeknot.protocol.client import LINGERS, LOOKS, MAKES_ROOM, MOST_WAITING, SPEAKS_WITHIN, ClientConnection
 from thymeknot.sidecar import CLOSING, REST_WITHIN
 
 PING, PONG = command("PING"), b"+PONG\r\n"
@@ -285,6 +285,22 @@
         network.step()
         self.assertEqual((all_of(near), len(network.sidecar.clients)), (PONG, 0))
 
+    def test_one_to_be_evicted_that_does_not_read_holds_its_place_for_half_a_second(self):
+        for blocked in (False, True):
+            network = self.network()
+            near, connection = self.opens(network)
+            near.sendall(PING)
+            network.step()
+            if not blocked:
+                connection.pauseProducing = lambda: None    # not noticed before
+            connection.transport.write(b"x" * (16 << 20))   # an answer, more than the machine holds
+            network.step()
+            connection.give_way()
+            network.pass_on(MAKES_ROOM - 100)
+            self.assertEqual(len(network.sidecar.clients), 1)
+            network.pass_on(200)
+            self.assertEqual(len(network.sidecar.clients), 0)
+
     def test_one_to_be_evicted_that_speaks_in_the_same_turn_is_heard(self):
         network = self.network()
         near, connection = self.opens(network)
@@ -430,6 +446,24 @@
         self.assertTrue(any(one.closing for one in clients))
 
 
+    def test_by_one_that_comes_back_before_its_drain_is_over(self):
+        network = Real(entry("s-1"), sockets=64)
+        self.addCleanup(network.close)
+        sidecar, network.reactor.listenTCP = network.sidecar, network.loop.listenTCP
+        sidecar.start, said = sidecar.start._replace(listen=("127.0.0.1", 0)), []
+        sidecar.serve()
+        crowd = [socket.create_connection(sidecar.port.socket.getsockname(), timeout=5) for _ in range(60)]
+        for at, near in enumerate(crowd):
+            self.addCleanup(near.close)
+            near.sendall(query(f"{at}", 300))
+        sidecar.drain(lambda: said.append("empty"))
+        network.step()
+        sidecar.undrain(lambda: said.append("back"), said.append)
+        for _ in range(REST_WITHIN // 100 + 9):
+            network.pass_on(100)
+        self.assertEqual({near.recv(99)[:1] for near in crowd}, {b"-"})
+        self.assertEqual((said, sidecar.listening, sidecar.drained), (["back"], True, None))
+
     def test_a_crowd_that_goes_on_coming_does_not_hold_up_the_end(self):
         network = Real(entry("s-1"), sockets=64)
         self.addCleanup(network.close)
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -16,6 +16,7 @@
 MOST_COMMAND = 2 * resp.MOST_BULK  # all its words: a body, and room for what stands before it
 SPEAKS_WITHIN = 25_000      # tenths of a millisecond: for a first command, and for one that has begun
 READS_WITHIN = 100_000      # for a client that has stopped reading its answers, or does not read the last ones
+MAKES_ROOM = 5_000          # the same for one whose place is wanted
 SPEAKS_FIRST = 5_000        # a new connection that is to end still has its first command coming
 LINGERS = 2_000             # from the end of sending to the close: a close over unread bytes resets, which may
                             # destroy the last answer on its way
@@ -255,6 +256,8 @@
     def give_way(self):
         """Closes for want of places, at once: half a first command is not waited for."""
         self.linger = 0
+        self.deadlines.cancel(self.last)
+        self.last = None
         self.finish()
         if not self.ended:
             self.transport.abortConnection()
@@ -272,7 +275,7 @@
             self.transport.unregisterProducer()
             self.transport.registerProducer(self, False)  # asked for more exactly when nothing is left to write
             self.flushing = True
-            self._end_within(READS_WITHIN)
+            self._end_within(READS_WITHIN if self.linger else MAKES_ROOM)
             self.transport.startWriting()
 
     def _go_on(self):
