--- a/tests/test_ends_clients.py
+++ b/tests/test_ends_clients.py
@@ -13,7 +13,8 @@
 from tests.helpers import command
 from tests.test_sidecar import ANSWER, Network, entry
 from thymeknot import interface as i
-from thymeknot.protocol.client import LINGERS, LOOKS, MOST_WAITING, ClientConnection
+from thymeknot.protocol.client import LINGERS, LOOKS, MAKES_ROOM, MOST_WAITING, SPEAKS_WITHIN, ClientConnection
+from thymeknot.sidecar import CLOSING, REST_WITHIN
 
 PING, PONG = command("PING"), b"+PONG\r\n"
 
@@ -128,15 +129,17 @@
         self.assertEqual(all_of(near), PONG)
 
     def test_an_error_behind_good_commands_is_told_whatever_comes_behind_it(self):
-        network = self.network()
-        near, connection = self.opens(network)
-        near.sendall(PING + b"nonsense\r\n")
-        network.step(1)
-        near.sendall(b"more" * 20_000)  # unread as the connection ends
-        network.step(9)
-        network.pass_on(2 * LINGERS)
-        self.assertEqual(all_of(near), PONG + b"-ERR syntax: neither an array nor a string begins here\r\n")
-        self.assertEqual(len(network.sidecar.clients), 0)
+        for wrong, why in ((b"nonsense\r\n", b"neither an array nor a string begins here"),
+                           (b"*1\r\n*1\r\n", b"an array in a command")):
+            network = self.network()
+            near, connection = self.opens(network)
+            near.sendall(PING + wrong)
+            network.step(1)
+            near.sendall(b"more" * 20_000)  # unread as the connection ends
+            network.step(9)
+            network.pass_on(2 * LINGERS)
+            self.assertEqual(all_of(near), PONG + b"-ERR syntax: " + why + b"\r\n")
+            self.assertEqual(len(network.sidecar.clients), 0)
 
     def test_a_client_that_shuts_its_sending_side_still_gets_what_is_answered(self):
         network = self.network()
@@ -151,6 +154,8 @@
         network = self.network(entry("s-1"))
         near, _ = self.opens(network)
         near.sendall(query("01"))
+        network.step()
+        self.assertEqual(network.dialled(), [7001])
         near.shutdown(socket.SHUT_WR)
         network.step(9)
         late = network.connect()
@@ -174,6 +179,103 @@
             self.assertEqual([network.connect(at - dialled).transport.value() for at in range(dialled)],
                              [b""] * dialled)
 
+    def test_half_a_command_whose_rest_is_not_read_yet_is_not_ended_for_being_late(self):
+        network = self.network(*(entry(f"s-{at}") for at in range(9)))
+        near, connection = self.opens(network)
+        near.sendall(b"".join(query(f"{at}") for at in range(MOST_WAITING + 9)) + PING[:5])
+        network.step()
+        near.sendall(PING[5:])
+        network.pass_on(SPEAKS_WITHIN + 10)
+        self.assertEqual((connection.reading, connection.sound, connection.parser.held), (False, True, 5))
+        for _ in range(9):
+            network.pass_on(5_000)  # the time of what is in hand is over
+        near.shutdown(socket.SHUT_WR)
+        network.pass_on(10)
+        answers = all_of(near).split(b"\r\n")
+        self.assertEqual((len(answers), answers[-2:]), (MOST_WAITING + 9 + 2, [b"+PONG", b""]))
+
+    def test_nor_is_one_whose_rest_has_come_as_its_time_ends(self):
+        network = self.network()
+        near, connection = self.opens(network)
+        near.sendall(PING[:5])
+        network.step()
+        near.sendall(PING[5:])      # in the machine: the loop does not turn before the deadline
+        connection._says_nothing()
+        network.step()
+        network.pass_on(2 * LOOKS)
+        self.assertEqual(near.recv(99), PONG)
+
+    def test_one_that_never_spoke_is_closed_without_a_word_or_its_client_takes_that_for_an_answer(self):
+        for speaks in (False, True):
+            network = self.network()
+            near, connection = self.opens(network)
+            network.pass_on(SPEAKS_WITHIN - 100)
+            if speaks:
+                near.sendall(PING)  # in the machine: the loop does not turn before the deadline
+                connection._says_nothing()
+            network.pass_on(200)
+            network.pass_on(2 * LINGERS)
+            self.assertEqual((near.recv(99), len(network.sidecar.clients)), (PONG, 1) if speaks else (b"", 0))
+
+    def test_a_copy_that_is_read_before_the_end_of_the_firsts_connection_takes_its_place(self):
+        """Its client has closed that connection, and asks on another: the loop may come to this one first, or does not
+        read that one at all."""
+        network = self.network(entry("s-1"))
+        first, _ = self.opens(network)
+        first.sendall(query("01"))
+        network.step()
+        pod = network.connect()
+        pod.resumeProducing()
+        first.close()               # the loop does not turn before the copy is read
+        second = network.ask("01")
+        self.assertEqual(second.transport.value(), b"")
+        network.connect().resumeProducing()
+        self.assertEqual([held.connection for held in network.sidecar.transactions], [second])
+        network.step()
+        self.assertEqual([held.connection for held in network.sidecar.transactions], [second])
+
+    def test_nor_does_a_copy_on_the_same_connection_once_its_client_has_left(self):
+        network = self.network(entry("s-1"))
+        near, _ = self.opens(network)
+        near.sendall(query("01"))
+        network.step()
+        near.sendall(query("01"))
+        near.close()
+        network.step(1)
+        self.assertEqual((len(network.dialled()), len(network.sidecar.transactions)), (1, 0))
+
+    def test_what_is_read_after_its_client_has_left_is_not_sent_on(self):
+        """It waited in the machine: for a place, or because the loop was held up. What pods get is in memory here,
+        and written at once."""
+        for leaves in (lambda near: near.close(), lambda near: near.shutdown(socket.SHUT_WR)):
+            network = self.network(entry("s-1"))
+            network.ask("warm")
+            pod = network.connect()
+            pod.resumeProducing()
+            pod.dataReceived(ANSWER)
+            network.pass_on(200)    # it has rested: what is decided is written
+            sent = pod.transport.value()
+            near, connection = self.opens(network)
+            near.sendall(query("01") + query("02") + query("02"))
+            leaves(near)
+            network.step(1)
+            self.assertEqual((pod.transport.value(), len(network.sidecar.transactions)), (sent, 0))
+            network.step(9)
+            self.assertEqual((len(network.dialled()), network.sidecar.balancer.open), (1, {}))
+            self.assertTrue(connection.gone)
+
+    def test_an_attempt_after_another_is_not_sent_on_either(self):
+        network = self.network(entry("s-1"), entry("s-2"))
+        near, _ = self.opens(network)
+        near.sendall(query("01"))
+        network.step()
+        pod = network.connect()
+        pod.resumeProducing()
+        near.close()                # the loop has not turned since
+        pod.dataReceived(b"-ERR failed\r\n")
+        self.assertEqual((len(network.dialled()), len(network.sidecar.transactions)), (1, 0))
+        self.assertEqual(network.sidecar.balancer.open, {})
+
     def test_an_evicted_connection_frees_its_descriptor_at_once(self):
         network = self.network()
         near, connection = self.opens(network)
@@ -183,6 +285,22 @@
         network.step()
         self.assertEqual((all_of(near), len(network.sidecar.clients)), (PONG, 0))
 
+    def test_one_to_be_evicted_that_does_not_read_holds_its_place_for_half_a_second(self):
+        for blocked in (False, True):
+            network = self.network()
+            near, connection = self.opens(network)
+            near.sendall(PING)
+            network.step()
+            if not blocked:
+                connection.pauseProducing = lambda: None    # not noticed before
+            connection.transport.write(b"x" * (16 << 20))   # an answer, more than the machine holds
+            network.step()
+            connection.give_way()
+            network.pass_on(MAKES_ROOM - 100)
+            self.assertEqual(len(network.sidecar.clients), 1)
+            network.pass_on(200)
+            self.assertEqual(len(network.sidecar.clients), 0)
+
     def test_one_to_be_evicted_that_speaks_in_the_same_turn_is_heard(self):
         network = self.network()
         near, connection = self.opens(network)
@@ -271,6 +389,104 @@
         self.assertEqual(emptied, [True])
 
 
+class Places(unittest.TestCase):
+    """A crowd that the machine has accepted, more than there are places for, as the loop comes to it: each is taken
+    once there is one, and none is closed for want of a descriptor."""
+
+    def taken(self, finishes):
+        network = Real(entry("s-1"), sockets=64)
+        self.addCleanup(network.close)
+        sidecar, network.reactor.listenTCP = network.sidecar, network.loop.listenTCP
+        sidecar.start = sidecar.start._replace(listen=("127.0.0.1", 0))
+        sidecar.serve()
+        address, most, said = sidecar.port.socket.getsockname(), [], []
+        crowd = [socket.create_connection(address, timeout=5) for _ in range(60)]
+        for at, near in enumerate(crowd):
+            self.addCleanup(near.close)
+            near.sendall(query(f"{at}", 300))
+        if finishes:
+            sidecar.finish(lambda: said.append("empty"))
+        for _ in range(200):
+            network.pass_on(100)
+            most.append(len(sidecar.clients))
+        return network, crowd, max(most), said
+
+    def test_by_one_that_serves(self):
+        network, crowd, most, _ = self.taken(False)
+        self.assertLessEqual(most, network.sidecar.most_clients + CLOSING)
+        self.assertEqual({near.recv(99)[:1] for near in crowd}, {b"-"})     # its time is over: nothing else is there
+        self.assertFalse(network.sidecar.held_off)
+
+    def test_by_one_that_ends(self):
+        network, crowd, most, said = self.taken(True)
+        self.assertLessEqual(most, network.sidecar.most_clients + CLOSING)
+        self.assertEqual({all_of(near)[:1] for near in crowd}, {b"-"})
+        self.assertEqual((said, len(network.sidecar.clients), network.sidecar.drained.called), (["empty"], 0, True))
+
+
+    def test_one_that_is_new_keeps_its_place_before_one_that_is_idle(self):
+        """Its first command is on its way, and a new connection that is closed without an answer counts as refused."""
+        for waited, goes in ((0.0, 1), (0.6, 0)):
+            network = Network(entry("s-1"), sockets=64)
+            new, idle = network.client(), network.client()
+            idle.dataReceived(PING)
+            network.reactor.advance(waited)
+            while not (new.closing or idle.closing):
+                network.client().places.append(None)    # in hand
+            self.assertEqual([one.closing for one in (new, idle)], [at == goes for at in range(2)])
+
+    def test_nor_does_a_crowd_close_it(self):
+        network = Network(entry("s-1"))
+        clients = [network.client() for _ in range(network.sidecar.most_clients // 2)]
+        network.reactor.advance(0.3)
+        network.client()
+        self.assertFalse(any(one.closing for one in clients))
+        network.reactor.advance(0.3)
+        network.client()
+        self.assertTrue(any(one.closing for one in clients))
+
+
+    def test_by_one_that_comes_back_before_its_drain_is_over(self):
+        network = Real(entry("s-1"), sockets=64)
+        self.addCleanup(network.close)
+        sidecar, network.reactor.listenTCP = network.sidecar, network.loop.listenTCP
+        sidecar.start, said = sidecar.start._replace(listen=("127.0.0.1", 0)), []
+        sidecar.serve()
+        crowd = [socket.create_connection(sidecar.port.socket.getsockname(), timeout=5) for _ in range(60)]
+        for at, near in enumerate(crowd):
+            self.addCleanup(near.close)
+            near.sendall(query(f"{at}", 300))
+        sidecar.drain(lambda: said.append("empty"))
+        network.step()
+        sidecar.undrain(lambda: said.append("back"), said.append)
+        for _ in range(REST_WITHIN // 100 + 9):
+            network.pass_on(100)
+        self.assertEqual({near.recv(99)[:1] for near in crowd}, {b"-"})
+        self.assertEqual((said, sidecar.listening, sidecar.drained), (["back"], True, None))
+
+    def test_a_crowd_that_goes_on_coming_does_not_hold_up_the_end(self):
+        network = Real(entry("s-1"), sockets=64)
+        self.addCleanup(network.close)
+        sidecar, network.reactor.listenTCP = network.sidecar, network.loop.listenTCP
+        sidecar.start = sidecar.start._replace(listen=("127.0.0.1", 0))
+        sidecar.serve()
+        address, rounds = sidecar.port.socket.getsockname(), REST_WITHIN // 100 + 2
+
+        def comes(at):
+            near = socket.create_connection(address, timeout=5)
+            self.addCleanup(near.close)
+            near.sendall(query(f"{at}", 300))
+        for at in range(60):
+            comes(at)
+        sidecar.finish(lambda: None)
+        for at in range(rounds):
+            if sidecar.listening:
+                for _ in range(3):
+                    comes(f"{at}.{_}")
+            network.pass_on(100)
+        self.assertEqual((sidecar.listening, sidecar.drained.called), (False, True))
+
+
 class Stopping(unittest.TestCase):
     def test_what_is_taken_after_the_stop_has_its_answer_before_the_kill(self):
         network = Network(entry("s-1"))
@@ -336,6 +552,16 @@
             self.assertEqual(second.transport.value(), b"$1\r\nv\r\n")
             self.assertEqual((len(network.sidecar.transactions), network.sidecar.by_id), (0, {}))
 
+    def test_what_has_not_gone_out_whole_goes_no_further_and_the_copy_is_sent_anew(self):
+        """Also where what is out may not be recalled: it is not out."""
+        for recalls in (True, False):
+            for lane in ("read", "mark", "pay"):
+                network, connection, second = self.left(lane, False, recalls)
+                self.assertTrue(connection.transport.disconnected)
+                self.assertEqual((second.transport.value(), len(network.dialled())), (b"", 2))
+                second.connectionLost(None)
+                self.assertEqual((len(network.sidecar.transactions), network.sidecar.balancer.open), (0, {}))
+
     def test_or_its_failure(self):
         network, connection, second = self.left("pay", True, False)
         connection.connectionLost(Failure(ConnectionLost()))
--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -5,6 +5,7 @@
 import os
 import queue
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -22,11 +23,24 @@
 sys.exit(life.main(os.environ))"""
 
 
-def patient():
-    """Has the program wait for its first list for as long as the test does: what comes before it, comes every time."""
+def coded(code):
+    """Has the program started by this code."""
     start = subprocess.Popen
     return mock.patch("tests.helpers.subprocess.Popen",
-                      lambda words, **more: start([words[0], "-c", PATIENT], **more))
+                      lambda words, **more: start([words[0], "-c", code], **more))
+
+
+def patient():
+    """Has the program wait for its first list for as long as the test does: what comes before it, comes every time."""
+    return coded(PATIENT)
+
+
+def settled(process):
+    """Once nothing of a signal is pending: what it was sent has been delivered."""
+    def pending():
+        with open(f"/proc/{process.pid}/status", encoding="utf-8") as source:
+            return [line for line in source if line.startswith(("SigPnd", "ShdPnd")) and int(line.split()[1], 16)]
+    until(lambda: not pending(), lambda: None)
 
 
 class Piped(Program):
@@ -58,11 +72,7 @@
         target.close()
 
     def settled(self):
-        """Once nothing of a signal is pending: what it was sent has been delivered."""
-        def pending():
-            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as source:
-                return [line for line in source if line.startswith(("SigPnd", "ShdPnd")) and int(line.split()[1], 16)]
-        until(lambda: not pending(), lambda: None)
+        settled(self.process)
 
 
 class Starting(WithPods):
@@ -110,6 +120,35 @@
         running.__enter__()
         self.assertEqual(running.logged("configuration taken up")["only_at_a_start"], ["name"])
 
+    def in_use(self):
+        """The program as it waits for its address; who has that."""
+        held = []
+
+        def change(told):
+            host, _, port = told["listen"].rpartition(":")
+            held.append(socket.create_server((host, int(port))))
+        running = Program(change=change)
+        self.addCleanup(running.__exit__)
+        self.addCleanup(held[0].close)
+        until(lambda: b'"address in use"' in running.process.stdout.readline(), lambda: None)
+        return running, held[0]
+
+    def test_an_address_that_is_in_use_is_waited_for_and_a_sighup_meanwhile_is_heard(self):
+        running, other = self.in_use()
+        running.write({**running.told, "name": "n2"})
+        running.process.send_signal(signal.SIGHUP)
+        settled(running.process)
+        other.close()
+        running.__enter__()
+        with running.client() as client:
+            self.assertEqual(client.ask("PING"), b"+PONG")
+        self.assertEqual(running.logged("configuration taken up")["only_at_a_start"], ["name"])
+
+    def test_sigterm_ends_that_wait(self):
+        running, _ = self.in_use()
+        running.process.send_signal(signal.SIGTERM)
+        self.assertEqual((running.process.wait(PATIENCE), running.process.stderr.read()), (0, b""))
+
     def test_sigterm_while_the_file_is_read_ends_it_by_the_signal_without_a_word(self):
         for number in (signal.SIGTERM, signal.SIGINT):
             running = self.piped()
@@ -142,15 +181,33 @@
             os.kill(os.getpid(), signal.SIGHUP)
 sys.meta_path.insert(0, Finder())
 runpy.run_module("thymeknot", run_name="__main__")"""
-        start = subprocess.Popen
-        with mock.patch("tests.helpers.subprocess.Popen",
-                        lambda words, **more: start([words[0], "-c", code], **more)):
+        with coded(code):
             running = Program()
         self.addCleanup(running.__exit__)
         with running.__enter__().client() as client:
             self.assertEqual(client.ask("PING"), b"+PONG")
 
 
+    def test_a_signal_as_the_interpreter_ends_does_not_change_how_it_ended(self):
+        """The interpreter gives back its handlers before it clears its modules: what comes then would end it."""
+        for number in (signal.SIGHUP, *life.STOPS):
+            for told, code in ((lambda told: None, 0), (lambda told: told.pop("seed"), 2)):
+                last = f"""import os, sys
+from thymeknot.service import life
+class Last:
+    kill, own = os.kill, os.getpid()
+    def __del__(self):
+        self.kill(self.own, {int(number)})
+last = Last()
+sys.exit(life.main(os.environ))"""
+                with coded(last):
+                    running = Program(change=told)
+                self.addCleanup(running.__exit__)
+                if not code:
+                    running.__enter__().process.send_signal(signal.SIGTERM)
+                self.assertEqual(running.process.wait(PATIENCE), code, number)
+
+
 class FirstList(WithPods):
     def waiting(self, *entries):
         """The program once its watch is asked for: whatever it listens for without a list, it does so by now."""
@@ -253,6 +310,26 @@
             self.assertEqual([client.answer() for client in clients], [b"%02x" % number for number in range(30)])
         self.assertEqual(running.process.wait(PATIENCE), 0)
 
+    def test_at_the_limit_of_descriptors_none_that_the_machine_accepted_is_closed_upon(self):
+        """Also where the machine allows fewer than the configuration names."""
+        limited = "import resource\nresource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))\n" + PATIENT
+        for sockets, stops in ((64, False), (64, True), (256, False)):
+            with coded(limited):
+                running = Program(change=lambda told, sockets=sockets: told["limits"].update(sockets=sockets))
+            self.addCleanup(running.__exit__)
+            until(lambda running=running: running.discovery.streams, lambda: time.sleep(0.005))
+            running.discovery.push("\n")
+            running.__enter__().process.send_signal(signal.SIGSTOP)
+            clients = [running.client() for _ in range(100)]
+            for client in clients:
+                self.addCleanup(client.__exit__)
+                client.send("PING")
+            if stops:
+                running.process.send_signal(signal.SIGTERM)
+                time.sleep(2 * life.SERVES_ON)  # the end comes while it stands still
+            running.process.send_signal(signal.SIGCONT)
+            self.assertEqual([client.answer() for client in clients], [b"+PONG"] * 100, (sockets, stops))
+
     def test_the_features_of_one_that_stops_take_up_no_file(self):
         for stopping in (False, True):
             made = life.Life({"NODE_CONFIG": "deploy/example.json"}, None)
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -13,8 +13,10 @@
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
 MOST_WAITING = 64           # commands in hand on one connection; beyond it, it is not read on
+MOST_COMMAND = 2 * resp.MOST_BULK  # all its words: a body, and room for what stands before it
 SPEAKS_WITHIN = 25_000      # tenths of a millisecond: for a first command, and for one that has begun
 READS_WITHIN = 100_000      # for a client that has stopped reading its answers, or does not read the last ones
+MAKES_ROOM = 5_000          # the same for one whose place is wanted
 SPEAKS_FIRST = 5_000        # a new connection that is to end still has its first command coming
 LINGERS = 2_000             # from the end of sending to the close: a close over unread bytes resets, which may
                             # destroy the last answer on its way
@@ -62,6 +64,21 @@
                    told.get(b"r") == b"1")
 
 
+class CommandParser(resp.Parser):
+    """For commands: no arrays in the array, and a bound on all of it. Else a few kilobytes would have the parser go
+    through a million parts again with each piece, and many strings that are never whole would fill the memory."""
+
+    def feed(self, data):
+        yield from super().feed(data)
+        if self.held > MOST_COMMAND:
+            raise resp.Malformed(f"a command of over {MOST_COMMAND} bytes")
+
+    def _array(self, buffer, at, length, depth):
+        if depth:
+            raise resp.Malformed("an array in a command")
+        return super()._array(buffer, at, length, depth)
+
+
 @implementer(IHalfCloseableProtocol)
 class ClientConnection(Protocol):
     """Its owner is asked to take(connection, place, command), told of gone(connection), once its client waits for
@@ -74,7 +91,7 @@
     is read from there on, and what crosses that is sent once more by its client."""
 
     def __init__(self, owner):
-        self.owner, self.parser, self.deadlines = owner, resp.Parser(), owner.deadlines
+        self.owner, self.parser, self.deadlines = owner, CommandParser(), owner.deadlines
         self.slot, self.first, self.places = None, 0, deque()
         self.sound, self.closing, self.reading, self.used_at, self.opened_at = True, False, True, 0, 0
         self.spoke, self.blocked, self.ended, self.flushing, self.gone = False, False, False, False, False
@@ -111,12 +128,22 @@
         """A whole command within this time, or the connection is closed; one that stands idle later is not."""
         self.due = self.deadlines.add(self.deadlines.clock() + within, self._says_nothing)
 
-    def _says_nothing(self):
+    def _says_nothing(self, again=True):
+        """Half a command is answered with an error. One that said nothing is closed without a word: its client may be
+        about to speak, and would take that for the answer."""
         self.due = None
-        if self.sound and (self.parser.held or not self.spoke):
+        if not self.sound or (self.spoke and not self.parser.held):
+            return
+        if not self.reading:  # the rest may be there: it is we who do not read it
+            return self._expect(SPEAKS_WITHIN)
+        if again and not nothing_waits(self.transport):
+            self.due = self.deadlines.add(self.deadlines.clock() + LOOKS, self._says_nothing, False)
+        elif self.parser.held:
             self.sound = False
             self.answer(self._place(), resp.failure("ERR no whole command in time"))
             self.finish()
+        else:
+            self.finish()
 
     def pauseProducing(self):
         """The client does not read what is written."""
@@ -163,6 +190,10 @@
     def idle(self):
         return not self.places and not self.parser.held
 
+    def awaited(self, now):
+        """Whether it is new, and the command that it was opened for is on its way."""
+        return not self.spoke and now < self.opened_at + SPEAKS_FIRST
+
     def dataReceived(self, data):
         if not self.sound:
             return
@@ -170,6 +201,8 @@
             self._go_on()
         try:
             for message in self.parser.feed(data):
+                if self.gone:
+                    return
                 self._command(message)
         except resp.Malformed as error:
             self.sound = False  # what follows can't be told apart any more: answer what is owed, then close
@@ -223,6 +256,8 @@
     def give_way(self):
         """Closes for want of places, at once: half a first command is not waited for."""
         self.linger = 0
+        self.deadlines.cancel(self.last)
+        self.last = None
         self.finish()
         if not self.ended:
             self.transport.abortConnection()
@@ -231,8 +266,8 @@
         """Closes once everything owed is answered; a command that has begun to come is waited for, and on a new
         connection the first one."""
         self.closing = True
-        speaks = self.opened_at + SPEAKS_FIRST
-        if self.sound and self.linger and not self.spoke and self.deadlines.clock() < speaks:
+        if self.sound and self.linger and self.awaited(self.deadlines.clock()):
+            speaks = self.opened_at + SPEAKS_FIRST
             self.waits = self.deadlines.add(speaks, self.finish) if self.waits is None else self.waits
             return
         if not self.ended and not self.places and (not self.sound or self.idle()):
@@ -240,7 +275,7 @@
             self.transport.unregisterProducer()
             self.transport.registerProducer(self, False)  # asked for more exactly when nothing is left to write
             self.flushing = True
-            self._end_within(READS_WITHIN)
+            self._end_within(READS_WITHIN if self.linger else MAKES_ROOM)
             self.transport.startWriting()
 
     def _go_on(self):
--- a/thymeknot/sidecar.py
+++ b/thymeknot/sidecar.py
@@ -3,9 +3,11 @@
 The only file that knows both sides. It decides nothing: where, when and whether are the Balancer's.
 """
 
+import resource
+from functools import partial
 from math import isfinite
 
-from twisted.internet.defer import maybeDeferred, succeed
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 
@@ -19,20 +21,29 @@
 from .protocol.calls import MOST_REASON, Caller, KeptStream, Reply
 from .protocol.client import ClientConnection
 from .protocol.pod import Answer
-from .protocol.reached import WRITTEN, Broken, nothing_waits
+from .protocol.reached import WRITTEN, Broken, has_left, nothing_waits
 from .records import Chance
 from .service import logs
 from .service.refusals import Refusals
 
+LEAST = 64                  # as the configuration has it
 KEPT_FOR_OTHERS = 40        # descriptors: discovery, the platform, the loop's own, standard streams
 FOR_PODS = 0.4              # of the others: connections to pods; the rest is for clients
 READ_FIRST = 300            # between the last connection taken and the first closed: what is there is read
+REST_WITHIN = 10_000        # at the end, for connections that the machine has accepted and that find no place
 LOOKED_AT = 16              # connections that may make room for another: the eldest
+CLOSING = 8                 # connections beyond the places for clients, while those that make room for them close
 CROWDED, IDLE_LEAST = 1 / 3, 2_000  # of the places for clients; tenths of a millisecond
 OVERDUE = 50                # so long after its client's end a transaction still without an answer gets one
 BUSY, ABANDONED = "BUSY", resp.failure("ERR abandoned")
 
 
+def descriptors(most):
+    """So many of these as the machine allows: where it refuses one, the network's library closes what has come."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return most if allowed == resource.RLIM_INFINITY else min(most, max(allowed, LEAST))
+
+
 class Held:
     """A transaction in hand: whose it is, where its answer belongs, its attempts."""
     __slots__ = ("id", "slot", "command", "connection", "place", "ends", "attempts", "out", "over",
@@ -78,6 +89,10 @@
         return (news is not None and self.pod.build < news.build and news.phase in (i.ON_TRIAL, i.RELEASED)
                 and (command.key or command.id).decode() in self.sidecar.balancer.pins)
 
+    def written(self):
+        """Whether its last byte has gone to the network."""
+        return self.connection is not None and self.connection.written
+
     def withdraw(self):
         self.give_up(i.UNSENT)
 
@@ -85,7 +100,7 @@
         """At the latest moment to be written by, and at the end of its time."""
         if self.sidecar.clock() >= self.ends:
             self.give_up()
-        elif self.connection is None or not self.connection.written:
+        elif not self.written():
             self.withdraw()
         else:
             self.deadline = self.sidecar.deadlines.add(self.ends, self.due)
@@ -119,7 +134,7 @@
 
     def give_up(self, outcome=None):
         """Ends it, as a time-out where nothing else is said. What was written may be answered yet, unread."""
-        written = self.connection is not None and self.connection.written
+        written = self.written()
         self.out = False  # its one end is this: what its connection says of its own is none
         self.sidecar.pools.give_up(self, self.connection)
         if written:
@@ -132,13 +147,14 @@
     def __init__(self, start, reactor, deadlines, epoch):
         self.start, self.reactor, self.deadlines, self.epoch = start, reactor, deadlines, epoch
         self.clock, self.terms, self.reach = deadlines.clock, start.terms, start.reach
-        spare = start.sockets - KEPT_FOR_OTHERS
+        spare = descriptors(start.sockets) - KEPT_FOR_OTHERS
         for_pods = int(spare * FOR_PODS)
         self.pools = Pools(reactor, deadlines, self.reach, for_pods, logs.fault)
         self.clients, self.most_clients, self.held_off = Slots(), spare - for_pods, False
         self.transactions, self.by_id, self.perhaps = Slots(), {}, set()  # perhaps: ids that may have run, let go
         self.listed, self.addresses, self.version, self.told_by = {}, {}, start.known.version, None
         self.news, self.news_at, self.exposure = None, 0, Exposure(start.terms)
+        self.listening, self.closes = False, None  # until all is taken that the machine has accepted; its end
         self.inbox, self.deciding, self.port, self.emptied, self.belief = [], False, None, None, Belief()
         self.drained, self.finishing = None, None  # drained: the end of its listener, while it takes no new work
         self.returning = None       # the way back that is under way, from the end of its listener to the next one
@@ -204,24 +220,44 @@
         factory.noisy, factory.buildProtocol = False, lambda address: ClientConnection(self)
         host, port = self.start.listen
         self.port = self.reactor.listenTCP(port, factory, backlog=512, interface=host)
+        self.port.doRead, self.listening = partial(self._accept, self.port, self.port.doRead), True
+
+    def _accept(self, port, accept):
+        """No more at once than there are places for: the network's library closes what finds no descriptor."""
+        port.numberAccepts = max(1, min(port.numberAccepts, self.most_clients - len(self.clients)))
+        accept()
 
     def finish(self, emptied, killed=None):
         """Takes no more: closes each client's connection once it is owed nothing, then calls emptied. killed: the
         moment by which the process may be ended from outside: what is still taken has its answer before that."""
         self.emptied, self.killed, self.returning = emptied, killed, None
         if not self.drained:
-            self._accept_all()
-            self.reactor.callLater(0, self._accept_last)  # and what comes until it closes, just before that
-            self.drained = maybeDeferred(self.port.stopListening)
+            self.drained = Deferred()
+            self.closes = self.deadlines.add(self.clock() + REST_WITHIN, self._close_listener)
+            self._accept_rest()
         self.deadlines.cancel(self.finishing)
         self.finishing = self.deadlines.add(self.clock() + READ_FIRST, self._finish_clients)
 
+    def _accept_rest(self):
+        """Closes the listener once all is taken that the machine has accepted; what finds no place waits for one."""
+        self.held_off = False
+        self._accept_all()
+        if not self.held_off:
+            self._close_listener()
+
+    def _close_listener(self):
+        """Also where some wait still: a crowd that goes on coming would hold up the end for ever."""
+        self.deadlines.cancel(self.closes)
+        self.listening = False
+        self.reactor.callLater(0, self._accept_last)  # and what comes until it closes, just before that
+        maybeDeferred(self.port.stopListening).chainDeferred(self.drained)
+
     def _accept_all(self):
         """What the machine has accepted already is taken too; the loop's port takes but some at a time."""
         for _ in range(self.start.sockets):
             before = self.port.sessionno
             self.port.doRead()
-            if self.port.sessionno == before:
+            if self.port.sessionno == before or self.held_off:
                 return
 
     def _accept_last(self):
@@ -236,6 +272,11 @@
         self.deadlines.cancel(self.finishing)
         self.emptied, self.killed, self.held_off = None, None, False
         returning = self.returning = object()
+        if self.listening:  # for what found no place
+            self.deadlines.cancel(self.closes)
+            self.drained = None
+            self.port.startReading()
+            return listens()
 
         def closed_before(_):
             if self.returning is not returning:
@@ -250,12 +291,13 @@
         self.drained.addCallback(closed_before)
 
     def _finish_clients(self):
+        self.finishing = None
         for connection in self.clients:
             connection.finish()
         self._if_emptied()
 
     def _if_emptied(self):
-        if self.emptied and not self.clients:
+        if self.emptied and not self.clients and not self.listening:
             emptied, self.emptied = self.emptied, lambda: None  # told once
             emptied()
 
@@ -311,28 +353,33 @@
 
     def opened(self, connection):
         connection.slot, connection.used_at = self.clients.add(connection), self.clock()
-        # Between transactions a connection may be closed, first one that never said anything whole, but none for
-        # which something waits unread. A crowd of clients that ask once and stay would hold the places that those
+        # Between transactions a connection may be closed, first one that said nothing whole for half a second, but none
+        # for which something waits unread. A crowd of clients that ask once and stay would hold the places that those
         # to come need: from a third of the places on, those that have been idle for a while go when one comes.
         full, now = len(self.clients) >= self.most_clients, self.clock()
+        if self.emptied is not None and self.finishing is None:  # it had to wait for a place
+            connection.finish()
         if not full and len(self.clients) < self.most_clients * CROWDED:
             return
         idle = sorted((one for one in self.clients if one is not connection and not one.closing and not one.places),
-                      key=lambda one: (one.spoke, one.used_at))[:LOOKED_AT]
+                      key=lambda one: (one.awaited(now), one.spoke, one.used_at))[:LOOKED_AT]
         idle = [one for one in idle if nothing_waits(one.transport)]
-        rested = [one for one in idle if one.idle() and now >= one.used_at + IDLE_LEAST]
+        rested = [one for one in idle if one.idle() and now >= one.used_at + IDLE_LEAST and not one.awaited(now)]
         for one in rested[:int(len(self.clients) - self.most_clients * CROWDED)] or (idle[:1] if full else ()):
             one.give_way()
-        if full and not idle and not self.held_off:
-            self.held_off = True
+        if full and (not idle or len(self.clients) >= self.most_clients + CLOSING) and not self.held_off:
+            self.held_off = True    # also until those that make room have closed
             self.port.stopReading()
-            logs.seldom("clients held off", connections=len(self.clients))
+            if not idle:
+                logs.seldom("clients held off", connections=len(self.clients))
 
     def rested(self):
         """A connection is idle: if new ones are held off, the next of them finds whom to take the place of."""
         if self.held_off and self.emptied is None:
             self.held_off = False
             self.port.startReading()
+        elif self.held_off and self.listening:
+            self._accept_rest()
 
     def gone(self, connection):
         """Its client waits for nothing more."""
@@ -342,9 +389,18 @@
                 if self.why is not None:
                     self.why.ended(held.id, self.why.left)
                 self.tell(i.ClientLeft(held.id))
+                for attempt in held.attempts:  # also where none may be recalled: these are not out yet
+                    if attempt.out and not attempt.written():
+                        attempt.withdraw()
                 self._remember(held)
                 self._let_go(held)
 
+    @staticmethod
+    def _ask_for(held):
+        """Whether its client is there: the loop may have read something else before the end, or does not read it."""
+        if not held.over and has_left(held.connection.transport):
+            held.connection.readConnectionLost()
+
     def left(self, connection):
         self.clients.remove(connection.slot)
         self.gone(connection)
@@ -355,6 +411,10 @@
         name = command.id.decode()
         if command.lane not in self.terms.lanes:
             return connection.answer(place, resp.failure("ERR no such lane"))
+        if name in self.by_id:
+            self._ask_for(self._held(name))
+            if connection.gone:  # it was the same
+                return None
         if name in self.by_id or name in self.perhaps:
             return self._repeated(name, connection, place, command)
         if len(self.transactions) + len(self.perhaps) >= self.reach.most_open:
@@ -436,6 +496,7 @@
         now, held = self.clock(), self._held(action.id)
         if held is None:
             return self.inbox.append(i.Ended(action.id, i.UNSENT, True, 0, action.pod, 0, None))
+        self._ask_for(held)
         attempt = Attempt(self, held, self.listed.get(action.pod), now, min(now + action.time_out, held.ends))
         held.attempts.append(attempt)
         held.out += 1
