Stand-ins keep what they are given to tell: a watch that is given up loses nothing

Cause, forced three times of three (the next stream held back until the former one was closed): the stand-in of discovery never said a first word, so the sidecar gave each watch up after half a second (FIRST_WORD, KeptStream._still_asked) and asked anew, and a push into the former connection raised. Ruled out: that the sidecar drops what has come by the time it gives up (stopped, pushed, continued: three of three taken up).

Who wants a silent peer asks for one (FirstList, Starting); what is unsound is said to each stream that asks until there is something to tell. Ports stay reserved by a bound socket from before the program's start to its end, so nobody takes them between; a peer that stops refuses at once (accept() held its listener open for one more). A vote's effect is looked at once its answer was heard, and no sooner.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,9 +1,11 @@
 """The state that tests build on, and stand-ins of the systems that the program speaks to."""
 
+import contextlib
 import copy
 import json
 import os
 import queue
+import re
 import socket
 import struct
 import subprocess
@@ -11,7 +13,7 @@
 import tempfile
 import threading
 import time
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, urlencode
 
 from thymeknot import interface as i
 from thymeknot.balance import SECOND, Balancer
@@ -102,12 +104,22 @@
         act()
 
 
+def reserved():
+    """(a socket that keeps a free loopback port, the port). Who asks the machine for any port is never given it, and
+    who wants this one can listen there, again and again; until somebody does, connections are refused."""
+    place = socket.socket()
+    place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # as the listener does; two that do may share it
+    place.bind(("127.0.0.1", 0))
+    return place, place.getsockname()[1]
+
+
 class Peer:
     """A listener on a free loopback port, a thread for each connection; serve(connection, source) is its part."""
 
     def __init__(self):
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.place, port = reserved()
+        self.listener = socket.create_server(("127.0.0.1", port))
+        self.address = f"127.0.0.1:{port}"
         self.connections = []
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -136,8 +148,15 @@
             except OSError:
                 pass
 
-    def close(self):
+    def stop(self):
+        """Takes no further connection, and nobody else does at its address."""
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)  # one that is closed alone takes one more: accept() holds it
         self.listener.close()
+
+    def close(self):
+        self.stop()
+        self.place.close()
         self.cut()
 
 
@@ -173,11 +192,15 @@
 
 
 class HttpPeer(Peer):
-    """Discovery or the platform: keeps the streams that were asked for, hands calls to answer(form)."""
+    """What discovery and the platform have in common. Calls go to answer(form). A stream is told at once what it has
+    missed, then what is new, and a sign of life as often as PROTOCOL.md has it: what was given to tell is kept, so a
+    stream that the sidecar gives up loses nothing. A silent one takes streams and says nothing until it is told to."""
 
-    def __init__(self, answer=None):
+    def __init__(self, answer=None, silent=False):
         self.streams, self.asked, self.calls, self.answer = [], queue.Queue(), queue.Queue(), answer
+        self.silent, self.said, self.lock, self.over = silent, None, threading.Lock(), threading.Event()
         super().__init__()
+        threading.Thread(target=self._live, daemon=True).start()
 
     def serve(self, connection, source):
         while first := source.readline():
@@ -186,44 +209,133 @@
                 if line.lower().startswith(b"content-length:"):
                     length = int(line.split(b":")[1])
             if first.startswith(b"GET"):
+                return self._stream(connection, source, first.split()[1].decode())
+            form = dict(parse_qsl(source.read(length).decode()))
+            status, body = self.answer(form) if self.answer else (400, b"<Error><Code>throttled</Code></Error>")
+            if status == 200:
+                self.carried_out(body.decode())
+            connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+            self.calls.put(form)
+
+    def _stream(self, connection, source, path):
+        with self.lock:
+            self.streams.append(connection)
+            try:
                 connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                self.streams.append(connection)
-                self.asked.put(first.split()[1].decode())
-            else:
-                form = dict(parse_qsl(source.read(length).decode()))
-                status, body = self.answer(form) if self.answer else (400, b"<Error><Code>throttled</Code></Error>")
-                connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
-                self.calls.put(form)
-
-    def push(self, text):
-        text = text.encode()
-        self.streams[-1].sendall(b"%x\r\n%s\r\n" % (len(text), text))
+            except OSError:
+                pass
+            if not self.silent:
+                self._tell(self.said or [self.missed(path)], [connection])
+        self.asked.put(path)
+        try:
+            source.read(1)      # it ends, or takes a byte too many: either is its end
+        finally:
+            with self.lock:
+                self.streams.remove(connection)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def _live(self):
+        while not self.over.wait(self.EVERY):
+            with self.lock:
+                if not self.silent:
+                    self._tell([self.SIGN])
+
+    def _tell(self, texts, streams=None):
+        """Each in a piece of its own. One that has ended is none: who asks instead of it is told what it missed."""
+        data = b"".join(b"%x\r\n%s\r\n" % (len(text), text) for text in (text.encode() for text in texts))
+        for stream in streams or self.streams:
+            try:
+                stream.sendall(data)
+            except OSError:
+                pass
+
+    def say(self, *texts):
+        """In these pieces and as it is, sound or not: to each stream that stands, and to each that asks, in place of
+        what it has missed, until there is something to tell."""
+        with self.lock:
+            self.silent, self.said = False, texts
+            self._tell(texts)
+
+    def told(self, text):
+        """Something to tell, which is kept by now; the lock is held."""
+        self.silent, self.said = False, None
+        self._tell([text])
+
+    def close(self):
+        self.over.set()
+        super().close()
+
+
+class DiscoveryPeer(HttpPeer):
+    """Keeps the changes and whole lists that it was given, each entry's last under its version."""
+    SIGN, EVERY = "\n", 2.0
+
+    def __init__(self, **more):
+        self.entries, self.version, self.whole = {}, 0, 0  # id -> (version, entry); that of the last whole list
+        super().__init__(**more)
+
+    def missed(self, path):
+        """The first line: what changed after the version that is asked from, or the whole list."""
+        since = int(path.rpartition("index=")[2])
+        whole = since < self.whole
+        return self._line(max(self.version, since), whole, [
+            entry for version, entry in self.entries.values()
+            if whole and entry["state"] != "Gone" or not whole and version > since])
+
+    @staticmethod
+    def _line(version, full, entries):
+        return json.dumps({"version": version, "full": full, "servers": entries}) + "\n"
 
     def push_list(self, version, *entries, full=False):
-        self.push(json.dumps({"version": version, "full": full, "servers": entries}) + "\n")
+        with self.lock:
+            self.version = version
+            if full:
+                self.whole, self.entries = version, {}
+            self.entries.update((entry["id"], (version, entry)) for entry in entries)
+            self.told(self._line(version, full, entries))
+
+
+class PlatformPeer(HttpPeer):
+    """Keeps the state of the newest build, also as a vote that counts changes it."""
+    SIGN, EVERY = ":\n", 1.0
+    NEWS = {"version": 41, "step": 1, "status": "released", "maxWeight": 1.0, "observedAgoMs": 60000}
+
+    def __init__(self, answer=None, news=NEWS, **more):
+        self._stands(news)
+        super().__init__(answer, **more)
+
+    def _stands(self, news):
+        self.news, self.since = dict(news), time.monotonic() - float(news["observedAgoMs"]) / 1000
+
+    def missed(self, path):
+        self.news["observedAgoMs"] = round(1000 * (time.monotonic() - self.since))
+        return f"event: progress\ndata: {urlencode(self.news)}\n\n"
+
+    def carried_out(self, body):
+        with self.lock:
+            self._stands(dict(re.findall(r"<(\w+)>([^<>]*)</", body)))
 
     def push_news(self, version=41, step=1, status="released", cap=1.0):
-        self.push(f"event: progress\ndata: version={version}&step={step}&status={status}&maxWeight={cap}"
-                  "&observedAgoMs=5\n\n")
+        with self.lock:
+            self._stands({"version": version, "step": step, "status": status, "maxWeight": cap, "observedAgoMs": 5})
+            self.told(self.missed(None))
 
 
 class Program:
     """The program, started on a configuration beside stand-ins of all that it speaks to."""
 
-    def __init__(self, *entries, answer=None, news=None, change=None, operator=None):
-        self.discovery, self.platform = HttpPeer(), HttpPeer(answer)
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+    def __init__(self, *entries, answer=None, news=PlatformPeer.NEWS, change=None, operator=None, silent=False):
+        self.discovery, self.platform = DiscoveryPeer(silent=silent), PlatformPeer(answer, news)
+        self.place, self.port = reserved()
         told = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
                 "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-                "deployer": {"address": self.platform.address, "news": news or {
-                    "version": 41, "step": 1, "status": "released", "maxWeight": 1.0, "observedAgoMs": 60000}},
+                "deployer": {"address": self.platform.address, "news": dict(news)},
                 "known": {"version": 7, "full": True, "servers": list(entries)}, "settings": copy.deepcopy(SETTINGS)}
         if change:
             change(told)
         self.folder = tempfile.TemporaryDirectory()
         path = self.path = os.path.join(self.folder.name, "config.json")
-        self.told, self.lines = told, queue.Queue()
+        self.told, self.lines, self.readers = told, queue.Queue(), []
         self.write(told)
         words = [sys.executable, "-m", "thymeknot"]
         if operator:  # the text of an operator's file, its folder given
@@ -251,17 +363,24 @@
             line = self.process.stdout.readline()
             if not line:
                 raise AssertionError(self.process.stderr.read().decode())
-        threading.Thread(target=lambda: [self.lines.put(line) for line in self.process.stdout],
-                         daemon=True).start()
+        self.read(self.process.stdout)
         self.discovery.asked.get(timeout=PATIENCE)
         self.platform.asked.get(timeout=PATIENCE)
         return self
 
+    def read(self, source):
+        """Keeps the lines that are logged there."""
+        self.readers.append(threading.Thread(target=lambda: [self.lines.put(line) for line in source], daemon=True))
+        self.readers[-1].start()
+
     def __exit__(self, *_):
         self.process.kill()
+        for reader in self.readers:
+            reader.join()
         self.process.communicate()
         self.discovery.close()
         self.platform.close()
+        self.place.close()
         self.folder.cleanup()
 
     def client(self):
--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -11,7 +11,7 @@
 import unittest
 from unittest import mock
 
-from tests.helpers import PATIENCE, HttpPeer, Program, until
+from tests.helpers import PATIENCE, DiscoveryPeer, Program, until
 from tests.test_sockets import READ, WithPods, value
 from thymeknot.service import life
 from thymeknot.sidecar import Sidecar
@@ -72,7 +72,7 @@
         return made
 
     def test_a_sighup_while_the_file_is_read_has_it_read_again_once_it_serves(self):
-        new = HttpPeer()
+        new = DiscoveryPeer()
         self.addCleanup(new.close)
         running = self.piped()
         first = running.fill(running.told)  # the program has it open, and waits for its end
@@ -98,13 +98,12 @@
 
     def test_a_sighup_before_it_serves_has_the_file_read_again(self):
         with patient():
-            running = self.piped()
+            running = self.piped(silent=True)
         running.end(running.fill(running.told))
         running.discovery.asked.get(timeout=PATIENCE)  # it has begun, and waits for the first list
         running.process.send_signal(signal.SIGHUP)
         running.settled()
-        until(lambda: running.discovery.streams, lambda: time.sleep(0.005))
-        running.discovery.push("\n")
+        running.discovery.say("\n")
         running.end(running.fill({**running.told, "name": "n2"}))
         running.discovery.asked.put("again")
         running.__enter__()
@@ -122,7 +121,7 @@
     def test_sigterm_before_it_serves_ends_it_soon_with_nothing_taken(self):
         for numbers in ([signal.SIGTERM], [signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGTERM]):
             with patient():
-                running = Program()
+                running = Program(silent=True)
             self.addCleanup(running.__exit__)
             running.discovery.asked.get(timeout=PATIENCE)  # it has begun, and waits for the first list
             for number in numbers:
@@ -155,7 +154,7 @@
     def waiting(self, *entries):
         """The program once its watch is asked for: whatever it listens for without a list, it does so by now."""
         with patient():
-            running = Program(*entries)
+            running = Program(*entries, silent=True)
         self.addCleanup(running.__exit__)
         running.discovery.asked.put(running.discovery.asked.get(timeout=PATIENCE))
         with self.assertRaises(ConnectionRefusedError):
@@ -172,7 +171,7 @@
 
     def test_a_sign_of_life_says_that_there_is_no_list(self):
         running = self.waiting()
-        running.discovery.push("\n")
+        running.discovery.say("\n")
         with running.__enter__().client() as client:
             self.assertEqual(client.ask("PING"), b"+PONG")
 
@@ -189,7 +188,7 @@
 
     def test_a_silent_agent_is_waited_for_no_longer_than_the_bound(self):
         pod = self.pod()
-        running = self.program(pod.entry("s-1"))  # its discovery never speaks
+        running = self.program(pod.entry("s-1"), silent=True)
         with running.client() as client:
             self.assertEqual(client.ask("SVC.QUERY", "a", "01", READ), b"01")
 
@@ -207,7 +206,7 @@
 
 class Stopping(WithPods):
     def test_sighup_while_it_stops_moves_it_and_what_is_in_hand_is_answered(self):
-        release, new = threading.Event(), HttpPeer()
+        release, new = threading.Event(), DiscoveryPeer()
         self.addCleanup(new.close)
 
         def answer(words):
@@ -283,7 +282,7 @@
         self.assertFalse(release.is_set())
 
     def test_a_half_written_file_is_kept_and_the_whole_one_is_owed_to_the_next_sighup(self):
-        new = HttpPeer()
+        new = DiscoveryPeer()
         self.addCleanup(new.close)
         running = self.program()
         text = json.dumps({**running.told, "discovery": new.address})
--- a/tests/test_ends_streams.py
+++ b/tests/test_ends_streams.py
@@ -603,19 +603,16 @@
         return json.dumps({"version": version, "full": True, "servers": [self.new.entry("s-2")]}, **more) + "\n"
 
     def test_an_indented_list_in_pieces_beside_signs_of_life(self):
-        self.running.discovery.push("\n")
-        text = self.whole(9, indent=4)
-        for at in range(0, len(text), 50):
-            self.running.discovery.push(text[at:at + 50])
-        self.running.discovery.push("\n")
+        stood, text = list(self.running.discovery.streams), self.whole(9, indent=4)
+        self.running.discovery.say("\n", *(text[at:at + 50] for at in range(0, len(text), 50)), "\n")
         self.goes_to_new()
-        self.assertEqual(self.running.discovery.asked.qsize(), 0)
+        self.assertEqual([one for one in stood if one in self.running.discovery.streams], stood)
 
     def test_nonsense_amid_an_indented_list_ends_the_watch_alone_and_says_why(self):
-        self.running.discovery.push('{"version": 9,\n"full": true,\nnoise\n')
+        self.running.discovery.say('{"version": 9,\n"full": true,\nnoise\n')
         self.assertIn("noise", self.running.logged("stream ended")["reason"])
         self.running.discovery.asked.get(timeout=PATIENCE)
-        self.running.discovery.push(self.whole(10))
+        self.running.discovery.say(self.whole(10))
         self.goes_to_new()
 
     def test_dials_that_never_come_up_at_a_new_address_leave_nothing_there(self):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,7 +5,7 @@
 import threading
 import unittest
 
-from tests.helpers import PATIENCE, HttpPeer, PodPeer, Program, command, until
+from tests.helpers import PATIENCE, DiscoveryPeer, PlatformPeer, PodPeer, Program, command, until
 
 READ, MARK, PAY = "c=read,t=acme,d=15000", "c=mark,t=acme,d=15000,k=5c0f", "c=pay,t=acme,d=15000"
 
@@ -75,7 +75,7 @@
 
     def test_a_refused_connection_never_ran_so_a_binding_one_goes_elsewhere(self):
         gone, pod = self.pod(), self.pod()
-        gone.close()
+        gone.stop()
         with self.program(gone.entry("s-1", weight=9.0), pod.entry("s-2")).client() as client:
             for name in ("01", "02", "03"):
                 self.assertEqual(client.ask("SVC.SUBMIT", "a", name, PAY, "B"), name.encode())
@@ -189,6 +189,7 @@
                   lambda: client.ask("SVC.QUERY", f"key{next(number)}", f"{next(number)}", READ))
             vote = {"Action": "PutApproval", "version": "42", "step": "0", "vote": "abort"}
             self.assertEqual([running.platform.calls.get() for _ in range(2)], [vote] * 2)
+            until(lambda: running.logged("vote")["outcome"] == "done", lambda: None)  # its answer was heard
             while not bad.heard.empty():
                 bad.heard.get()
             for at in range(50):
@@ -211,7 +212,8 @@
     def test_what_discovery_says_unreadably_changes_nothing_and_is_asked_again(self):
         pod = self.pod()
         running = self.program(pod.entry("s-1"))
-        running.discovery.push('{"version": 9, "full": true, "servers": [{"id": 5}]}\n')
+        running.discovery.say('{"version": 9, "full": true, "servers": [{"id": 5}]}\n')
+        self.assertIn("servers.0.state", running.logged("stream ended")["reason"])
         running.discovery.asked.get(timeout=PATIENCE)
         with running.client() as client:
             self.assertEqual(client.ask("SVC.QUERY", "a", "01", READ), b"01")
@@ -227,7 +229,7 @@
             return value(words[2])
         pod, new = self.pod(answer), self.pod()
         running = self.program(pod.entry("s-1"))
-        discovery, platform = HttpPeer(), HttpPeer()
+        discovery, platform = DiscoveryPeer(), PlatformPeer()
         self.addCleanup(discovery.close)
         self.addCleanup(platform.close)
         with running.client() as first, running.client() as second:
