--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,6 +13,7 @@
 import tempfile
 import threading
 import time
+from unittest import mock
 from urllib.parse import parse_qsl, urlencode
 
 from thymeknot import interface as i
@@ -321,6 +322,32 @@
             self.told(self.missed(None))
 
 
+def begun_by(code):
+    """Programs that are made meanwhile begin with this code, and end with Life's."""
+    start, code = subprocess.Popen, f"""import os, signal, sys
+from thymeknot.service import life
+{code}
+sys.exit(life.main(os.environ))"""
+    return mock.patch(f"{__name__}.subprocess.Popen", lambda words, **more: start([words[0], "-c", code], **more))
+
+
+def patient():
+    """Has the program wait for its first list for as long as the test does: what comes before it, comes every time."""
+    return begun_by(f"life.FIRST_LIST = {PATIENCE}")
+
+
+def stands_still():
+    """Has the program stop itself at SIGTERM, its end set, up to SIGCONT: what comes in its last half second, comes
+    every time."""
+    return begun_by("""stop = life.Life._stop
+def stands(one):
+    first = not one.stopping
+    stop(one)
+    if first:
+        os.kill(os.getpid(), signal.SIGSTOP)
+life.Life._stop = stands""")
+
+
 class Program:
     """The program, started on a configuration beside stand-ins of all that it speaks to."""
 
@@ -357,6 +384,12 @@
         line, self.line = self.line, {"event": None}
         return line
 
+    def stood_still(self):
+        def state():
+            with open(f"/proc/{self.process.pid}/stat", encoding="utf-8") as source:
+                return source.read().rpartition(")")[2].split()[0]
+        until(lambda: state() == "T", lambda: time.sleep(0.005))
+
     def __enter__(self):
         line, self.line = b"", {"event": None}
         while b'"ready"' not in line:
