--- a/tests/test_helpers.py
+++ b/tests/test_helpers.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import socket
+import struct
 import unittest
 
 from tests.helpers import PATIENCE, DiscoveryPeer, Peer, PlatformPeer, reserved, until
@@ -59,7 +60,10 @@
         for seen in (False, True):
             peer = self.peer(DiscoveryPeer(silent=True))
             former, _ = self.watch(peer, 7)
-            former.shutdown(socket.SHUT_RDWR)
+            with peer.lock:         # it does not see the end before this is let go
+                former.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                socket.close(former.detach())
+                peer._tell(["\n"])
             if seen:
                 until(lambda peer=peer: not peer.streams, lambda: None)
             peer.push_list(8, entry("1"))
