Evidence on a way where all is lost is not turned round; pods that answer at once divide nothing

Cause: where the platform's counts of a released build have no earlier build beside them, _weigh_tallies took self.lost as the rate, which may near one; with what cold and freed pods may fail beside it, p0 passed one, and each failure spoke for the build (-1.6 where +0.0 and more is right).

Change: the rate is bounded by 0.6 in both cases; a pace counts as 1e-9 at least. Both new tests fail without it. Tried and taken back: the middle of a period by its told length instead of a second; one that has just started knows no length yet, and the test of counts with many new pods failed.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -83,6 +83,12 @@
                           i.PodList(i.CHANGES, (pod("new-1", 2, condition=i.DRAINING),))])
         self.assertEqual(kinds(made.handle(NOW, [taken("t2", key="k")])), [i.Defer])
 
+    def test_pods_that_answer_at_once_are_drawn_by_lot_too(self):
+        made = balancer(*OLD, balancers=400)
+        for known in made.pods.values():
+            known.pace = 0.0
+        self.assertEqual(kinds(made.handle(NOW, [taken()])), [i.Deliver, i.SetTimer])
+
     def test_after_a_restart_the_remembered_list_serves_until_a_whole_one_comes(self):
         made = balancer(*OLD)
         self.assertEqual(len(sent(made.handle(NOW, [taken()]))), 1)
@@ -223,6 +229,14 @@
             self.tally(made, 0, latency, times=3)
             self.assertEqual(made._verdict() == i.BACK, back)
 
+    def test_a_way_on_which_all_is_lost_does_not_turn_the_evidence_round(self):
+        made = balancer(told=news(), balancers=400, votes_to_revert=100)
+        made.handle(NOW, [news(phase=i.RELEASED, cap=1.0)])  # the earlier build is counted no more
+        made.lost = 0.99
+        made.handle(NOW, [i.Tally(2, "read", 40, 40, 1_000, 0)])
+        made._weigh_tallies()
+        self.assertGreater(made.sums["failed"], 0)
+
     def test_tallies_of_cold_pods_prove_nothing(self):
         made = balancer(pod("old-1"), pod("new-1", 2, started=NOW), told=news())
         made.handle(NOW, [i.Tally(1, "read", 100, 0, 1000, 0), i.Tally(2, "read", 40, 20, 5000, 0)])
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -298,7 +298,7 @@
         if warmth < WARM_ENOUGH or (seen < 2 * BASELINE and self.build == TRIAL):
             return
         # Cold pods fail more. After a release half of the machines leave, and the rest is pushed for a while.
-        rate = min(0.6, failed / seen) if seen >= 2 * BASELINE else self.lost
+        rate = min(0.6, failed / seen if seen >= 2 * BASELINE else self.lost)
         p0 = max(P0_FLOOR["failed"], rate) + COLD_FAILS * (1 - warmth) + FREED_FAILS * (self.build == FREED)
         steps = {"failed": 0.0, "slow": 0.0}
         bad, good = (self._weight("failed", ill, p0) for ill in (True, False))
@@ -493,7 +493,7 @@
         return found[self.chance.pick([1 / cost for cost, _ in found])][1]  # or hundreds meet at the cheapest
 
     def _cost(self, known):
-        return known.pace * (1 + 8 * known.fails) * (1 + known.load) / known.listed.size
+        return max(1e-9, known.pace) * (1 + 8 * known.fails) * (1 + known.load) / known.listed.size
 
     def _same_group(self, tx, pod):
         """Rule 2: what may have run goes again only to pods that would drop the repeat."""
