Where all may go to a trial, what is now taken does: the window's edge turned 3% away

Cause: _may_try counts tries of 31 to 121 buckets against what was taken in 30 to 120. With cap 1.0 each request counts on both sides, so whatever fell into the bucket at the edge, beyond the allowance, was refused; where the machines are replaced there is no earlier build to go to.

Change: an attempt made as its request is taken needs no count where cap is 1: each window that has the one has the other. Exposure at the writing counts the edge on both sides there (a bucket of 120, within the protocol's 4%).

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -124,6 +124,11 @@
         self.assertTrue(self.left(4, 3)[1])
         self.assertFalse(self.left(4, 4)[1])
 
+    def test_where_all_may_go_there_what_is_now_taken_does_and_a_later_attempt_counts(self):
+        for cap, first, may in ((1.0, True, True), (1.0, False, False), (0.99, True, False)):
+            made, _ = self.left(0, 9, cap=cap)
+            self.assertEqual(made._may_try(made.terms.lanes["read"], first), may)
+
     def test_lanes_count_by_themselves_where_told(self):
         made, own = self.left(0, 2, by_lane=True)
         self.assertFalse(own)
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -185,8 +185,8 @@
     def _ring(self, rings, lane):
         return rings.setdefault(self.terms.by_lane and lane.name, Ring(self.terms.exposure_window, 120))
 
-    def _may_try(self, lane):
-        """Rule 5, also for windows still to come: the later parts of this one must carry themselves."""
+    def _may_try(self, lane, first=False):
+        """Rule 5, also for windows still to come: this one's later parts must carry themselves. first: taken now."""
         news = self.news
         guarded = news.phase == i.ON_TRIAL and news.stage < self.terms.guarded_stages
         if news.phase == i.RELEASED:
@@ -196,9 +196,9 @@
         taken, tried, free = self._ring(self.taken, lane), self._ring(self.tried, lane), self.terms.allowance
         if news.cap <= 0:
             return self._why(R.CLOSED, news.phase, news.cap) or False
-        may = all(tried.total(self.now, False, back) + 1
-                  <= free + news.cap * taken.total(self.now, True, back)
-                  for back in (120, 90, 60, 30))
+        may = (first and news.cap >= 1) or all(  # each window with the one attempt has the one taken, too
+            tried.total(self.now, False, back) + 1 <= free + news.cap * taken.total(self.now, True, back)
+            for back in (120, 90, 60, 30))
         if not may:
             self._why(R.EXPOSURE, tried.total(self.now), taken.total(self.now, True), news.cap, free)
         return may
@@ -374,7 +374,7 @@
         # A list that lags hides the pods to judge. One that starts again, as after a lost zone, was met.
         started = [self.met.setdefault(one.listed.address, one.listed.started) for one in self.sides[True]]
         places = self.places if self.terms.replaces else len(self.sides[False])  # others leave late
-        last = news.stage + 1 >= len(self.terms.waves)  # then the earlier ones leave: warm, and seen
+        last = news.stage + 1 >= len(self.terms.waves)  # the earlier ones leave: warm, and seen
         listed = len(started) >= max(1, int(LISTED * self.terms.waves[-1 if last else news.stage] * places))
         warm = max(started, default=0) + (self.terms.cold if last else self.warm_by)
         uncounted = last and self._crowd() and self.crowd.lacks(warm, self.now, PERIODS)
@@ -455,7 +455,7 @@
             if astray and below:
                 self._why(R.ASTRAY, len(tx.sent), tx.key in self.bad_keys, hot)
         for new in (True,) if stays else order:
-            known = self._choose(tx, new) if not new or self._may_try(tx.lane) else None
+            known = self._choose(tx, new) if not new or self._may_try(tx.lane, not tx.sent) else None
             if known:
                 return self._deliver(tx, known, new)
         return False
--- a/thymeknot/memory/exposure.py
+++ b/thymeknot/memory/exposure.py
@@ -30,8 +30,9 @@
             self._ring(self.written, lane).add(now)
 
     def allows(self, now, news, build, lane):
-        """Whether one more may be written there now."""
+        """Whether one more may be written there now. Where all may go there the window's edge counts on both sides, or
+        what is taken and written at once would be turned away for it: a bucket is within the protocol's slack."""
         if not self._counts(news, build) or build != self.build:
             return True
-        taken = self._ring(self.taken, lane).total(now, True)
+        taken = self._ring(self.taken, lane).total(now, news.cap < 1)
         return self._ring(self.written, lane).total(now) + 1 <= self.terms.allowance + news.cap * taken
