--- a/tests/orders.py
+++ b/tests/orders.py
@@ -206,6 +206,11 @@
     def __init__(self, reactor, factory):
         self.reactor, self.factory, self.queue, self.open, self.reads = reactor, factory, [], True, True
         self.sessionno, self.numberAccepts = 0, 100
+        self.socket, self.lets_in = self, True
+
+    def setsockopt(self, level, name, value):
+        """A filter that lets nobody in any more is all that it is ever given."""
+        self.lets_in = False
 
     def doRead(self):
         if not self.open:
@@ -807,7 +812,7 @@
 
     def open(self):
         door = self.reactor.doors[-1]
-        if door.open and len([one for one in self.clients if one.gone_at is None]) < 6:
+        if door.open and door.lets_in and len([one for one in self.clients if one.gone_at is None]) < 6:
             client = Client(self, len(self.clients))
             self.clients.append(client)
             door.queue.append(client.wire)
