--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -322,13 +322,18 @@
             self.told(self.missed(None))
 
 
+def coded(code):
+    """Programs that are made meanwhile are started by this code."""
+    start = subprocess.Popen
+    return mock.patch(f"{__name__}.subprocess.Popen", lambda words, **more: start([words[0], "-c", code], **more))
+
+
 def begun_by(code):
-    """Programs that are made meanwhile begin with this code, and end with Life's."""
-    start, code = subprocess.Popen, f"""import os, signal, sys
+    """They begin with this code, and end with Life's."""
+    return coded(f"""import os, signal, sys
 from thymeknot.service import life
 {code}
-sys.exit(life.main(os.environ))"""
-    return mock.patch(f"{__name__}.subprocess.Popen", lambda words, **more: start([words[0], "-c", code], **more))
+sys.exit(life.main(os.environ))""")
 
 
 def patient():
--- a/tests/test_ends_life.py
+++ b/tests/test_ends_life.py
@@ -6,25 +6,17 @@
 import queue
 import signal
 import socket
-import subprocess
 import threading
 import time
 import unittest
 from unittest import mock
 
-from tests.helpers import PATIENCE, DiscoveryPeer, Program, begun_by, patient, stands_still, until
+from tests.helpers import PATIENCE, DiscoveryPeer, Program, begun_by, coded, patient, stands_still, until
 from tests.test_sockets import READ, WithPods, value
 from thymeknot.service import life
 from thymeknot.sidecar import Sidecar
 
 
-def coded(code):
-    """Has the program started by this code."""
-    start = subprocess.Popen
-    return mock.patch("tests.helpers.subprocess.Popen",
-                      lambda words, **more: start([words[0], "-c", code], **more))
-
-
 def settled(process):
     """Once nothing of a signal is pending: what it was sent has been delivered."""
     def pending():
@@ -180,15 +172,12 @@
         """The interpreter gives back its handlers before it clears its modules: what comes then would end it."""
         for number in (signal.SIGHUP, *life.STOPS):
             for told, code in ((lambda told: None, 0), (lambda told: told.pop("seed"), 2)):
-                last = f"""import os, sys
-from thymeknot.service import life
-class Last:
+                last = f"""class Last:
     kill, own = os.kill, os.getpid()
     def __del__(self):
         self.kill(self.own, {int(number)})
-last = Last()
-sys.exit(life.main(os.environ))"""
-                with coded(last):
+last = Last()"""
+                with begun_by(last):
                     running = Program(change=told)
                 self.addCleanup(running.__exit__)
                 if not code:
