Rings of a key are made once, not with every transaction

Change: records.ring makes one only where none is kept; share asks for the start first. No decision changes. Measured: the new test makes 5 rings where 3 are wanted, without it.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,8 +1,10 @@
 """One test for each failure found on the bench, and for the design's own parts."""
 
 import unittest
+from unittest import mock
 
 from thymeknot import interface as i
+from thymeknot import records
 from thymeknot.balance import NEW, SECOND, position
 from thymeknot.records import Ring, Transaction
 
@@ -420,3 +422,10 @@
         self.assertEqual(ring.total(NOW + SECOND), 3)
         self.assertEqual(ring.total(NOW + SECOND, full_only=True), 0)
         self.assertEqual(ring.total(NOW + 2 * SECOND), 0)
+
+    def test_rings_are_made_once_for_each_key_and_not_with_every_transaction(self):
+        with mock.patch.object(records, "Ring", wraps=Ring) as made:
+            rings = {}
+            kept = [records.ring(rings, key, SECOND, 10) for key in ("read", "buy", "read", False, False)]
+        self.assertEqual((made.call_count, len(rings)), (3, 3))
+        self.assertTrue(kept[0] is kept[2] is not kept[1] and kept[3] is kept[4])
--- a/thymeknot/balance.py
+++ b/thymeknot/balance.py
@@ -8,7 +8,7 @@
 from . import interface as i
 from .admission import FEW, SECOND, Admission
 from .reasons import Reason as R
-from .records import Chance, Delivery, Ring, Transaction, Usual, aged, merged, noted, placed, position
+from .records import Chance, Delivery, Ring, Transaction, Usual, aged, merged, noted, placed, position, ring
 
 # The ramp and the test, as the design page starts them; slowness is tested like failure, more strictly.
 RAMP_TIME, RAMP_SHARE, LISTED = 2 * SECOND, 0.8, 0.75  # of a stage's pods: listed, for a vote for on
@@ -183,7 +183,7 @@
             self.ramp, self.ramped = max(self.ramp, min(target, self.ramp + step)), self.now
 
     def _ring(self, rings, lane):
-        return rings.setdefault(self.terms.by_lane and lane.name, Ring(self.terms.exposure_window, 120))
+        return ring(rings, self.terms.by_lane and lane.name, self.terms.exposure_window, 120)
 
     def _may_try(self, lane, first=False):
         """Rule 5, also for windows still to come: this one's later parts must carry themselves. first: taken now."""
--- a/thymeknot/memory/exposure.py
+++ b/thymeknot/memory/exposure.py
@@ -2,7 +2,7 @@
 comes up at once would bunch."""
 
 from .. import interface as i
-from ..records import Ring
+from ..records import ring
 
 BUCKETS = 120               # of the window, as the decisions count it
 
@@ -14,7 +14,7 @@
         self.terms, self.taken, self.written, self.build = terms, {}, {}, None
 
     def _ring(self, rings, lane):
-        return rings.setdefault(self.terms.by_lane and lane, Ring(self.terms.exposure_window, BUCKETS))
+        return ring(rings, self.terms.by_lane and lane, self.terms.exposure_window, BUCKETS)
 
     @staticmethod
     def _counts(news, build):
--- a/thymeknot/records.py
+++ b/thymeknot/records.py
@@ -57,6 +57,11 @@
         return sum(self.counts[begin:]) + sum(self.counts[:end - self.size])
 
 
+def ring(rings, key, span, buckets):
+    """The ring of this key. Every transaction asks for several: none is made that is not kept."""
+    return rings.get(key) or rings.setdefault(key, Ring(span, buckets))
+
+
 class Transaction:
     def __init__(self, taken, lane, now, state):
         self.id, self.lane, self.key, self.state = taken.id, lane, taken.key or taken.id, state
@@ -91,8 +96,11 @@
         """The part of its capacity that it has at least: it gains no slower than evenly. Never nothing: what it costs
         is divided by this, and a pod that starts at no capacity may be asked for at the moment of its start, or before
         by a clock that is behind."""
-        age = max(1, at - self.listed.started)
-        if not self.listed.started or age >= terms.cold:
+        started = self.listed.started
+        if not started:             # most are: every transaction asks for a dozen of these
+            return 1.0
+        age = max(1, at - started)
+        if age >= terms.cold:
             return 1.0
         return terms.cold_from + (1 - terms.cold_from) * age / terms.cold
 
