--- a/thymeknot/asking/pace.py
+++ b/thymeknot/asking/pace.py
@@ -8,7 +8,9 @@
 LONGEST = 8 * SECOND        # between two askings at most: what is told late must still be told
 LONGEST_FREE = SECOND       # of a peer that serves this one alone, at no cost
 STEADY = 2 * SECOND         # what ends sooner after its asking was refused, though it had begun
-SPREAD, SPREAD_MOST = 1_000, 6 * SECOND  # for each that asks, and in all: within it all ask first
+# All ask first within it, for each that asks and in all: such a service takes one call of each in 2 to 8 s, and what it
+# has counts as told after 6 s.
+SPREAD, SPREAD_MOST = 1_000, 6 * SECOND
 
 FRESH, WARNED, TURNED_AWAY = "fresh", "warned", "turned away"
 REFUSED, LOST, SPOILT, STOOD = "refused", "lost", "spoilt", "stood"
