Tests: a transaction like those before it makes no ring, at both places that ask for one

Now a second transaction through the decisions and the exposure makes none. The former test stays beside it.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,6 +6,7 @@
 from thymeknot import interface as i
 from thymeknot import records
 from thymeknot.balance import NEW, SECOND, position
+from thymeknot.memory.exposure import Exposure
 from thymeknot.records import Ring, Transaction
 
 from .helpers import LANES, NOW, balancer, ended, news, pod, sent, taken
@@ -429,3 +430,17 @@
             kept = [records.ring(rings, key, SECOND, 10) for key in ("read", "buy", "read", False, False)]
         self.assertEqual((made.call_count, len(rings)), (3, 3))
         self.assertTrue(kept[0] is kept[2] is not kept[1] and kept[3] is kept[4])
+
+    def test_a_transaction_like_those_before_it_makes_no_ring(self):
+        made, told = balancer(told=news()), news()
+        exposure = Exposure(made.terms)
+
+        def one(name):
+            made.handle(NOW, [taken(name)])
+            exposure.took(NOW, "read")
+            exposure.wrote(NOW, told, told.build, "read")
+            exposure.allows(NOW, told, told.build, "read")
+        one("first")
+        with mock.patch.object(Ring, "__init__", autospec=True, side_effect=Ring.__init__) as rings:
+            one("next")
+        self.assertEqual(rings.call_count, 0)
