Proxy: an attempt whose request was let go is ended by its own number

What was seen: requests whose client had left stayed in the decisions for good, their attempts counted in flight at the endpoint (34 of 35 in the test's orders); memory grew and the endpoint looked busier than it is.

Cause: where a client is noticed to have left while a retry is carried out, the proxy lets go of all its requests, but ends queued before that still make the engine retry them. Proxy._send answered such a SendAttempt with the end of attempt 0, whatever its number, and the engine went on waiting for the end of the attempt that it had decided.

Change: SendAttempt carries its number and that end bears it. The wire of the simulator is as it was. The simulation takes the number from the action, too, where it no longer knows the request.

--- a/thymeknot/interface/actions.py
+++ b/thymeknot/interface/actions.py
@@ -12,6 +12,8 @@
     id: str
     endpoint: str
     timeout: Ticks
+    number: int = 0
+    """Its number among the attempts of the request: its end is told by it."""
 
 
 class CancelAttempt(NamedTuple):
--- a/thymeknot/policy/request_lifecycle.py
+++ b/thymeknot/policy/request_lifecycle.py
@@ -248,8 +248,9 @@
                 until - now,
                 self.selection.cost(known),
             )
-        context.actions.append(SendAttempt(request.id, listed.address, max(1, until - now)))
-        if len(request.attempts) == 1:
+        number = len(request.attempts) - 1
+        context.actions.append(SendAttempt(request.id, listed.address, max(1, until - now), number))
+        if number == 0:
             self.hedging.set_timer(request)
 
     def _earns_until(self, request: RequestState) -> Ticks:
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -313,7 +313,7 @@
         request = self.requests.find(action.id)
         endpoint = action.endpoint
         if request is None:
-            self.inbox.append(AttemptEnded(action.id, Outcome.NOT_SENT, True, 0, endpoint, 0, None))
+            self._end_without_request(action)
             return
         notice_if_gone(request)
         endpoints = self.endpoints
@@ -336,6 +336,16 @@
             structured_log.seldom("no descriptor for an endpoint", connections=len(self.pools))
             self.ended(attempt, Outcome.NOT_SENT)
 
+    def _end_without_request(self, action: SendAttempt) -> None:
+        """Ends an attempt whose request was let go while the decision was made.
+
+        Its client was noticed to have left. The decisions keep an attempt in flight until the end
+        that bears its number; for another number they would keep the request for good.
+        """
+        self.inbox.append(
+            AttemptEnded(action.id, Outcome.NOT_SENT, True, 0, action.endpoint, action.number, None)
+        )
+
     def _cancel(self, action: CancelAttempt) -> None:
         request = self.requests.find(action.id)
         if request is None or action.number >= len(request.attempts):
--- a/thymeknot/simulation/simulator.py
+++ b/thymeknot/simulation/simulator.py
@@ -423,7 +423,7 @@
         pod = self.pods.get(action.endpoint) or self.former.get(action.endpoint)
         held = self.transactions.get((instance, action.id))
         build = pod.build.number if pod else 0
-        number = len(held.sent) if held else 0
+        number = len(held.sent) if held else action.number
         job = Job(
             instance,
             turn,
