Client connections: one that is not read from is looked at each 0.05 s

Cause: that a client that is not read from has left shows by a timed look alone. The looks came each 0.1 s, all of the time allowed, and a timer runs after the input and output of its turn, so a partly written attempt went out before.

Change: a look each 0.05 s; the other use of the constant keeps its 0.1 s under its own name.

--- a/tests/integration/test_event_orders.py
+++ b/tests/integration/test_event_orders.py
@@ -166,6 +166,23 @@
             ("listed", 1, "Terminating", -1),
         )
 
+    def test_a_client_that_leaves_while_it_is_not_read_from_is_noticed_in_time(self):
+        """A client asks for more than is read from it at once, one attempt is written in part, and the client leaves.
+        Its connection is looked at by a timer alone. As the looks came each 0.1 s, which is all the time that an
+        attempt may still begin in, and after the writes of their turn, the rest went out 0.1001 s after the client had
+        left: look at 251.0 ms (there), leaves at 251.0 ms, rest written at 351.1 ms, look after that."""
+        play(
+            *STARTS,
+            ("passes", 1, 1),
+            ("pod_takes", 1, 40, -1),
+            ("open", -1),
+            ("passes", 100, -1),
+            ("flood", 1, 0, -1),
+            ("leave_unread", 3, 0, "close", 1),
+            ("writes_first", False, -1),
+            ("leave", 1, "reset", -1),
+        )
+
     def test_answers_that_take_no_time_are_no_fault(self):
         with mock.patch.object(order_rig, "ANSWERS_AT_ONCE", True):
             play(
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -26,8 +26,14 @@
 LINGERS: Final[Ticks] = TICKS_PER_SECOND // 5
 """From the end of sending to the close: a close over unread bytes resets the connection, which may
 destroy the last response on its way."""
-LOOKS: Final[Ticks] = TICKS_PER_SECOND // 10
-"""How often one that is not read from is asked whether its client is still there."""
+SPEAKS_LATE: Final[Ticks] = TICKS_PER_SECOND // 10
+"""For bytes that have come by the end of the time for a command, to be read."""
+LOOKS: Final[Ticks] = TICKS_PER_SECOND // 20
+"""How often one that is not read from is asked whether its client is still there.
+
+No attempt may begin a tenth of a second after its client has left. Half of that is left for the
+look itself, which comes after the input and output of its turn of the event loop.
+"""
 
 
 class Owner(Protocol):
@@ -153,7 +159,7 @@
         if not self.reading:  # the rest may be there: it is this side that does not read it
             self._expect(SPEAKS_WITHIN)
         elif again and not nothing_waits(self.transport):
-            self.due = self.timers.add(self.timers.clock() + LOOKS, self._says_nothing, False)
+            self.due = self.timers.add(self.timers.clock() + SPEAKS_LATE, self._says_nothing, False)
         elif self.parser.held:
             self.sound = False
             self.answer(self._place(), resp.failure("ERR no whole command in time"))
