Operator files: an invalid regular expression is a named fault

What was seen: a start or a check ended in the parser library's traceback for a file with =~"[". Cause: the expression was compiled where a string was first compared with it, and nothing named a fault there. Change: it is compiled where it is read, and the fault names file and line. Measured: the new case of test_faults_of_form red before, green now.

--- a/tests/unit/operator_config/test_operator_config.py
+++ b/tests/unit/operator_config/test_operator_config.py
@@ -108,6 +108,10 @@
             ("a: 1\na: 2", "x.cue:2: a: 2 is not 1 (line 1)"),
             ("#X: {x: #X}\na: #X", "x.cue:1: #X refers to itself"),
             ("a: 1", "x.cue:1: a: no such field"),
+            (
+                'a: "x"\n\na: =~"["',
+                'x.cue:3: no regular expression: "[": unterminated character set at position 0',
+            ),
         ):
             self.assertIn(fault, faults(text), text)
 
--- a/thymeknot/operator_config/grammar.py
+++ b/thymeknot/operator_config/grammar.py
@@ -5,6 +5,7 @@
 """
 
 import ast
+import re
 from typing import NamedTuple, NoReturn, Optional, Union
 
 from lark import Lark, Token, Transformer, UnexpectedInput, v_args
@@ -102,6 +103,15 @@
     return float(text) if any(mark in text for mark in ".eE") else int(text)
 
 
+def _check_pattern(token: Token, pattern: Union[str, int, float]) -> None:
+    """Raises an OperatorConfigError unless this is a regular expression."""
+    try:
+        re.compile(str(pattern))
+    except re.error as error:
+        text = f"no regular expression: {token}: {error}"
+        raise OperatorConfigError([Fault(None, token.line or 0, (), text)]) from None
+
+
 @v_args(inline=True, meta=True)
 class _ValueBuilder(Transformer[Token, Struct]):
     """Builds values of lark's tree; each keeps its location. A method is named after its rule."""
@@ -178,6 +188,8 @@
     def bound(self, meta: Meta, operator: Token, token: Token) -> Constraint:
         """A comparison with a string or a number."""
         limit = _string_value(token) if token.type == "STRING" else _number_value(token)
+        if operator == "=~":
+            _check_pattern(token, limit)
         return Constraint(None, (Bound(str(operator), limit),), self._location(meta))
 
     def list_of(self, meta: Meta, element: Value = TOP) -> ListValue:
