Operator files: numbers, durations and nesting without measure are named faults

What was seen: a start ended in a traceback for an integer of over 4,300 digits, for a duration beyond the floats and for what is nested a thousand deep; found by trying each kind of value at its edge. Cause: Python's own bounds (digits of an integer, infinite floats, its stack) were not met by a check. Change: a number has 100 characters at most, an infinite duration is none, too deep a nesting is a fault of the file. Measured: test_numbers_durations_and_depth_without_measure red before, green now.

--- a/tests/unit/operator_config/test_operator_config.py
+++ b/tests/unit/operator_config/test_operator_config.py
@@ -115,6 +115,20 @@
         ):
             self.assertIn(fault, faults(text), text)
 
+    def test_numbers_durations_and_depth_without_measure(self):
+        """Each of these ended a start in a traceback: Python reads no integer of over 4,300 digits, a duration
+        beyond the floats is infinite, and what is nested a thousand deep goes beyond Python's own stack."""
+        digits = "9" * 5_000
+        for text, fault in (
+            (f"\na: {digits}", "x.cue:2: a number of 5000 characters, 100 at most"),
+            (f"a: >{digits}", "x.cue:1: a number of 5000 characters, 100 at most"),
+            ("a: " + "(" * 5_000 + "1" + ")" * 5_000, "x.cue:1: is nested too deeply"),
+            ("a: " * 5_000 + "1", "x.cue:1: is nested too deeply"),
+        ):
+            self.assertIn(fault, faults(text), text[:40])
+        (said,) = faults(LEAST + f'gossip: probe_timeout: "{digits}s"')
+        self.assertRegex(said, '^x.cue:5: gossip.probe_timeout: "9+s" is no duration')
+
     @settings(max_examples=300, deadline=None, derandomize=True)
     @given(st.text(alphabet='ab#{}[]:,|&*"\\\n ?.<>=!~1-/_', max_size=60))
     def test_no_text_does_more_than_be_refused(self, text):
--- a/thymeknot/operator_config/grammar.py
+++ b/thymeknot/operator_config/grammar.py
@@ -63,6 +63,8 @@
 
 MAX_FILE_SIZE = 1 << 20
 """Characters of a file: it is read whole, and a wrong path must not fill the memory."""
+MAX_NUMBER_LENGTH = 100
+"""Characters of a number."""
 
 
 class Label(NamedTuple):
@@ -100,6 +102,9 @@
 
 def _number_value(token: Token) -> Union[int, float]:
     text = str(token)
+    if len(text) > MAX_NUMBER_LENGTH:
+        message = f"a number of {len(text)} characters, {MAX_NUMBER_LENGTH} at most"
+        raise OperatorConfigError([Fault(None, token.line or 0, (), message)])
     return float(text) if any(mark in text for mark in ".eE") else int(text)
 
 
@@ -254,6 +259,8 @@
 def _raise_original(error: VisitError, file: str) -> NoReturn:
     """Raises what a method of the builder raised, with the file's name in each fault."""
     original = error.orig_exc
+    if isinstance(original, RecursionError):
+        raise original
     if not isinstance(original, OperatorConfigError):
         raise error
     raise OperatorConfigError(
--- a/thymeknot/operator_config/loader.py
+++ b/thymeknot/operator_config/loader.py
@@ -53,6 +53,13 @@
     Raises:
         OperatorConfigError: With every fault at once, by line.
     """
+    try:
+        return _read(text, file)
+    except RecursionError:
+        raise OperatorConfigError([Fault(file, 1, (), "is nested too deeply")]) from None
+
+
+def _read(text: str, file: str) -> dict[str, Any]:
     struct = parse(text, file)
     own = resolve(struct._replace(fields=_own_fields(struct)), _definitions(struct))
     faults: list[Fault] = []
--- a/thymeknot/operator_config/values.py
+++ b/thymeknot/operator_config/values.py
@@ -5,6 +5,7 @@
 
 import enum
 import re
+from math import isfinite
 from typing import NamedTuple, Optional, TypeAlias, Union
 
 from .errors import NOWHERE, Location
@@ -208,4 +209,6 @@
     if not parts or "".join(number + unit for number, unit in parts) != text:
         return None
     total = sum(float(number) * TICKS_PER_UNIT[unit] for number, unit in parts)
+    if not isfinite(total):
+        return None
     return int(total) + (total != int(total))
