Raft connections: what AMP can't take is counted and logs no traceback

What was seen: a second greeting had AMP log a traceback beside the counted rejection. Cause: Hello declared no errors, and AMP logs what is not declared. Found beside it by trying other boxes: an answer to nothing, a box that is no call and calls without their arguments are raised within AMP itself, with a traceback. Change: the error is declared, as one that ends its connection; other boxes are checked before AMP gets them, counted as nonsense, and end their connection. An unknown command is now counted and ends it, too.

--- a/tests/unit/raft/test_peer_server.py
+++ b/tests/unit/raft/test_peer_server.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet.task import Clock, deferLater
 from twisted.protocols import amp
+from twisted.python import log as twisted_log
 from twisted.test.iosim import connectedServerAndClient
 
 from thymeknot.gossip.keyring import Keyring, new_identity
@@ -187,6 +188,32 @@
         pump.flush()
         self.assertEqual((len(found), self.server.rejected), (1, {"nonsense": 2}))
 
+    def test_what_amp_can_not_take_ends_its_connection_without_a_traceback(self):
+        """A second greeting, an answer to nothing, a call without its arguments and an empty one each had AMP log a
+        traceback: the error of the first was not declared, and the others were raised within AMP itself."""
+        logged = []
+        twisted_log.addObserver(logged.append)
+        self.addCleanup(twisted_log.removeObserver, logged.append)
+        for box in (
+            {b"_ask": b"9", b"_command": b"Hello", b"nonce": new_nonce()},
+            {b"_ask": b"9", b"_command": b"Hello"},
+            {b"_ask": b"9", b"_command": b"Ask", b"key": b"k"},
+            {b"_command": b"Deliver"},
+            {b"_ask": b"9", b"_command": b"Nothing"},
+            {b"_answer": b"9"},
+            {b"_error": b"9"},
+            {b"key": b"k"},
+        ):
+            with self.subTest(box):
+                before = self.server.rejected["nonsense"]
+                line, _, pump, _ = self.connect()
+                line.dataReceived = lambda _: None
+                line.transport.write(amp.AmpBox(box).serialize())
+                pump.flush()
+                self.assertEqual(self.server.rejected["nonsense"], before + 1)
+                self.assertEqual(len(self.server.connections), 0)
+                self.assertEqual([event for event in logged if event["isError"]], [])
+
     def test_box_without_an_end_and_foreign_host(self):
         line, _, pump, _ = self.connect()
         self.assertEqual(len(self.server.connections), 1)
--- a/thymeknot/raft/incoming_connection.py
+++ b/thymeknot/raft/incoming_connection.py
@@ -18,6 +18,10 @@
     new_nonce,
 )
 
+COMMANDS: dict[bytes, type[amp.Command]] = {
+    command.commandName: command for command in (Hello, DeliverMessage, ClientRequest)
+}
+"""What the other end may call."""
 MAX_UNREAD_BYTES = 4 * 65_536
 """Of one AMP box: four values of the longest that AMP has."""
 
@@ -76,9 +80,17 @@
         super().dataReceived(data)
 
     def ampBoxReceived(self, box: amp.AmpBox) -> None:  # noqa: N802  # Twisted's name
-        """Takes a box that is complete."""
+        """Takes a box that is complete.
+
+        One that AMP can't take would end in a traceback of its own.
+        """
         self._unread_bytes = 0
-        super().ampBoxReceived(box)
+        fault = _fault_of(box)
+        if fault is None:
+            super().ampBoxReceived(box)
+        else:
+            self._server.reject("nonsense", fault)
+            self.abort()
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802  # Twisted's name
         """Ends the connection."""
@@ -125,6 +137,21 @@
         return answer.addCallback(lambda told: self._server.sign_answer(message, session, told))
 
 
+def _fault_of(box: amp.AmpBox) -> str | None:
+    """Why a box is no call of a command; None if it is one.
+
+    This end makes no calls, so it is owed no answers.
+    """
+    if amp.ANSWER in box or amp.ERROR in box or amp.COMMAND not in box:
+        return "a box that is no call"
+    command = COMMANDS.get(box[amp.COMMAND])
+    if command is None:
+        return "an unknown command"
+    if any(name not in box for name, _ in command.arguments):
+        return "a call without all its arguments"
+    return None
+
+
 class IncomingFactory(Factory):
     """Makes the connections that the server accepts."""
 
--- a/thymeknot/raft/message_codec.py
+++ b/thymeknot/raft/message_codec.py
@@ -102,6 +102,8 @@
     commandName = b"Hello"  # noqa: N815  # Twisted's name; the value is sent
     arguments: ClassVar = [(b"nonce", _STRING)]
     response: ClassVar = [(b"nonce", _STRING)]
+    # What is raised and not declared, AMP logs as a traceback. A fatal one closes the connection.
+    fatalErrors: ClassVar = {RequestRejectedError: b"REFUSED"}  # noqa: N815  # Twisted's name
 
 
 class DeliverMessage(amp.Command):
