--- a/tests/unit/raft/test_storage.py
+++ b/tests/unit/raft/test_storage.py
@@ -1,15 +1,22 @@
 """The storage: what comes back after a start, torn tails, damage, full disks, old copies."""
 
 import errno
+import itertools
 import os
+import shutil
 import tempfile
 import unittest
 
+import msgspec
+
 from thymeknot.raft.errors import DamagedStorageError
 from thymeknot.raft.file_system import FileSystem
 from thymeknot.raft.records import Entry, Members, Recovered, Snapshot, TruncationRecord, VoteRecord
+from thymeknot.raft.record_frames import frame
 from thymeknot.raft.storage import RaftStorage
 
+EDGES = (-1, 0, 1, 1 << 62, (1 << 64) - 1, 1.5, True, None, "x", "", "../x", b"x", [], {}, [1])
+
 
 class FaultyFileSystem(FileSystem):
     """full: writes fail once so many bytes were written. short: a write takes so many at most."""
@@ -51,6 +58,13 @@
             f"{self.folder}/{name}" for name in os.listdir(self.folder) if name.endswith(".seg")
         )
 
+    def lay(self, name, content):
+        """Has the directory hold this file alone."""
+        shutil.rmtree(self.folder)
+        os.mkdir(self.folder)
+        with open(f"{self.folder}/{name}", "wb") as file:
+            file.write(content)
+
     def filled(self):
         store, _ = self.open(True)
         self.assertIsNone(store.persist([VoteRecord(1, "a"), *self.entries(1, 2, 3)]))
@@ -101,6 +115,47 @@
         with self.assertRaisesRegex(DamagedStorageError, "damage at byte"):
             self.open()
 
+    def test_a_record_of_no_kind_is_damage(self):
+        """A record names its kind by its place in a table. A kind below 0 counted from the table's end, so that -1 was
+        read as a snapshot and -4 as an entry; any other number is damage, and so is a segment's name without one."""
+        self.filled().close()
+        with open(self.segment(), "rb") as file:
+            whole = file.read()
+        for kind in (-1, -4, -5, 5, 1 << 62):
+            body = msgspec.msgpack.encode((kind, self.entries(5, term=2)[0]))
+            self.lay("000000000001.seg", whole + frame(body))
+            with self.subTest(kind), self.assertRaises(DamagedStorageError):
+                self.open()
+        self.lay("x.seg", whole)
+        with self.assertRaises(DamagedStorageError):
+            self.open()
+
+    def test_each_field_of_a_record_at_its_edges_and_of_a_wrong_type(self):
+        """Whatever a whole record holds, a start reads it or says that the directory is damaged."""
+        self.filled().close()
+        with open(self.segment(), "rb") as file:
+            whole = file.read()
+        records = [
+            (4, [5, 11]),
+            (0, [*self.entries(5, term=2)[0]]),
+            (1, [3, "a"]),
+            (2, [4]),
+            (3, ["000000000009.snap", True]),
+        ]
+        for kind, fields in records:
+            for at, value in itertools.product(range(len(fields)), EDGES):
+                changed = [*fields[:at], value, *fields[at + 1 :]]
+                added = frame(msgspec.msgpack.encode((kind, changed)))
+                self.lay("000000000001.seg", added if kind == 4 else whole + added)
+                store = RaftStorage(self.folder, self.second, self.fresh)
+                with self.subTest(kind=kind, at=at, value=value):
+                    try:
+                        store.open()
+                    except DamagedStorageError:
+                        pass
+                    finally:
+                        store.close()
+
     def test_full_disk_is_a_value_and_stays(self):
         files = FaultyFileSystem(short=7)
         store, _ = self.open(True, files=files)
--- a/thymeknot/raft/storage.py
+++ b/thymeknot/raft/storage.py
@@ -185,8 +185,8 @@
         if found.end < len(content):
             torn = len(content) - found.end
             warnings.append(f"{path}: {torn} bytes of a record that broke off were cut")
-        self._segment_number = int(name.removesuffix(SEGMENT_SUFFIX))
         try:
+            self._segment_number = int(name.removesuffix(SEGMENT_SUFFIX))
             self._read_head(found.bodies[0])
             records = [self._read_record(body) for body in found.bodies[1:]]
         except (msgspec.DecodeError, msgspec.ValidationError, ValueError, IndexError) as error:
@@ -209,9 +209,13 @@
         if kind == SNAPSHOT_KIND:
             name, replaces_log = msgspec.msgpack.decode(fields, type=tuple[str, bool])
             return self._read_snapshot(name)._replace(replaces_log=replaces_log)
+        if not 0 <= kind < len(KINDS):  # a negative one would count from the table's end
+            raise ValueError(f"a record of no kind: {kind}")
         return msgspec.msgpack.decode(fields, type=KINDS[kind])
 
     def _read_snapshot(self, name: str) -> Snapshot:
+        if os.path.basename(name) != name or not name.endswith(SNAPSHOT_SUFFIX):
+            raise ValueError(f"no name of a snapshot: {name}")
         content = self._files.read(self._path(name)) or b""
         found = read_frames(content, MAX_SNAPSHOT_FILE_BYTES)
         if len(found.bodies) != 1 or found.end != len(content):
