Gossip: Alive and Left of others share a key, and no older item replaces a newer one

What was seen: an instance's Left did not replace its Alive among the items that others pass on. Cause: others' items were queued under "Alive" and "Left", an instance's own under one key. Beside it: whatever came last replaced what was queued about the same, also where datagrams had overtaken each other. Change: one key for both; an item with a lower number of the same start replaces nothing.

--- a/tests/unit/gossip/test_gossip_messages.py
+++ b/tests/unit/gossip/test_gossip_messages.py
@@ -12,6 +12,7 @@
 from tests.support.stand_ins import NOW, balancer, kinds, pod, sent, taken
 from thymeknot.gossip import codec, keys
 from thymeknot.gossip.codec import Ack, Alive, Evidence, Frame, Item, Left, Ping, Push
+from thymeknot.gossip.dissemination_queue import LIFE, DisseminationQueue
 from thymeknot.gossip.keyring import (
     AllowedNetworks,
     Keyring,
@@ -24,6 +25,7 @@
 from thymeknot.gossip.settings import Peer, PeerKey
 from thymeknot.interface.actions import CastVote
 from thymeknot.interface.events import SuspicionReported
+from thymeknot.state.random_source import LinearCongruentialGenerator
 
 KEYS = {name: new_identity(name) for name in ("n0", "n1", "n2")}
 UNTIL = "2027-01-31T00:00:00Z"
@@ -193,6 +195,48 @@
         )
 
 
+class PassedOn(unittest.TestCase):
+    """An instance that had left went on being called alive by those who passed on its items: its Alive and its Left
+    stood in the queue under keys of their own, and an older item that came late took the place of a newer one."""
+
+    def queued(self, world):
+        return [
+            codec.read_item(item.content).item.body
+            for (origin, about), item in world.queue.items.items()
+            if origin == "n1" and about == LIFE
+        ]
+
+    def test_an_instance_that_has_left_is_not_called_alive_any_more(self):
+        world = two()
+        node, origin = world.instances["n0"].node, world.instances["n1"].node
+        say = lambda body: codec.sealed_item(  # noqa: E731
+            Item("n1", origin.local.start, next(numbers), world.now - origin.local.began, body),
+            KEYS["n1"],
+        )
+        numbers = iter(range(1_000, 1_010))
+        alive, late, left = (
+            say(Alive("127.0.0.1", 9, 0)),
+            say(Alive("127.0.0.1", 9, 0)),
+            say(Left()),
+        )
+        bringer = node.members.all["n2"]
+        self.assertIsNone(node.items.receive(world.now, bringer, alive))
+        self.assertIsNone(node.items.receive(world.now, bringer, left))
+        self.assertEqual(self.queued(node), [Left()])
+        node.items.receive(world.now, bringer, late)
+        self.assertEqual(self.queued(node), [Left()])
+
+    def test_an_older_item_that_comes_late_replaces_no_newer_one(self):
+        queue = DisseminationQueue(LinearCongruentialGenerator(1), 10 * SECOND)
+        for number, start in ((1, 7), (3, 7), (2, 7), (4, 7), (1, 8)):
+            queue.add(Item("n1", start, number, 0, Left()), b"", bytes([number]), 0, "x")
+            (queued,) = queue.items.values()
+            self.assertEqual(
+                queued.content[0], {(2, 7): 3}.get((number, start), number), (number, start)
+            )
+        self.assertEqual(queue.count_by_origin, {"n1": 1})
+
+
 class KeysOfTheRing(unittest.TestCase):
     def test_a_rotation_has_both_keys_until_the_old_ones_end(self):
         old, new = new_identity("n1"), new_identity("n1")
--- a/tests/unit/raft/test_storage.py
+++ b/tests/unit/raft/test_storage.py
@@ -11,8 +11,8 @@
 
 from thymeknot.raft.errors import DamagedStorageError
 from thymeknot.raft.file_system import FileSystem
-from thymeknot.raft.records import Entry, Members, Recovered, Snapshot, TruncationRecord, VoteRecord
 from thymeknot.raft.record_frames import frame
+from thymeknot.raft.records import Entry, Members, Recovered, Snapshot, TruncationRecord, VoteRecord
 from thymeknot.raft.storage import RaftStorage
 
 EDGES = (-1, 0, 1, 1 << 62, (1 << 64) - 1, 1.5, True, None, "x", "", "../x", b"x", [], {}, [1])
--- a/thymeknot/gossip/dissemination_queue.py
+++ b/thymeknot/gossip/dissemination_queue.py
@@ -16,6 +16,9 @@
 RESTING_ITEMS = 2  # of those sent so often, beside what is new: heals what loss has left out
 ITEM_OVERHEAD = 3  # bytes that the encoding of a list adds to an item
 
+LIFE = "alive"
+"""What `Alive` and `Left` items are about: an origin that has left is not called alive any more."""
+
 _Key: TypeAlias = tuple[str, Hashable]
 """(origin, what it is about)."""
 
@@ -38,6 +41,10 @@
     def start(self) -> int:
         """The origin's start that it belongs to."""
 
+    @property
+    def number(self) -> int:
+        """Its number within the start; a later one has a higher number."""
+
 
 class QueuedItem:
     """An item as its origin signed it.
@@ -45,6 +52,7 @@
     Attributes:
         origin: Name of who signed it.
         start: The origin's start that it belongs to.
+        number: Its number within the start.
         key_id: Names the key that signed it.
         content: Its bytes.
         sent: How often it was sent.
@@ -52,13 +60,14 @@
         about: What it is about; a newer one of the origin about the same replaces it.
     """
 
-    __slots__ = ("about", "content", "key_id", "made", "origin", "sent", "start")
+    __slots__ = ("about", "content", "key_id", "made", "number", "origin", "sent", "start")
 
     def __init__(
         self, item: ItemSource, key_id: bytes, content: bytes, made: Ticks, about: Hashable
     ) -> None:
         self.origin = item.origin
         self.start = item.start
+        self.number = item.number
         self.key_id = key_id
         self.content = content
         self.sent = 0
@@ -86,9 +95,15 @@
     def add(
         self, item: ItemSource, key_id: bytes, content: bytes, made: Ticks, about: Hashable
     ) -> None:
-        """Adds an item; it replaces an older one of the same origin about the same."""
+        """Adds an item, unless a newer one of the same origin about the same is there.
+
+        It replaces an older one. Datagrams overtake each other, so an older one may come later.
+        """
         key = (item.origin, about)
-        if key in self.items:
+        known = self.items.get(key)
+        if known is not None:
+            if known.start == item.start and known.number > item.number:
+                return
             self._drop(key)
         elif self.count_by_origin.get(item.origin, 0) >= MAX_ITEMS_OF_ORIGIN:
             self._drop_oldest(item.origin)
--- a/thymeknot/gossip/item_exchange.py
+++ b/thymeknot/gossip/item_exchange.py
@@ -8,6 +8,7 @@
 from . import codec
 from .codec import Alive, DropReason, Evidence, Item, Left, SealedItem, Suspect
 from .context import GossipContext, LogEvent
+from .dissemination_queue import LIFE
 from .membership import Member, MemberInput, MemberState
 from .peer_hints import PeerHints
 from .prober import Prober
@@ -109,11 +110,11 @@
         body = item.body
         if isinstance(body, Alive):
             self._alive(now, origin, body, made)
-            return "Alive"
+            return LIFE
         if isinstance(body, Left):
             self._context.members.step(origin, MemberInput.LEFT, now)
             self._context.suspicions.forget_origin(origin.name)
-            return "Left"
+            return LIFE
         if isinstance(body, Suspect):
             return ("Suspect", body.subject) if self._suspect(now, origin, body) else None
         return self._evidence(now, origin, body, made)
@@ -148,7 +149,7 @@
         if body.start == local.start and body.incarnation >= local.incarnation:
             local.incarnation = body.incarnation + 1
             context.members.change_health(1)
-            context.outbox.say(now, Alive(*local.announced, local.incarnation), "alive")
+            context.outbox.say(now, Alive(*local.announced, local.incarnation), LIFE)
 
     def _set_aside(
         self, now: Ticks, origin: Member, item: Item, content: bytes
--- a/thymeknot/gossip/node.py
+++ b/thymeknot/gossip/node.py
@@ -8,7 +8,7 @@
 from ..interface.clock import Ticks
 from .codec import Evidence, Left, Push
 from .context import ITEM_SPACE, TICK_INTERVAL, GossipContext, LogEvent
-from .dissemination_queue import DisseminationQueue, QueuedItem, RandomSource
+from .dissemination_queue import LIFE, DisseminationQueue, QueuedItem, RandomSource
 from .item_exchange import ItemExchange
 from .keyring import AllowedNetworks, Identity, Keyring
 from .membership import Members, MemberState
@@ -257,7 +257,7 @@
     def leave(self, now: Ticks) -> None:
         """Says goodbye to a few: the others hear of it."""
         self._has_left = True
-        self.outbox.say(now, Left(), "alive")
+        self.outbox.say(now, Left(), LIFE)
         for member in self.members.sample(GOODBYE_FANOUT):
             items = self.queue.pick(len(self.members.live), ITEM_SPACE, member.name)
             self.outbox.send(
