Gossip's keys program names a library that is missing

Cause: the module imported them at its top, before anything could catch the error. Change: what uses a library imports it; the program prints one line and ends with status 2. Measured: the new test (two libraries) red before, green now.

--- a/tests/unit/cli/test_missing_libraries.py
+++ b/tests/unit/cli/test_missing_libraries.py
@@ -58,6 +58,22 @@
             with self.subTest(words):
                 self.told(library, requirements, *words)
 
+    def test_the_keys_program_without_its_library(self):
+        """`python -m thymeknot.gossip.keys`, as the operators' page words it, ended in a traceback."""
+        code = WITHOUT.replace('run_module("thymeknot"', 'run_module("thymeknot.gossip.keys"')
+        for library in ("cryptography", "netaddr"):
+            with self.subTest(library):
+                ended = subprocess.run(
+                    [sys.executable, "-c", code, library, "new", "n1", "x"],
+                    capture_output=True,
+                    text=True,
+                    timeout=30,
+                )
+                wanted = (
+                    f"keys: {library} is not installed: pip install -r requirements-gossip.txt\n"
+                )
+                self.assertEqual((2, "", wanted), (ended.returncode, ended.stdout, ended.stderr))
+
     def test_an_operator_file_whose_libraries_are_missing(self):
         example = "deploy/example.json"
         for library, requirements, file in (
--- a/thymeknot/gossip/keys.py
+++ b/thymeknot/gossip/keys.py
@@ -4,30 +4,38 @@
 import os
 import sys
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
-from cryptography.hazmat.primitives import serialization
-from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from ..service.required_libraries import GOSSIP, MissingLibraryError, libraries_from
 
-from .keyring import Identity, KeyringError, read_identity
+if TYPE_CHECKING:
+    from .keyring import Identity
 
 DESCRIPTION = (
     "Makes an instance's key: python -m thymeknot.gossip.keys new NAME FILE prints the record for "
     "the peers' rings."
 )
-EXIT_UNUSABLE = 2  # the file can't be written or read, or holds no key
+EXIT_UNUSABLE = 2  # the file can't be written or read or holds no key, or a library is missing
 
 
-def record(identity: Identity) -> str:
+def record(identity: "Identity") -> str:
     """Returns the record of an identity for the peers' rings, as text of an operator's file."""
     return f'{{name: "{identity.name}", keys: [{{key: "{identity.text()}"}}]}}'
 
 
-def new(name: str, path: str) -> Identity:
+def new(name: str, path: str) -> "Identity":
     """Makes a key in a new file that only its owner reads.
 
     Raises:
         OSError: The file exists or can't be written.
     """
+    from cryptography.hazmat.primitives import serialization  # noqa: PLC0415  see `program`
+    from cryptography.hazmat.primitives.asymmetric.ed25519 import (  # noqa: PLC0415
+        Ed25519PrivateKey,
+    )
+
+    from .keyring import Identity  # noqa: PLC0415
+
     private = Ed25519PrivateKey.generate()
     content = private.private_bytes(
         serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
@@ -55,6 +63,8 @@
 def main(arguments: Sequence[str]) -> int:
     """Runs the command and returns its exit code."""
     chosen = _parse(arguments)
+    from .keyring import KeyringError, read_identity  # noqa: PLC0415  see `program`
+
     try:
         if chosen.command == "new":
             identity = new(chosen.name, chosen.file)
@@ -68,5 +78,18 @@
     return 0
 
 
+def program(arguments: Sequence[str]) -> int:
+    """Runs the command as a program of its own.
+
+    Its libraries are imported by what uses them, so that a missing one can be named here.
+    """
+    try:
+        with libraries_from(GOSSIP):
+            return main(arguments)
+    except MissingLibraryError as error:
+        print(f"keys: {error}", file=sys.stderr)
+        return EXIT_UNUSABLE
+
+
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(program(sys.argv[1:]))
