Command logs: a verdict that is no integer is unknown

What was seen: thymeknot logs ended in a TypeError on a vote line whose verdict is 1.0. Cause: a float equals a number of the table of verdicts, passed the check and indexed it. Change: only an integer of the table names a verdict.

--- a/tests/unit/cli/test_reports.py
+++ b/tests/unit/cli/test_reports.py
@@ -1,5 +1,6 @@
 """What a person reads: the logs of a fleet in sums, a day as a page, a comparison with its intervals."""
 
+import itertools
 import json
 import os
 import subprocess
@@ -82,6 +83,22 @@
             summary.feed("a", line("vote", at, verdict=0, outcome="done"))
         self.assertLessEqual(len(summary.stretch_counts), MAX_STRETCHES)
 
+    def test_any_value_in_any_field(self):
+        """A vote whose verdict was 1.0 ended `thymeknot logs` in a TypeError: it equals a verdict's number and indexes
+        nothing. Each field of each event that is counted is tried with values of each type and at their edges."""
+        values = (1.0, 0.5, -1, 4, 1 << 62, 1e308, True, None, "x", [], {}, [1], {"X": 1.0})
+        names = ("verdict", "outcome", "refusals", "deferred", "abandoned", "at_line", "at")
+        for event, name, value in itertools.product(Summary._COUNTED, names, values):
+            with self.subTest(event=event, name=name, value=value):
+                summary = Summary(5.0)
+                summary.feed("a", line(**{"event": event, name: value}))
+                summary.figures()
+                list(summary.stretches())
+        summary = Summary(5.0)
+        for verdict in (1.0, True, 1):
+            summary.feed("a", line("vote", verdict=verdict, outcome="done"))
+        self.assertEqual(summary.figures()["votes"], {"unknown done": 2, "on done": 1})
+
     def test_the_command(self):
         with tempfile.NamedTemporaryFile(suffix=".log") as log:
             log.write(line("requests rejected", deferred={"BY_LOT": 2}))
--- a/thymeknot/cli/log_summary.py
+++ b/thymeknot/cli/log_summary.py
@@ -102,9 +102,11 @@
                     self._rejections_by_sidecar[sidecar] += count
 
     def _count_vote(self, sidecar: str, event: Event, stretch: Counter[str]) -> None:
-        verdict: Any = event.get("verdict")
+        verdict = event.get("verdict")
         outcome = str(event.get("outcome"))
-        name = VERDICTS[verdict] if verdict in range(len(VERDICTS)) else "unknown"
+        # A float or a bool equals a number of the table and is none.
+        known = type(verdict) is int and 0 <= verdict < len(VERDICTS)
+        name = VERDICTS[verdict] if known else "unknown"
         self._votes[f"{name} {outcome}"] += 1
         stretch[f"vote {name} {outcome}"] += 1
 
