--- a/thymeknot/cli/log_summary.py
+++ b/thymeknot/cli/log_summary.py
@@ -102,7 +102,7 @@
                     self._rejections_by_sidecar[sidecar] += count
 
     def _count_vote(self, sidecar: str, event: Event, stretch: Counter[str]) -> None:
-        verdict = event.get("verdict")
+        verdict: Any = event.get("verdict")
         outcome = str(event.get("outcome"))
         # A float or a bool equals a number of the table and is none.
         known = type(verdict) is int and 0 <= verdict < len(VERDICTS)
