Log: a vote line holds the evidence that the vote goes by, and what was excluded

Change: a vote line has attempts, failures, what was excluded and why, the test's sums and bounds, the earlier build's rates and the sum for slowness of all, as they stood when the vote was cast. Counted beside the decisions; none changes.

--- a/tests/unit/policy/test_trial_evidence.py
+++ b/tests/unit/policy/test_trial_evidence.py
@@ -53,6 +53,23 @@
         judged(made, Outcome.TIMED_OUT, "new-1", 20)
         self.assertLessEqual(max(made.sequential_test.sums.values()), 0)
 
+    def test_what_a_vote_goes_by_is_told_with_what_was_excluded(self):
+        """A vote's log line names the evidence; without what was left out of it, no evidence, excused evidence and
+        evidence that weighs too little read alike."""
+        made = balancer(pod("old-1"), pod("new-1", 2), told=news())
+        judged(made, Outcome.DONE, "old-1", 50)
+        judged(made, Outcome.DONE, "new-1", 7)
+        judged(made, Outcome.ERROR, "new-1", 3, key="k")
+        judged(made, Outcome.REJECTED, "new-1", 2)
+        judged(made, Outcome.RESET, "old-1", 5)
+        judged(made, Outcome.RESET, "new-1", 4)
+        told = made.vote_evidence()
+        self.assertEqual((told.attempts, told.failed, told.judged), (16, 1, 8))
+        self.assertEqual(told.excluded, {"failing_key": 2, "not_judged": 2, "lost": 4})
+        self.assertEqual(told.sums["failed"], made.sequential_test.sums["failed"])
+        made.handle(NOW, [news(build=3)])
+        self.assertEqual(made.vote_evidence()[:3], (0, 0, {}))
+
     def test_one_failing_key_is_one_failure(self):
         made = balancer(told=news())
         judged(made, Outcome.ERROR, "new-1", 50, key="k")
--- a/tests/unit/proxy/test_proxy.py
+++ b/tests/unit/proxy/test_proxy.py
@@ -4,7 +4,9 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
+import orjson
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -15,7 +17,7 @@
 from thymeknot.interface.events import ReleaseUpdate
 from thymeknot.protocol.client import ClientConnection
 from thymeknot.proxy.proxy import Proxy
-from thymeknot.service import configuration
+from thymeknot.service import configuration, structured_log
 from thymeknot.service import lifecycle as life
 from thymeknot.state.slot_table import SlotTable
 from thymeknot.state.timer_queue import TimerQueue
@@ -469,6 +471,20 @@
             [event.outcome for event in heard if type(event) is ReleaseUpdate], [Outcome.TIMED_OUT]
         )
 
+    def test_the_line_of_a_vote_holds_what_it_goes_by(self):
+        network = Network()
+        with mock.patch.object(structured_log, "log") as logged:
+            self.vote(network)
+            network.connect().resumeProducing()
+            self.pass_on(network, 1.3)
+        (line,) = [call.kwargs for call in logged.call_args_list if call.args == ("vote",)]
+        orjson.dumps(line)
+        self.assertEqual(
+            {name: line[name] for name in ("verdict", "attempts", "failed", "excluded", "judged")},
+            {"verdict": Verdict.ABORT, "attempts": 0, "failed": 0, "excluded": {}, "judged": 0},
+        )
+        self.assertEqual(set(line["bounds"]), {"failed", "slow"})
+
     def test_one_that_was_not_written_whole_or_never_connected_does_not(self):
         network = Network()
         heard = self.vote(network)
--- a/thymeknot/policy/engine.py
+++ b/thymeknot/policy/engine.py
@@ -37,7 +37,7 @@
 from .slow_start import SlowStart
 from .traffic_split import TrafficSplit
 from .trial_evidence import TrialEvidence
-from .voting import Voting
+from .voting import VoteEvidence, Voting
 
 __all__ = ["PROOF", "DecisionEngine"]
 
@@ -122,6 +122,23 @@
         """The keys that stay with the newest build."""
         return self.split.pinned_keys
 
+    def vote_evidence(self) -> VoteEvidence:
+        """What the newest build is judged by now, for the log."""
+        test, evidence = self.sequential_test, self.evidence
+        release = self.context.release
+        if release is not None:
+            evidence.restart_if_new(release.build)
+        return VoteEvidence(
+            attempts=evidence.attempts,
+            failed=evidence.failed,
+            excluded={str(why): count for why, count in evidence.excluded.items() if count},
+            judged=test.seen,
+            sums=dict(test.sums),
+            bounds=dict(test.bounds),
+            null_rates=dict(test.null_rates),
+            all_slow=self.slowdown.evidence,
+        )
+
     def handle(self, now: Ticks, events: Iterable[Event]) -> list[Action]:
         """Decides on the events of one moment, in their order; returns the actions."""
         context, handlers = self.context, self._handlers
--- a/thymeknot/policy/voting.py
+++ b/thymeknot/policy/voting.py
@@ -1,6 +1,7 @@
 """What the instance votes on the stage of a build, when, and how often."""
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from ..interface.actions import CastVote, LogNote
 from ..interface.clock import TICKS_PER_SECOND, Ticks
@@ -37,6 +38,23 @@
 ANSWER_GRACE = TICKS_PER_SECOND // 10  # ticks beyond the time-out that an answer is waited for
 
 
+class VoteEvidence(NamedTuple):
+    """What a vote goes by, for the log."""
+
+    attempts: int
+    """Ended attempts to the newest build, as this instance saw them."""
+    failed: int
+    """Those of them that failed and count."""
+    excluded: Mapping[str, int]
+    """Those of them that are no evidence, by reason."""
+    judged: int
+    """Outcomes of this stage in the test, with the platform's counts."""
+    sums: Mapping[Symptom, float]
+    bounds: Mapping[Symptom, float]
+    null_rates: Mapping[Symptom, float]
+    all_slow: float
+
+
 class Voting:
     """The vote of this instance.
 
--- a/thymeknot/proxy/release_channel.py
+++ b/thymeknot/proxy/release_channel.py
@@ -1,11 +1,13 @@
 """How the newest build stands, told by the platform's stream and by the answers to votes."""
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
 from ..interface.actions import CastVote
 from ..interface.clock import Ticks
 from ..interface.enums import Outcome, ReleasePhase
 from ..interface.events import ReleaseUpdate
+from ..policy.sequential_test import Symptom
 from ..protocol import deployer, http
 from ..protocol.http_calls import Reply
 from ..protocol.watch_stream import WatchStream
@@ -18,6 +20,9 @@
     from .proxy import Proxy
 
 
+LOGGED_DIGITS = 2
+
+
 def _cap(update: ReleaseUpdate) -> float:
     assert update.cap is not None  # an update whose outcome is DONE has all fields
     return update.cap
@@ -35,6 +40,10 @@
     return 1.0 if update.phase == ReleasePhase.RELEASED else 0.0
 
 
+def _rounded(values: Mapping[Symptom, float]) -> dict[str, float]:
+    return {str(name): round(value, LOGGED_DIGITS) for name, value in values.items()}
+
+
 class ReleaseChannel:
     """Casts votes, and keeps the latest release update.
 
@@ -120,6 +129,7 @@
     def cast_vote(self, action: CastVote) -> None:
         """Sends a vote; the decisions are told of the answer, or that none came in time."""
         asked = self.proxy.clock()
+        evidence = self.proxy.engine.vote_evidence()
 
         def answered(end: Reply | BrokenConnection) -> None:
             update = self._reconciled(deployer.vote_news(action.build, end), asked)
@@ -129,6 +139,14 @@
                 stage=action.stage,
                 verdict=action.verdict,
                 outcome=update.outcome,
+                attempts=evidence.attempts,
+                failed=evidence.failed,
+                excluded=evidence.excluded,
+                judged=evidence.judged,
+                sums=_rounded(evidence.sums),
+                bounds=_rounded(evidence.bounds),
+                null_rates=_rounded(evidence.null_rates),
+                all_slow=round(evidence.all_slow, LOGGED_DIGITS),
             )
             self.proxy.tell(update)
 
