Decision log: an entry of another version, or with notes of another form, ends no command

What was seen: thymeknot why ended in a traceback for a reason that it does not know, a note with other operands, or one without its number; found by trying each element of a stored note at its edges. Cause: reasons and operands were taken for those of this version, though a record's file outlives versions. Change: an unknown reason, or known with other operands, is told by its number and values; a note that lacks its number or time makes the slot damaged, like a torn one.

--- a/tests/unit/decision_log/test_decision_log.py
+++ b/tests/unit/decision_log/test_decision_log.py
@@ -16,7 +16,8 @@
 from measure.why_cases import NOW, WHY, mix
 from tests.support.stand_ins import LANES, PATIENCE, SETTINGS, PodPeer, Program, reserved, until
 from thymeknot.cli.decision_log_client import lines_of
-from thymeknot.decision_log.entry_codec import SLOT_BYTES, Entry, packed, unpacked
+from thymeknot.decision_log import query_protocol
+from thymeknot.decision_log.entry_codec import SLOT_BYTES, Entry, packed, pods, unpacked
 from thymeknot.decision_log.entry_filter import EntryFilter
 from thymeknot.decision_log.explanations import SAID, explained
 from thymeknot.decision_log.fair_eviction import FairEviction
@@ -67,6 +68,45 @@
             self.assertIn(part, text)
 
 
+class ReadsAnyRecord(unittest.TestCase):
+    """A record whose checksum is right may be of another version, or wrong in any field: `thymeknot why` ended in a
+    traceback for a reason that it does not know, and for a note without its number."""
+
+    ENTRY = (123, "id1", "k", "t", "read", False, int(R.DONE), 1000)
+    NOTES = (
+        [int(R.SENT), 0, "p", 41, False, 100, 0.5],
+        [int(R.ENDED), 5, "p", 0, "done", 100, False],
+        [int(R.VOTED), 5, 41, 1, 3, 0.5, 7],
+        [int(R.POSITION), 0, 0.1, 0.5, 0.2],
+    )
+    EDGES = (-1, 0, 1, 999, 1 << 62, 1.5, float("inf"), True, None, "x", "")
+
+    def read(self, entry):
+        slot = packed(entry, 7)
+        found = unpacked(slot)
+        if found is not None:
+            explained(found.entry)
+            query_protocol.shown(found.entry)
+            pods(found.entry)
+        return found
+
+    def test_each_element_of_a_note_at_its_edges_of_a_wrong_type_or_left_out(self):
+        for note in self.NOTES:
+            for at in range(len(note)):
+                changed = [[*note[:at], value, *note[at + 1 :]] for value in self.EDGES]
+                for one in (*changed, note[:at], [*note, 1]):
+                    with self.subTest(one):
+                        self.read(Entry(*self.ENTRY, [one]))
+
+    def test_a_reason_of_a_later_version_is_told_by_its_number(self):
+        found = self.read(Entry(*self.ENTRY[:6], 998, 1000, [[999, 10, "s-1"]]))
+        lines = explained(found.entry)
+        self.assertIn("reason_998 after", lines[0])
+        self.assertIn("REASON_999, as another version tells it: ['s-1']", lines[1])
+        self.assertIsNone(self.read(Entry(*self.ENTRY, [[]])))
+        self.assertIsNone(self.read(Entry(*self.ENTRY, [["x", 0]])))
+
+
 class Keeps(unittest.TestCase):
     def test_a_flood_of_cheap_ones_pushes_out_no_costly_one(self):
         kept = flood(5)
--- a/thymeknot/decision_log/entry_codec.py
+++ b/thymeknot/decision_log/entry_codec.py
@@ -23,6 +23,8 @@
 CHECKSUM_BYTES = 4
 # Notes of one entry; with more of them the middle is left out.
 MAX_NOTES = 40
+# Elements that each note begins with: the reason's number and the time.
+NOTE_HEAD = 2
 # Characters of an id, key or tenant: longer ones are cut, and found by this prefix alone.
 MAX_TEXT_LENGTH = 64
 # Characters of an id or request class where even an entry without notes does not fit its slot.
@@ -103,9 +105,18 @@
     if crc32(slot[CHECKSUM_BYTES : SLOT_HEADER.size + length]) != checksum:
         return None
     try:
-        return NumberedEntry(number, _decode(slot[SLOT_HEADER.size : SLOT_HEADER.size + length]))
+        entry = _decode(slot[SLOT_HEADER.size : SLOT_HEADER.size + length])
     except (DecodeError, UnicodeDecodeError):
         return None
+    return NumberedEntry(number, entry) if _is_sound(entry) else None
+
+
+def _is_sound(entry: Entry) -> bool:
+    """Whether each note begins with a reason's number and a time, as readers take for granted."""
+    return all(
+        len(note) >= NOTE_HEAD and type(note[0]) is int and type(note[1]) is int
+        for note in entry.notes
+    )
 
 
 def pods(entry: Entry) -> set[str]:
@@ -117,9 +128,17 @@
     }
 
 
-def note_reason(note: Note) -> Reason:
-    """Returns the reason that a note names."""
-    return Reason(cast(int, note[0]))
+def reason_name(number: int) -> str:
+    """Returns the name of a reason, also of one that a later version has written."""
+    try:
+        return Reason(number).name
+    except ValueError:
+        return f"REASON_{number}"
+
+
+def note_reason(note: Note) -> int:
+    """Returns the number of the reason that a note names; a later version may have others."""
+    return cast(int, note[0])
 
 
 def note_delay(note: Note) -> Ticks:
--- a/thymeknot/decision_log/explanations.py
+++ b/thymeknot/decision_log/explanations.py
@@ -5,7 +5,7 @@
 
 from ..interface.enums import Outcome
 from ..interface.reasons import Reason
-from .entry_codec import Entry, note_delay, note_reason
+from .entry_codec import NOTE_HEAD, Entry, Note, note_delay, note_reason, reason_name
 
 # In the order of the verdicts' numbers, which votes carry.
 VERDICTS = ("nothing", "on", "hold", "back")
@@ -181,11 +181,20 @@
 """The sentence of each reason, made of its operands in the order that `Reason` gives."""
 
 
+def sentence_of(note: Note) -> Sentence:
+    """Returns the sentence of a note; one that another version wrote may be told by its values."""
+    number, operands = note_reason(note), note[NOTE_HEAD:]
+    try:
+        return SAID[Reason(number)](*operands)
+    except (KeyError, IndexError, TypeError, ValueError):
+        return Sentence(f"{reason_name(number)}, as another version tells it: {operands}")
+
+
 def explained(entry: Entry) -> list[str]:
     """Returns lines for a person: what the entry is, then each reason in order with its remedy."""
     lines = [_title(entry)]
     for note in entry.notes:
-        sentence = SAID[note_reason(note)](*note[2:])
+        sentence = sentence_of(note)
         remedy = f"  [{sentence.remedy}]" if sentence.remedy else ""
         lines.append(f"  {note_delay(note) / 10:8.1f} ms  {sentence.text}{remedy}")
     if entry.cut:
@@ -201,5 +210,5 @@
         parts.append(f"key {entry.key}")
     if entry.repeat:
         parts.append("a client's repeat")
-    end = Reason(entry.end).name.lower() if entry.end else "open"
+    end = reason_name(entry.end).lower() if entry.end else "open"
     return f"{', '.join(parts)}: {end} after {milliseconds(entry.took)}"
--- a/thymeknot/decision_log/query_protocol.py
+++ b/thymeknot/decision_log/query_protocol.py
@@ -11,9 +11,9 @@
 
 from ..interface.clock import TICKS_PER_SECOND
 from ..interface.reasons import Reason
-from .entry_codec import Entry, Note, note_delay, note_reason
+from .entry_codec import NOTE_HEAD, Entry, Note, note_delay, note_reason, reason_name
 from .entry_filter import EntryFilter
-from .explanations import SAID, explained
+from .explanations import explained, sentence_of
 from .recorder import Recorder
 
 MAX_LINE_BYTES: Final = 4096
@@ -77,12 +77,11 @@
 
 
 def _note_object(note: Note) -> dict[str, Any]:
-    reason = note_reason(note)
     return {
-        "reason": reason.name,
+        "reason": reason_name(note_reason(note)),
         "after_ms": note_delay(note) / TICKS_PER_MILLISECOND,
-        "operands": note[2:],
-        "text": SAID[reason](*note[2:]).text,
+        "operands": note[NOTE_HEAD:],
+        "text": sentence_of(note).text,
     }
 
 
@@ -95,7 +94,7 @@
         "tenant": entry.tenant,
         "lane": entry.request_class,
         "repeat": entry.repeat,
-        "end": Reason(entry.end).name if entry.end else "OPEN",
+        "end": reason_name(entry.end) if entry.end else "OPEN",
         "took_ms": entry.took / TICKS_PER_MILLISECOND,
         "cut": entry.cut,
         "reasons": [_note_object(note) for note in entry.notes],
