Shutdown: the process ends by itself before the platform may kill it

Cause: answers were given up to 0.65 s of the 0.7 s that the platform leaves after the longest deadline, and 0.05 s of rest follow the last close; a client that does not close its end is waited for another 0.2 s.

Change: the last answer comes 0.4 s after the longest deadline, connections whose clients have not closed are closed 0.05 s later; 0.15 s are left for a process that is held up.

--- a/tests/integration/test_lifecycle.py
+++ b/tests/integration/test_lifecycle.py
@@ -398,6 +398,26 @@
         self.assertEqual(running.process.wait(PATIENCE), 0)
         self.assertFalse(release.is_set())
 
+    def test_it_has_ended_by_itself_when_the_platform_may_kill_it(self):
+        """A client goes on sending on its open connection while the process stops, and endpoints hang. All that is
+        taken has its answer before the kill, which comes 3.7 s after SIGTERM at the earliest; but the last answers came
+        after 3.65 s, and 0.05 s of rest behind them ended the process just then: killed at 3.70 s, its status -9."""
+        pod = self.pod(lambda words: b"")
+        running = self.program(pod.entry("s-1"))
+        with running.client() as client:
+            client.send("SVC.QUERY", "a", "01", "c=read,t=acme,d=3000")
+            pod.heard.get(timeout=PATIENCE)
+            stopped_at = time.monotonic()
+            running.process.send_signal(signal.SIGTERM)
+            running.logged("stopping")
+            time.sleep(2 * lifecycle.SERVES_ON)
+            client.send("SVC.QUERY", "a", "02", "c=read,t=acme,d=3000")
+            answers = [client.answer() for _ in range(3)]
+        self.assertRegex(answers[0], b"^-")
+        self.assertRegex(answers[1], b"^-")
+        self.assertEqual((answers[2], running.process.wait(PATIENCE)), (b"", 0))
+        self.assertLess(time.monotonic() - stopped_at, 3.7)
+
     def test_a_half_written_file_is_kept_and_the_whole_one_is_owed_to_the_next_sighup(self):
         new = DiscoveryPeer()
         self.addCleanup(new.close)
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -299,6 +299,11 @@
         if not self.ended:
             self.transport.abortConnection()
 
+    def stop_lingering(self) -> None:
+        """Closes now if everything is sent, and its client's close alone is waited for."""
+        if self.ended and not self.flushing:
+            self.transport.loseConnection()
+
     def finish(self) -> None:
         """Closes once everything owed is answered.
 
--- a/thymeknot/proxy/graceful_shutdown.py
+++ b/thymeknot/proxy/graceful_shutdown.py
@@ -13,6 +13,9 @@
 READ_BEFORE_CLOSING = 300
 """Ticks from the last connection accepted to the first one closed: what has come is read."""
 
+CLOSE_AFTER_LAST_ANSWER = 500
+"""Ticks from the latest moment of an answer to the close of connections whose clients have not."""
+
 ACCEPT_REST_WITHIN = 10_000
 """Ticks from the end of service, for accepted connections that have found no place yet."""
 
@@ -73,6 +76,8 @@
         self._finish_timer = self.timers.add(
             self.clock() + READ_BEFORE_CLOSING, self._finish_clients
         )
+        if answer_by is not None:
+            self.timers.add(answer_by + CLOSE_AFTER_LAST_ANSWER, self._close_answered)
 
     def accept_rest(self) -> None:
         """Closes the port once all is accepted that the machine has; the rest waits for places."""
@@ -147,6 +152,11 @@
             connection.finish()
         self.end_if_empty()
 
+    def _close_answered(self) -> None:
+        """Closes the connections that wait for their client's close: the process is to end."""
+        for connection in self.listener.clients:
+            connection.stop_lingering()
+
     def end_if_empty(self) -> None:
         """Calls `on_drained`, once, if the port and all connections are closed."""
         if self.on_drained and not self.listener.clients and not self.listener.listening:
--- a/thymeknot/service/lifecycle.py
+++ b/thymeknot/service/lifecycle.py
@@ -16,9 +16,10 @@
 """Seconds after SIGTERM in which new connections still come."""
 LAST: Final = 0.05
 """Seconds that the last responses need to go out."""
-SPARED: Final[Ticks] = 6_500
-"""After SIGTERM the kill comes no sooner than so long after the longest deadline: 50 ms less than
-the platform gives."""
+SPARED: Final[Ticks] = 4_000
+"""After SIGTERM the last answer comes no later than so long after the longest deadline. The kill
+comes 0.7 s after that. The rest is for connections that close, for the process's own end, and for
+0.15 s in which it may be held up."""
 COUNTED: Final[Ticks] = 3 * TICKS_PER_SECOND
 """What the longest deadline counts as at most."""
 FIRST_LIST = 0.5
