Soak: real processes against stand-ins, each play drawn whole from its seed

Need: known failures came from orders that no test drew: clients that use their connections until the kill, signals in series, endpoints that hang while the process ends.

--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,15 @@
 sites:
 	cp $(NAMES:%=$(KIT)/sites/%) deploy/sites/
 
+# Real processes against stand-ins, each play drawn from its seed; and long orders for the stepped rig. By hand.
+SEEDS = 1-50
+JOBS = 3
+
+.PHONY: soak
+soak: build
+	.venv/bin/pip -q install -r requirements-dev.txt
+	$(PYTHON) -m tests.soak --seeds $(SEEDS) --planted --orders $(SEEDS) --rounds $(SEEDS) --jobs $(JOBS)
+
 # Measurements: the last line is JSON. SEED=n where chance plays.
 SEED = 1
 MEASURES = gossip why laboratory fleet gangs
--- /dev/null
+++ b/tests/soak/planted.py
@@ -0,0 +1,169 @@
+"""Faults that are planted in the program, one of each kind: the checks have to find every one of them."""
+
+from dataclasses import dataclass
+
+BEGIN = """import os, sys
+from thymeknot.service import lifecycle
+"""
+END = """
+sys.exit(lifecycle.main(os.environ))
+"""
+
+
+@dataclass(frozen=True)
+class Planted:
+    """A fault.
+
+    Attributes:
+        kind: of the breaches that it has to cause.
+        seeds: plays in which it can show.
+        patch: what is done to the program before it runs.
+    """
+
+    kind: str
+    seeds: tuple[int, ...]
+    patch: str
+
+    @property
+    def code(self):
+        """The program with the fault."""
+        return BEGIN + self.patch + END
+
+
+FAULTS = {
+    "an answer that is dropped": Planted(
+        "lost",
+        (1, 2, 4),
+        """
+from thymeknot.protocol.client import ClientConnection
+answer, count = ClientConnection.answer, [0]
+def drops(self, place, content):
+    count[0] += 1
+    if count[0] % 25:
+        answer(self, place, content)
+ClientConnection.answer = drops
+""",
+    ),
+    "an answer that comes late": Planted(
+        "late",
+        (1, 2, 4),
+        """
+from thymeknot.protocol.client import ClientConnection
+answer, count = ClientConnection.answer, [0]
+def delays(self, place, content):
+    count[0] += 1
+    if count[0] % 25:
+        answer(self, place, content)
+    else:
+        self.timers.add(self.timers.clock() + 42_000, answer, self, place, content)
+ClientConnection.answer = delays
+""",
+    ),
+    "an answer that comes twice": Planted(
+        "answers",
+        (1, 2, 4),
+        """
+from thymeknot.protocol.client import ClientConnection
+answer = ClientConnection.answer
+def twice(self, place, content):
+    answer(self, place, content)
+    if not self.places:
+        self.transport.write(content)
+ClientConnection.answer = twice
+""",
+    ),
+    "a binding request that runs again": Planted(
+        "twice",
+        (5, 7, 8, 10, 11),
+        """
+from thymeknot.policy import idempotency
+idempotency.may_repeat = lambda request, now, by_client: True
+from thymeknot.proxy.attempt import Attempt
+Attempt._write_by = lambda self: self.expires_at
+""",
+    ),
+    "a drain that is not heard": Planted(
+        "drain",
+        (2, 4, 5, 7),
+        """
+from thymeknot.protocol import discovery
+discovery.CONDITIONS["Terminating"] = discovery.CONDITIONS["Ready"]
+""",
+    ),
+    "a client that has left and is not noticed": Planted(
+        "left",
+        (1, 4, 5, 7),
+        """
+from thymeknot.proxy.client_requests import ClientRequests
+ClientRequests.gone = lambda self, connection: None
+from thymeknot.proxy import proxy
+proxy.notice_if_gone = lambda request: None
+""",
+    ),
+    "exposure without a bound": Planted(
+        "exposure",
+        (1, 4, 5, 7, 8),
+        """
+from thymeknot.policy.exposure_budget import ExposureBudget
+from thymeknot.policy.traffic_split import TrafficSplit
+from thymeknot.state.trial_exposure import TrialExposure
+ExposureBudget.allows = TrialExposure.allows = lambda self, *_: True
+TrafficSplit.builds_for = lambda self, request: (True, False)
+""",
+    ),
+    "keys that do not stay": Planted(
+        "key",
+        (1, 4, 5, 7, 8),
+        """
+from thymeknot.policy.traffic_split import TrafficSplit
+TrafficSplit.pin = lambda self, event: None
+""",
+    ),
+    "an end that never comes": Planted(
+        "end",
+        (1, 2),
+        """
+from thymeknot.proxy.graceful_shutdown import GracefulShutdown
+GracefulShutdown.end_if_empty = lambda self: None
+""",
+    ),
+    "an end with a status": Planted(
+        "status",
+        (2, 4),
+        """
+import atexit
+atexit.register(os._exit, 3)
+""",
+    ),
+    "half a command that is waited for": Planted(
+        "bad client",
+        (1, 2, 4, 5, 7, 8),
+        """
+from thymeknot.protocol.client import ClientConnection
+ClientConnection._expect = lambda self, within: None
+""",
+    ),
+    "an attempt that is told too much time": Planted(
+        "timeout",
+        (1, 2, 4),
+        """
+from thymeknot.protocol.command import Command
+words = Command.words
+Command.words = lambda self, left: words(self, left + 1_000)
+""",
+    ),
+    "an exception in the program": Planted(
+        "fault",
+        (1, 2, 4),
+        """
+from thymeknot.policy.endpoint_selection import EndpointSelection
+cost, count = EndpointSelection.cost, [0]
+def fails(self, known):
+    count[0] += 1
+    if count[0] % 50 == 0:
+        raise ZeroDivisionError("planted")
+    return cost(self, known)
+EndpointSelection.cost = fails
+""",
+    ),
+}
