Request life cycle: transitions hold callables in place of method names

Need: a transition named its method as a string, looked up by getattr on each step; a reader and mypy could not follow. Change: a typed Transition with the next phase and the function.

--- a/thymeknot/policy/request_lifecycle.py
+++ b/thymeknot/policy/request_lifecycle.py
@@ -1,6 +1,8 @@
 """A request's life: received, sent, perhaps sent again or hedged, and its final answer."""
 
+from collections.abc import Callable
 from enum import StrEnum
+from typing import NamedTuple
 
 from ..interface.actions import CancelAttempt, Fail, Reject, SendAttempt
 from ..interface.clock import Ticks
@@ -51,20 +53,6 @@
     ANSWERED = "answered"
 
 
-TRANSITIONS: dict[tuple[str, RequestInput], tuple[RequestPhase, str]] = {
-    (RequestPhase.NEW, RequestInput.RECEIVED): (RequestPhase.OPEN, "_admit"),
-    (RequestPhase.OPEN, RequestInput.GIVEN_UP): (RequestPhase.ANSWERED, "_reject"),
-    (RequestPhase.OPEN, RequestInput.CLIENT_LEFT): (RequestPhase.ANSWERED, "_close"),
-    (RequestPhase.OPEN, RequestInput.NOT_RUN): (RequestPhase.OPEN, "_retry"),
-    (RequestPhase.OPEN, RequestInput.MAY_HAVE_RUN): (RequestPhase.OPEN, "_retry"),
-    (RequestPhase.OPEN, RequestInput.SLOW): (RequestPhase.OPEN, "_hedge"),
-    (RequestPhase.OPEN, RequestInput.ANSWERED): (RequestPhase.ANSWERED, "_close"),
-    (RequestPhase.ANSWERED, RequestInput.ANSWERED): (RequestPhase.ANSWERED, "_forget"),
-    (RequestPhase.ANSWERED, RequestInput.NOT_RUN): (RequestPhase.ANSWERED, "_forget"),
-    (RequestPhase.ANSWERED, RequestInput.MAY_HAVE_RUN): (RequestPhase.ANSWERED, "_forget"),
-}
-"""(Phase, input) -> next phase and the method that acts. What is missing changes nothing."""
-
 PROOF = {
     Outcome.DONE: RequestInput.ANSWERED,
     Outcome.ERROR: RequestInput.MAY_HAVE_RUN,
@@ -182,7 +170,7 @@
         transition = TRANSITIONS.get((request.state, happened))
         if transition:
             request.state, act = transition
-            getattr(self, act)(request)
+            act(self, request)
 
     def _admit(self, request: RequestState) -> None:
         context = self.context
@@ -340,3 +328,43 @@
             mean = self.admission.means[request_class.name]
             self.selection.count_response(known, latency, fraction, mean)
             self.slow_start.count_response(fraction)
+
+
+class Transition(NamedTuple):
+    """The next phase of a request, and what is done as it goes there."""
+
+    phase: RequestPhase
+    act: Callable[[RequestLifecycle, RequestState], None]
+
+
+TRANSITIONS: dict[tuple[str, RequestInput], Transition] = {
+    (RequestPhase.NEW, RequestInput.RECEIVED): Transition(
+        RequestPhase.OPEN, RequestLifecycle._admit
+    ),
+    (RequestPhase.OPEN, RequestInput.GIVEN_UP): Transition(
+        RequestPhase.ANSWERED, RequestLifecycle._reject
+    ),
+    (RequestPhase.OPEN, RequestInput.CLIENT_LEFT): Transition(
+        RequestPhase.ANSWERED, RequestLifecycle._close
+    ),
+    (RequestPhase.OPEN, RequestInput.NOT_RUN): Transition(
+        RequestPhase.OPEN, RequestLifecycle._retry
+    ),
+    (RequestPhase.OPEN, RequestInput.MAY_HAVE_RUN): Transition(
+        RequestPhase.OPEN, RequestLifecycle._retry
+    ),
+    (RequestPhase.OPEN, RequestInput.SLOW): Transition(RequestPhase.OPEN, RequestLifecycle._hedge),
+    (RequestPhase.OPEN, RequestInput.ANSWERED): Transition(
+        RequestPhase.ANSWERED, RequestLifecycle._close
+    ),
+    (RequestPhase.ANSWERED, RequestInput.ANSWERED): Transition(
+        RequestPhase.ANSWERED, RequestLifecycle._forget
+    ),
+    (RequestPhase.ANSWERED, RequestInput.NOT_RUN): Transition(
+        RequestPhase.ANSWERED, RequestLifecycle._forget
+    ),
+    (RequestPhase.ANSWERED, RequestInput.MAY_HAVE_RUN): Transition(
+        RequestPhase.ANSWERED, RequestLifecycle._forget
+    ),
+}
+"""What an input does in a phase. What is missing changes nothing."""
