--- a/Makefile
+++ b/Makefile
@@ -26,11 +26,7 @@
 	thymeknot/cli/log_summary.py \
 	thymeknot/cli/main.py \
 	thymeknot/cli/output.py \
-	thymeknot/coordination/blocking_client.py \
-	thymeknot/coordination/cluster_clock.py \
-	thymeknot/coordination/drain_agent.py \
-	thymeknot/coordination/incarnation.py \
-	thymeknot/coordination/settings.py \
+	thymeknot/coordination \
 	thymeknot/decision_log \
 	thymeknot/disruption \
 	thymeknot/gang_scheduling \
@@ -41,11 +37,7 @@
 	thymeknot/policy \
 	thymeknot/polling \
 	thymeknot/protocol \
-	thymeknot/proxy/client_requests.py \
-	thymeknot/proxy/descriptor_budget.py \
-	thymeknot/proxy/endpoint_updates.py \
-	thymeknot/proxy/graceful_shutdown.py \
-	thymeknot/proxy/release_channel.py \
+	thymeknot/proxy \
 	thymeknot/raft \
 	thymeknot/service \
 	thymeknot/simulation/baseline_policies.py \
--- a/thymeknot/gossip/keyring.py
+++ b/thymeknot/gossip/keyring.py
@@ -169,7 +169,8 @@
             raise KeyringError(f"from: {error}") from None
         self._known: dict[str, bool] = {}
 
-    def __contains__(self, host: str) -> bool:
+    def __contains__(self, address: object) -> bool:
+        host = str(address)
         inside = self._known.get(host)
         if inside is None:
             if len(self._known) >= MAX_CACHED_HOSTS:
--- a/thymeknot/proxy/client_listener.py
+++ b/thymeknot/proxy/client_listener.py
@@ -184,7 +184,8 @@
 
     def left(self, connection: ClientConnection) -> None:
         """Lets go of a connection that is closed."""
-        self.clients.remove(connection.slot)
+        if connection.slot is not None:  # it was taken up
+            self.clients.remove(connection.slot)
         self.gone(connection)
         self.became_idle()
         self.shutdown.end_if_empty()
--- a/thymeknot/proxy/in_flight.py
+++ b/thymeknot/proxy/in_flight.py
@@ -91,6 +91,7 @@
         if (
             request.closed
             and not request.attempts_out
+            and request.slot is not None
             and self.by_id.get(request.id) == request.slot
         ):
             del self.by_id[request.id]
--- a/thymeknot/state/connection_pool.py
+++ b/thymeknot/state/connection_pool.py
@@ -27,6 +27,10 @@
 class Attempt(Protocol):
     """What is carried to a pod, one at a time on a connection."""
 
+    @property
+    def endpoint(self) -> Any:
+        """The pod as it was listed when the attempt was decided on."""
+
     def may_be_written(self, address: str, /) -> bool:
         """Returns whether it still may be written to this address."""
 
@@ -44,9 +48,7 @@
     """A connection as the pools use it.
 
     Attributes:
-        connector: What it came up by.
         delivery: The attempt that it carries or carried last; None while it is idle.
-        waiting: What is told of the response; None where none is awaited.
         written: Whether the attempt is written completely.
         slot: Its number among the open connections.
         used_at: When it was last made idle.
@@ -55,9 +57,7 @@
         transport: Twisted's transport.
     """
 
-    connector: "Connector"
     delivery: Attempt | None
-    waiting: object
     written: bool
     slot: int
     used_at: Ticks
@@ -65,6 +65,14 @@
     timers: list[int]
     transport: Any
 
+    @property
+    def connector(self) -> "Connector":
+        """What it came up by."""
+
+    @property
+    def waiting(self) -> object:
+        """What is told of the response; None where none is awaited."""
+
     def clean(self) -> bool:
         """Returns whether nothing has come since the last response."""
 
