Clients' requests: taking one is split into steps of one job each

Change: who is gone, whether it is full, the time left and the taking up are methods of their own; the answer for an unknown class has a name. A connection that is gone takes nothing, whatever its id.

--- a/thymeknot/proxy/client_requests.py
+++ b/thymeknot/proxy/client_requests.py
@@ -3,7 +3,9 @@
 from typing import TYPE_CHECKING
 
 from ..interface.actions import Fail, Reject
+from ..interface.clock import Ticks
 from ..interface.events import ClientDisconnected, RequestReceived
+from ..interface.settings import RequestClass
 from ..protocol import resp
 from ..protocol.client import ClientConnection
 from ..protocol.command import Command
@@ -18,6 +20,9 @@
 OVERDUE_AFTER = 50
 """Ticks after its client's end: a request still without an answer gets one."""
 
+NO_SUCH_CLASS = resp.failure("ERR no such lane")
+"""The answer to a request of a class that the settings do not name."""
+
 FAILED_ANSWER = resp.failure("ERR abandoned")
 """The answer to a request that has failed and may have run."""
 
@@ -66,36 +71,48 @@
 
     def take(self, connection: ClientConnection, place: int, command: Command) -> None:
         """Takes a request, or answers at once why it is not taken."""
-        proxy = self.proxy
         name = command.id.decode()
-        request_class = proxy.settings.request_classes.get(command.request_class)
+        request_class = self.proxy.settings.request_classes.get(command.request_class)
         if request_class is None:
-            connection.answer(place, resp.failure("ERR no such lane"))
+            connection.answer(place, NO_SUCH_CLASS)
+            return
+        self._notice_if_first_client_is_gone(name)
+        if connection.gone:  # it was the same
             return
-        requests = self.table
-        if name in requests.by_id:
-            earlier = requests.find(name)
-            if earlier is not None:
-                notice_if_gone(earlier)
-            if connection.gone:  # it was the same
-                return
-        if name in requests.by_id or name in requests.may_have_run:
+        if name in self.table.by_id or name in self.table.may_have_run:
             self._take_repeat(name, connection, place, command)
             return
-        if len(requests.by_slot) + len(requests.may_have_run) >= proxy.connection_limits.max_open:
+        left = self._time_left(command, request_class)
+        if self._is_full() or left <= 0:
             connection.answer(place, resp.failure(BUSY))
             return
-        now = connection.used_at = self.clock()
-        # Nothing is earned after the outer limit: no client has a request held for longer.
+        self._begin(name, connection, place, command, left)
+
+    def _notice_if_first_client_is_gone(self, name: str) -> None:
+        """Lets go of what an id stands for already, if the client that sent it has left."""
+        earlier = self.table.find(name) if name in self.table.by_id else None
+        if earlier is not None:
+            notice_if_gone(earlier)
+
+    def _is_full(self) -> bool:
+        """Whether as many requests are in hand, or remembered, as the settings allow."""
+        held = len(self.table.by_slot) + len(self.table.may_have_run)
+        return held >= self.proxy.connection_limits.max_open
+
+    def _time_left(self, command: Command, request_class: RequestClass) -> Ticks:
+        """Returns for how long a request is held: no client has one held beyond the outer limit."""
         left = min(command.left * 10, request_class.outer_limit)
-        answer_by = proxy.shutdown.answer_by
-        if answer_by is not None:
-            left = min(left, answer_by - now)
-            if left <= 0:
-                connection.answer(place, resp.failure(BUSY))
-                return
+        answer_by = self.proxy.shutdown.answer_by
+        return left if answer_by is None else min(left, answer_by - self.clock())
+
+    def _begin(
+        self, name: str, connection: ClientConnection, place: int, command: Command, left: Ticks
+    ) -> None:
+        """Takes a request up and tells the decisions of it."""
+        proxy = self.proxy
+        now = connection.used_at = self.clock()
         request = InFlightRequest(name, command, connection, place, now + left)
-        request.slot = requests.by_id[name] = requests.by_slot.add(request)
+        request.slot = self.table.by_id[name] = self.table.by_slot.add(request)
         request.overdue_timer = self.timers.add(
             request.expires_at + OVERDUE_AFTER, self._overdue, request
         )
