--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -132,6 +132,7 @@
     def _send(self, connection, request):
         request.sent_at = self.ledger.clock()
         request.process = self.sidecar.process.number
+        request.ahead = len(connection.out)
         request.due_after = max((one.due_after for one in connection.out), default=0.0)
         request.due_after = max(request.due_after, request.sent_at + request.deadline)
         if not connection.open:  # it ended between requests, just before this one
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,7 @@
         refused: its connection was refused, or it could not be sent.
         again: it was sent once more after a close that it had crossed.
         due_after: the end of those before it on its connection.
+        ahead: how many those were.
     """
 
     name: str
@@ -34,6 +35,7 @@
     refused: bool = False
     again: bool = False
     due_after: float = 0.0
+    ahead: int = 0
 
 
 @dataclass
