Event orders: half a command is judged by the build that was listed as it was begun

Cause: a trace has the command begun at 250 ms to a pod of the earlier build, whose name was listed with the newest one at 2,600 ms; at the end the checker went by the build that was listed then. Nothing went to the newest build. Change: the checker keeps which build a pod was listed with from when, and goes by that.

--- a/tests/integration/test_event_orders.py
+++ b/tests/integration/test_event_orders.py
@@ -197,6 +197,24 @@
             play(*ended, ("held_up", 150, 0), ("passes", 151, -1))
         self.assertRegex(str(found.exception), "owed nothing and open 0.3.* s after the end")
 
+    def test_half_a_command_is_judged_by_the_build_that_was_listed_as_it_was_begun(self):
+        """A pod of the earlier build takes a part of a command, 2.6 s later its name is listed with the newest build,
+        which takes nothing: the trace has the command begun before the listing, so nothing went to the newest build.
+        The checker went by what was listed at the end."""
+        begun = (
+            *STARTS,
+            ("built", "withdrawn", 1.0, 1),
+            ("pod_takes", 0, 40, 0),
+            ("ask", 3, 0, 2, 0, 5, 0),
+        )
+        play(*begun, ("passes", 2600, -1), ("listed", 0, "other build", 1))
+        with (
+            mock.patch.object(order_rig.Pod, "build_known_at", lambda self, moment: 42),
+            self.assertRaises(Wrong) as found,
+        ):
+            play(*begun, ("passes", 2600, -1), ("listed", 0, "Terminating", 1))
+        self.assertRegex(str(found.exception), "though the newest build takes nothing")
+
     def test_answers_that_take_no_time_are_no_fault(self):
         with mock.patch.object(order_rig, "ANSWERS_AT_ONCE", True):
             play(
--- a/tests/support/order_rig.py
+++ b/tests/support/order_rig.py
@@ -364,11 +364,16 @@
         self.state, self.started, self.mode, self.lag = "Ready", 0, "good", 40 * MS
         self.dials, self.budget = COMES_UP, None
         self.known = 0, build
+        self.builds_known = [(0, build)]  # (from when, the build that it was listed with)
         self.barred_at, self.stale_at = (
             None,
             None,
         )  # told: nothing new; nothing on what was dialled before
 
+    def build_known_at(self, moment):
+        """The build that it was listed with then."""
+        return next(build for since, build in reversed(self.builds_known) if since <= moment)
+
     def entry(self):
         return {
             "id": self.name,
@@ -629,6 +634,7 @@
                 if pod.known != (started, build):
                     pod.stale_at = self.now
                 pod.known = started, build
+                pod.builds_known.append((self.now, build))
                 if state == "Ready":
                     pod.barred_at = None
                 elif pod.barred_at is None:
@@ -742,7 +748,7 @@
             raise Wrong(f"{what}: begun on a connection to the process before")
         if (
             self.closed_at is not None
-            and pod.known[1] >= self.told_news["version"]
+            and pod.build_known_at(begun) >= self.told_news["version"]
             and begun > self.closed_at + CAP_SLACK
         ):
             raise Wrong(f"{what}: begun though the newest build takes nothing")
