Proxy: an attempt whose dial raises is ended

What was seen: with a network library that raises as a connection is dialled (a test; not seen in service), the client was answered as overdue, and the attempt stayed in flight for the decisions and out for the proxy, for good. Cause: the exception was stopped where actions are carried out, after the attempt had been counted and queued; nothing ended it. Change: the proxy ends such an attempt, the pools set back their count of dials.

--- a/tests/unit/proxy/test_attempts.py
+++ b/tests/unit/proxy/test_attempts.py
@@ -461,6 +461,21 @@
             self.assertEqual((len(network.proxy.pools), network.faults), (0, []))
 
 
+class Carried(unittest.TestCase):
+    def test_an_attempt_whose_dial_raises_is_ended_and_counted_out_nowhere(self):
+        """Where the network library raises as a connection is dialled, the attempt stood in the pool's queue, out for the
+        proxy and in flight for the decisions, for good: its client was answered as overdue, and nothing let go of it."""
+        network = Network(entry("s-1"))
+        network.reactor.connectTCP = mock.Mock(side_effect=OverflowError("no such port"))
+        client = network.ask("01")
+        self.assertRegex(client.transport.value(), b"^-BUSY")
+        proxy = network.proxy
+        known = proxy.engine.context.endpoints.values()
+        self.assertEqual([one.in_flight for one in known], [0])
+        self.assertEqual((len(proxy.engine.requests.open), len(proxy.transactions)), (0, 0))
+        self.assertEqual((len(proxy.pools), proxy.pools.unwritten()), (0, []))
+
+
 class Held(unittest.TestCase):
     """What waits for a connection, or is not written whole, is held to all terms up to its last byte."""
 
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -332,7 +332,13 @@
             self.ended(attempt, Outcome.NOT_SENT)
             return
         attempt.timer = self.timers.add(attempt.write_by, attempt.timer_due)
-        if not self.pools.send(endpoint, endpoints.addresses[endpoint], attempt):
+        try:
+            sent = self.pools.send(endpoint, endpoints.addresses[endpoint], attempt)
+        except Exception as error:  # the decisions are owed its end all the same
+            structured_log.fault("connection pools", error)
+            attempt.give_up()
+            return
+        if not sent:
             structured_log.seldom("no descriptor for an endpoint", connections=len(self.pools))
             self.ended(attempt, Outcome.NOT_SENT)
 
--- a/thymeknot/state/connection_pool.py
+++ b/thymeknot/state/connection_pool.py
@@ -230,7 +230,11 @@
         connector: Connector = _make_connector(self, pool)
         connector.failed.addCallback(self._dial_failed, connector)
         host, _, port = pool.address.rpartition(":")
-        dialled = self._reactor.connectTCP(host, int(port), connector, timeout=None)
+        try:
+            dialled = self._reactor.connectTCP(host, int(port), connector, timeout=None)
+        except Exception:
+            self._dial_ended(connector)
+            raise
         connector.deadline = self.timers.add(
             self.timers.clock() + self.connection_limits.connect_timeout, dialled.stopConnecting
         )
