Soak: rounds close the connections of clients that did not end in time

What was seen: 10 descriptors after five rounds, 11 after fifty. Cause: clients that were cancelled at a round's end left their connections open on this side.

--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -102,6 +102,9 @@
         _, late = await asyncio.wait(running, timeout=CLIENTS_END_WITHIN)
         for task in late:
             task.cancel()
+    for client in clients:
+        if client.connection is not None:
+            client.connection.transport.close()
 
 
 def play(seeds, code=None, rests=RESTS):
