Gossip: a seed that is not known to live is asked also while others live

Cause: seeds were asked only while no peer lived. Change: once somebody lives, one such seed is asked each 5 s, in turn. Measured: the new test is red without it, green with it. Gossip's unit tests green.

--- a/tests/unit/gossip/test_gossip.py
+++ b/tests/unit/gossip/test_gossip.py
@@ -98,6 +98,20 @@
         made.run(90 * SECOND)
         self.all_alive(made)
 
+    def test_halves_that_start_without_each_other_meet_by_the_seeds(self):
+        """Each half has one of the two seeds, and the network between them is down while all start. Both halves have
+        living members then, and an instance asked its seeds only while it had none: the halves never met. Where first
+        pings are lost, the same came by chance: 9 fleets of 400 at 20% loss, simulated."""
+        made = World([f"n{at}" for at in range(6)], 3)
+        for name in ("n0", "n2", "n4"):
+            made.side[made.instances[name].address] = 1
+        made.begin()
+        made.run(10 * SECOND)
+        self.assertEqual(made.states("n0"), ["unproved", "alive", "unproved", "alive", "unproved"])
+        made.side.clear()
+        made.run(20 * SECOND)
+        self.all_alive(made)
+
     def test_clocks_five_seconds_apart_change_nothing(self):
         made = World([f"n{at}" for at in range(5)], 3)
         for at, one in enumerate(made.instances.values()):
--- a/thymeknot/gossip/node.py
+++ b/thymeknot/gossip/node.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable, Sequence
 
-from ..interface.clock import Ticks
+from ..interface.clock import TICKS_PER_SECOND, Ticks
 from .codec import Evidence, Left, Push
 from .context import ITEM_SPACE, TICK_INTERVAL, GossipContext, LogEvent
 from .dissemination_queue import LIFE, DisseminationQueue, QueuedItem, RandomSource
@@ -25,6 +25,7 @@
 PROOFS_AT_ONCE = 4  # peers that are asked to prove themselves in a period
 DECISIONS_IN_PERIOD = 2  # rounds of evidence and suspicions in a period
 GOODBYE_FANOUT = 4  # peers that are told that this instance leaves
+SEED_INTERVAL = 5 * TICKS_PER_SECOND  # between two questions to seeds, once a member lives
 
 
 class GossipNode:
@@ -101,7 +102,9 @@
         self._hints = PeerHints(self.context, now)
         self.items = ItemExchange(self.context, self.prober, self._hints)
         self._receiver = Receiver(self.context, self.prober, self._hints, self.items)
-        self._seeds = seeds
+        self._seeds = [seed for seed in seeds if seed != announced]
+        self._seed_turn = 0
+        self._ask_seed_at = now
         self._tick_due = now
         self._probe_at = now
         self._push_at = now
@@ -201,10 +204,27 @@
         for member in self.members.to_prove(now, PROOFS_AT_ONCE):
             if member.address is not None:
                 self.prober.probe(now, member.address, member.name, SendPurpose.PROVE)
+        for seed in self._seeds_to_ask(now):
+            self.prober.probe(now, seed, None, SendPurpose.PROVE)
+
+    def _seeds_to_ask(self, now: Ticks) -> Sequence[Address]:
+        """Returns the seeds to ask in this period: all while no member lives, else one at times.
+
+        A living member does not mean that all are met: parts of a fleet that began without each
+        other would else stay apart for good.
+        """
         if not self.members.live:
-            for seed in self._seeds:
-                if seed != self.local.announced:
-                    self.prober.probe(now, seed, None, SendPurpose.PROVE)
+            return self._seeds
+        unmet = [seed for seed in self._seeds if not self._is_met(seed)]
+        if now < self._ask_seed_at or not unmet:
+            return ()
+        self._ask_seed_at = now + SEED_INTERVAL
+        self._seed_turn += 1
+        return (unmet[self._seed_turn % len(unmet)],)
+
+    def _is_met(self, seed: Address) -> bool:
+        name = self.context.by_address.get(seed)
+        return name is not None and self._is_alive(name)
 
     def _is_current(self, item: QueuedItem, unix: float) -> bool:
         """Returns whether an item's key counts, and its origin's start is the present one."""
