--- a/measure/gossip_loopback.py
+++ b/measure/gossip_loopback.py
@@ -214,15 +214,20 @@
             for name in HONEST:
                 events[name] += fleet.lines(name)
 
-        until(
-            lambda: all(
-                len(
-                    {line["peer"] for line in events[name] if line["event"] == "peer state changed"}
-                )
-                >= 4
+        def met():
+            return {
+                name: [
+                    (line["peer"], line["before"], line["now"])
+                    for line in events[name]
+                    if line["event"] == "peer state changed"
+                ]
                 for name in HONEST
-            ),
+            }
+
+        until(
+            lambda: all(len({peer for peer, *_ in changes}) >= 4 for changes in met().values()),
             lambda: (time.sleep(0.1), gather()),
+            met,
         )
         figures["met_s"] = round(
             max(
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -29,7 +29,7 @@
         for seed, plan, seen, text in self.pool.map(campaign.play_seed, SEEDS):
             with self.subTest(seed=seed):
                 print(f"soak {seed}: {plan}; {seen}")
-                self.assertEqual(text, "")
+                self.assertEqual(text, "", f"\n{text}")
 
     def test_planted_faults_are_found(self):
         for name, seeds, found in self.pool.map(campaign.play_planted, PLANTED):
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -217,12 +217,13 @@
 }
 
 
-def until(done, act):
-    """Does it again until it is done; never for ever."""
+def until(done, act, state=None):
+    """Does it again until it is done; never for ever. state() tells how things stood if it did not come about."""
     end = time.monotonic() + PATIENCE
     while not done():
         if time.monotonic() > end:
-            raise AssertionError("it did not come about")
+            stood = f": {state()}" if state else ""
+            raise AssertionError(f"it did not come about in {PATIENCE} s{stood}")
         act()
 
 
