Shutdown: no connection waits for its client's close after the last moment for answers

Cause: waits for a client's close were ended once, 3.45 s after SIGTERM. Requests that a crowded connection had read only at the last moment were answered after that, and 0.2 s were waited again.

Change: from that moment on nothing is waited for after the last answer. The soak's report holds what the process logs.

--- a/tests/integration/test_lifecycle.py
+++ b/tests/integration/test_lifecycle.py
@@ -418,6 +418,26 @@
         self.assertEqual((answers[2], running.process.wait(PATIENCE)), (b"", 0))
         self.assertLess(time.monotonic() - stopped_at, 3.7)
 
+    def test_it_has_ended_by_itself_though_requests_were_read_only_at_the_last_moment(self):
+        """A client has 90 requests in hand when the process stops, and endpoints hang. The first 65 are answered at the
+        latest moment; only then are the others read, and answered a little later. Their connection was closed 0.2 s
+        after that, as the moment at which all such waits end was over by then, and the process was killed: 3.69 s after
+        SIGTERM it logged its end, 3.70 s after it the kill may come."""
+        pod = self.pod(lambda words: b"")
+        running = self.program(pod.entry("s-1"))
+        with running.client() as client:
+            running.process.send_signal(signal.SIGTERM)
+            stopped_at = time.monotonic()
+            running.logged("stopping")
+            time.sleep(0.9 * lifecycle.SERVES_ON)
+            for number in range(90):
+                client.send("SVC.QUERY", "a", f"{number:02x}", "c=read,t=acme,d=3000")
+            answers = [client.answer() for _ in range(91)]
+            self.assertEqual(running.process.wait(PATIENCE), 0)
+        took = time.monotonic() - stopped_at
+        self.assertEqual([answer[:1] for answer in answers], [b"-"] * 90 + [b""])
+        self.assertLess(took, 3.7)
+
     def test_a_half_written_file_is_kept_and_the_whole_one_is_owed_to_the_next_sighup(self):
         new = DiscoveryPeer()
         self.addCleanup(new.close)
--- a/tests/soak/sidecar.py
+++ b/tests/soak/sidecar.py
@@ -99,6 +99,8 @@
                 self.ledger.note(f"process {process.number} is ready")
                 if process is self.process:
                     self.ready.set()
+            elif b'"event":"stopping"' in line or b'"event":"stopped"' in line:
+                self.ledger.note(f"process {process.number} logs {line.decode().strip()}")
             elif b'"event":"fault"' in line or b"Traceback" in line:
                 process.faults.append(line.decode(errors="replace").strip())
         process.status = await running.wait()
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -300,7 +300,8 @@
             self.transport.abortConnection()
 
     def stop_lingering(self) -> None:
-        """Closes now if everything is sent, and its client's close alone is waited for."""
+        """Waits for the client's close no more, also once what is still owed has been sent."""
+        self.linger = 0
         if self.ended and not self.flushing:
             self.transport.loseConnection()
 
