Soak: requests before a failed write have crossed the end of their connection, too

Trace: their connection had been closed for want of places (106 clients come at once), and the write of the third request of a batch failed; the stand-in client sent that one and those after it once more at once, 0.7 ms before it learnt of the end under the first two. Cause: the client's. Change: it waits for that end before it looks what has crossed it. The check is as it was.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -133,6 +133,7 @@
     def _send(self, connection, request):
         request.sent_at = self.ledger.clock()
         request.process = self.sidecar.process.number
+        request.follows = connection.out[-1] if connection.out else None
         if len(connection.out) >= READ_AHEAD:
             request.released_by = connection.out[-READ_AHEAD]
         request.due_after = max((one.due_after for one in connection.out), default=0.0)
@@ -175,6 +176,8 @@
             if left <= 0:
                 return
             await connection.news(left)
+        while not connection.open and connection.ended_at is None:  # a write has failed: its end comes next
+            await connection.news(CONNECTS_WITHIN)
         crossed = [one for one in requests if not one.answers and one.closed_at is not None]
         for request in crossed if connection.answered or self.plan.habit != Habit.LEAVES else ():
             await self._send_again(request)
