Soak: an answer is due no sooner than those of the requests before it

Cause: the check's. It counted from the moment of reading for the request itself, not for those before it, whose answers come first. Change: `answer_due` is the latest of them; what an attempt may be told (`due`) is as strict as it was.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -9,7 +9,7 @@
 
 from tests.soak import campaign, orders
 from tests.soak.checks import Checks
-from tests.soak.ledger import Ledger
+from tests.soak.ledger import Ledger, Request
 from tests.soak.plan import CROWD_EACH, Early, Ending, Feature, Habit, Trouble, drawn
 
 SEEDS = (1, 2, 4, 5, 6)
@@ -64,6 +64,20 @@
             [bool(plan.crowd) for plan in plans], [seed % CROWD_EACH == 0 for seed in range(1, 51)]
         )
 
+    def test_an_answer_is_due_no_sooner_than_those_before_it_and_no_later(self):
+        """Two are read only once an earlier one has its answer; the last of them has less time than the one before."""
+
+        def sent(deadline, **more):
+            return Request("r", 0, "read", "k", "", deadline, 0.0, 0, due_after=3.0, **more)
+
+        first = sent(3.0, answers=[(1.5, b"$1\r\na\r\n")])
+        long = sent(3.0, follows=first, released_by=first)
+        short = sent(0.3, follows=long, released_by=first)
+        self.assertEqual([one.due() for one in (first, long, short)], [3.0, 4.5, 3.0])
+        self.assertEqual([one.answer_due() for one in (first, long, short)], [3.0, 4.5, 4.5])
+        first.answers = []
+        self.assertEqual(short.answer_due(), float("inf"))
+
     def test_a_play_in_which_nothing_was_seen_breaks_nothing(self):
         self.assertEqual(Checks(drawn(1), Ledger(lambda: 0.0)).run(), [])
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,7 @@
         refused: its connection was refused, or it could not be sent.
         again: it was sent once more after a close that it had crossed.
         due_after: the end of those before it on its connection.
+        follows: the request before it on its connection that was not answered as it was sent.
         released_by: the request before it with whose answer its connection is read on; None where it always is.
     """
 
@@ -35,6 +36,7 @@
     refused: bool = False
     again: bool = False
     due_after: float = 0.0
+    follows: "Request | None" = None
     released_by: "Request | None" = None
 
     def due(self):
@@ -46,6 +48,10 @@
             return float("inf")
         return max(self.due_after, self.released_by.answers[0][0] + self.deadline)
 
+    def answer_due(self):
+        """When its answer is due. Answers come in the order of the requests: not before those of the ones before it."""
+        return max(self.due(), self.follows.answer_due() if self.follows else 0.0)
+
 
 @dataclass
 class Attempt:
