Soak: a second copy that the stand-in is late with is left out

Trace: the stand-in, due to answer twice 5 ms apart, wrote the second copy 13.3 ms after the first. Change: a copy that would be written over 8 ms late is left out, and a report tells how late the copy was. The check is as it was.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -102,7 +102,8 @@
         if answer.startswith(b"$"):
             value = answer.split(b"\r\n")[1].decode()
             if value.split(":")[0] != request.name:
-                self.broke("answers", f"answered with {value}", request.name)
+                text = f"answered with {value}, {self._copy_of(value)}"
+                self.broke("answers", text, request.name)
             good = [
                 one
                 for one in self.by_request.get(request.name, ())
@@ -121,6 +122,14 @@
         elif not answer.startswith(b"-ERR"):
             self.broke("answers", f"answered with {answer[:60]!r}", request.name)
 
+    def _copy_of(self, value):
+        """Tells how long after its answer a second copy of this value was written."""
+        name, pod, _ = value.split(":")
+        for attempt in self.by_request.get(name, ()):
+            if attempt.pod == pod and attempt.copied_at is not None:
+                return f"copied {1000 * (attempt.copied_at - attempt.answered_at):.1f} ms later"
+        return "never copied"
+
     # No effect twice, and nothing for a client that has gone.
 
     def _repeats(self, request):
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -62,6 +62,7 @@
         whole_at: its last byte.
         outcome: how the endpoint answered; "held" where it never did.
         life: number of the endpoint's process.
+        copied_at: when a second copy of the answer had been written.
     """
 
     pod: str
@@ -77,6 +78,7 @@
     connected_at: float
     outcome: str = "held"
     answered_at: float | None = None
+    copied_at: float | None = None
 
 
 @dataclass
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -14,6 +14,7 @@
 
 RESET = struct.pack("ii", 1, 0)
 SECOND_COPY_AFTER = 0.005  # seconds
+SECOND_COPY_LATEST = 0.008  # seconds: "some milliseconds late"; one that this process is late with is left out
 STALL_LASTS = 0.7  # seconds
 SIGN_EVERY = 0.5  # seconds between two signs of life of a stream
 
@@ -186,7 +187,13 @@
             connection.write(good)
             if outcome == "twice":
                 loop = asyncio.get_running_loop()
-                loop.call_later(SECOND_COPY_AFTER, connection.write, good)
+                loop.call_later(SECOND_COPY_AFTER, self._answer_again, connection, attempt, good)
+
+    def _answer_again(self, connection, attempt, good):
+        if self.clock() > attempt.answered_at + SECOND_COPY_LATEST:
+            return
+        connection.write(good)
+        attempt.copied_at = self.clock()
 
 
 class HttpStandIn:
