--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -176,7 +176,9 @@
             if left <= 0:
                 return
             await connection.news(left)
-        while not connection.open and connection.ended_at is None:  # a write has failed: its end comes next
+        while (
+            not connection.open and connection.ended_at is None
+        ):  # a write has failed: its end comes next
             await connection.news(CONNECTS_WITHIN)
         crossed = [one for one in requests if not one.answers and one.closed_at is not None]
         for request in crossed if connection.answered or self.plan.habit != Habit.LEAVES else ():
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -14,7 +14,9 @@
 
 RESET = struct.pack("ii", 1, 0)
 SECOND_COPY_AFTER = 0.005  # seconds
-SECOND_COPY_LATEST = 0.008  # seconds: "some milliseconds late"; one that this process is late with is left out
+SECOND_COPY_LATEST = (
+    0.008  # seconds: "some milliseconds late"; one that this process is late with is left out
+)
 STALL_LASTS = 0.7  # seconds
 SIGN_EVERY = 0.5  # seconds between two signs of life of a stream
 
