Endpoints: a failure rate that no outcome has touched for 30 s is halved

Cause: failures were forgotten by outcomes alone, and by time only where no connection came up; at 0.9 a pod costs 8.2 times the others, and without an attempt it has no outcome.

Change: each 30 s without an outcome halve the rate.

--- a/thymeknot/policy/endpoint_selection.py
+++ b/thymeknot/policy/endpoint_selection.py
@@ -18,7 +18,8 @@
 EXCHANGE_TIME = 4 * TICKS_PER_SECOND  # after which the dearest endpoint of a subset is exchanged
 EJECTION_SHORTEST = TICKS_PER_SECOND // 2  # after a connection failed; doubled with each more
 EJECTION_LONGEST = 4 * TICKS_PER_SECOND
-FAILURES_KEPT = 0.5  # of an ejected endpoint's failure rate, at each exchange
+FAILURES_KEPT = 0.5  # of a failure rate that is forgotten
+FAILURES_LAST = 30 * TICKS_PER_SECOND  # without an attempt that ended; then they are forgotten
 FAILURE_GAIN = 0.1  # of the moving mean of an endpoint's failures
 LOSS_GAIN = 0.05  # of the moving mean of attempts lost on the way
 LOSS_EXPONENT = 4  # the subset shrinks by this power of what is not lost
@@ -107,13 +108,25 @@
             for newest in context.subsets:
                 dearest = sorted(context.subsets[newest], key=self.cost)[-1:]
                 self.draw_subset(newest, dearest)
-            # Else one that failed is not used again while others stand idle.
-            for known in context.endpoints.values():
-                known.failure_rate *= FAILURES_KEPT if known.ejection_time else 1.0
+            self._forget_failures()
         if context.settings.lists_polled and context.now >= self.poll_at:
             self.poll_at = context.now + context.settings.poll_within // 2
             context.actions.append(SubscribeToEndpoints(True))
 
+    def _forget_failures(self) -> None:
+        """Halves failure rates that no outcome corrects.
+
+        An endpoint that failed costs several times what the others cost, so it gets no attempt
+        while others stand idle, and would never be found to be well again.
+        """
+        now = self.context.now
+        for known in self.context.endpoints.values():
+            is_stale = now - known.judged_at >= FAILURES_LAST
+            if is_stale or known.ejection_time:
+                known.failure_rate *= FAILURES_KEPT
+            if is_stale:
+                known.judged_at = now
+
     def choose(self, request: RequestState, newest: bool) -> EndpointState | None:
         """The endpoint of a build for the next attempt; None if none will do.
 
@@ -187,6 +200,7 @@
     def count_end(self, known: EndpointState, outcome: Outcome) -> None:
         """Takes in whether an attempt failed, and ejects what can't be connected to."""
         known.failure_rate += FAILURE_GAIN * ((outcome != Outcome.DONE) - known.failure_rate)
+        known.judged_at = self.context.now
         lost = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
         self.connection_loss += LOSS_GAIN * (lost - self.connection_loss)
         if outcome == Outcome.CONNECT_FAILED:
