Endpoints: how slow a pod is, is forgotten, too, while it gets no attempt

Cause: only its own responses change how slow a pod is taken to be, and one that costs four times the others gets none while they stand idle.

Change: 30 s without an outcome halve what its latency is off the usual.

--- a/tests/unit/policy/test_endpoint_selection.py
+++ b/tests/unit/policy/test_endpoint_selection.py
@@ -34,3 +34,16 @@
             chosen.add(address)
             made.handle(now + 1, [ended(str(second), Outcome.DONE, address, closed=True)])
         self.assertEqual(chosen, {"a", "b"})
+
+    def test_a_pod_that_was_slow_is_tried_again_while_others_stand_idle(self):
+        """The same with response times: a pod once found four times as slow as usual costs four times what the others
+        cost, and only a response of its own would tell that it is as quick as they are by now."""
+        made = balancer(pod("a"), pod("b"), instances=1)
+        made.context.endpoints["a"].relative_latency = 4.0
+        chosen = set()
+        for second in range(600):
+            now = NOW + second * TICKS_PER_SECOND
+            (address,) = sent(made.handle(now, [taken(str(second)), TimerFired(UPKEEP_TOKEN)]))
+            chosen.add(address)
+            made.handle(now + 1, [ended(str(second), Outcome.DONE, address, closed=True)])
+        self.assertEqual(chosen, {"a", "b"})
--- a/thymeknot/policy/endpoint_selection.py
+++ b/thymeknot/policy/endpoint_selection.py
@@ -19,7 +19,8 @@
 EJECTION_SHORTEST = TICKS_PER_SECOND // 2  # after a connection failed; doubled with each more
 EJECTION_LONGEST = 4 * TICKS_PER_SECOND
 FAILURES_KEPT = 0.5  # of a failure rate that is forgotten
-FAILURES_LAST = 30 * TICKS_PER_SECOND  # without an attempt that ended; then they are forgotten
+LATENCY_KEPT = 0.5  # of what an endpoint's latency is off the usual, where it is forgotten
+JUDGEMENT_LASTS = 30 * TICKS_PER_SECOND  # without an attempt that ended; then it is forgotten
 FAILURE_GAIN = 0.1  # of the moving mean of an endpoint's failures
 LOSS_GAIN = 0.05  # of the moving mean of attempts lost on the way
 LOSS_EXPONENT = 4  # the subset shrinks by this power of what is not lost
@@ -108,23 +109,24 @@
             for newest in context.subsets:
                 dearest = sorted(context.subsets[newest], key=self.cost)[-1:]
                 self.draw_subset(newest, dearest)
-            self._forget_failures()
+            self._forget()
         if context.settings.lists_polled and context.now >= self.poll_at:
             self.poll_at = context.now + context.settings.poll_within // 2
             context.actions.append(SubscribeToEndpoints(True))
 
-    def _forget_failures(self) -> None:
-        """Halves failure rates that no outcome corrects.
+    def _forget(self) -> None:
+        """Halves what no outcome corrects: failure rates, and how much slower than usual it was.
 
-        An endpoint that failed costs several times what the others cost, so it gets no attempt
-        while others stand idle, and would never be found to be well again.
+        An endpoint that costs several times what the others cost gets no attempt while others
+        stand idle, and would never be found to be well again.
         """
         now = self.context.now
         for known in self.context.endpoints.values():
-            is_stale = now - known.judged_at >= FAILURES_LAST
+            is_stale = now - known.judged_at >= JUDGEMENT_LASTS
             if is_stale or known.ejection_time:
                 known.failure_rate *= FAILURES_KEPT
             if is_stale:
+                known.relative_latency += (1 - LATENCY_KEPT) * (1 - known.relative_latency)
                 known.judged_at = now
 
     def choose(self, request: RequestState, newest: bool) -> EndpointState | None:
--- a/thymeknot/state/endpoint_state.py
+++ b/thymeknot/state/endpoint_state.py
@@ -20,7 +20,7 @@
         in_flight: attempts of this instance that have not ended.
         relative_latency: a moving mean of the response time, in times of its request class's mean.
         failure_rate: a moving mean of the attempts that failed.
-        judged_at: when an outcome, or the lack of any, changed that last.
+        judged_at: when an outcome came, or the lack of any was counted, last.
         load: the utilisation that it reported last.
         recent_attempts: attempts of this instance in the overload window.
         last_response_at: when it last responded well.
