--- a/Makefile
+++ b/Makefile
@@ -40,19 +40,7 @@
 	thymeknot/proxy \
 	thymeknot/raft \
 	thymeknot/service \
-	thymeknot/simulation/baseline_policies.py \
-	thymeknot/simulation/calibration.py \
-	thymeknot/simulation/earlier_versions.py \
-	thymeknot/simulation/experiments.py \
-	thymeknot/simulation/invariants.py \
-	thymeknot/simulation/large_fleet_scenarios.py \
-	thymeknot/simulation/random_streams.py \
-	thymeknot/simulation/recording.py \
-	thymeknot/simulation/report.py \
-	thymeknot/simulation/scenarios.py \
-	thymeknot/simulation/servers.py \
-	thymeknot/simulation/shared_services.py \
-	thymeknot/simulation/statistics.py \
+	thymeknot/simulation \
 	thymeknot/simulator_wire \
 	thymeknot/state
 
--- a/tests/unit/cli/test_reports.py
+++ b/tests/unit/cli/test_reports.py
@@ -119,8 +119,11 @@
             RecordingSimulator(day, current_engine).play(),
         )
         self.assertEqual(plain.figures(), watched.figures())
-        self.assertEqual(sum(watched.how["done"]), plain.ends["done"])
-        self.assertEqual(sum(sum(one) for one in watched.sent.values()), sum(plain.by_pod.values()))
+        self.assertEqual(sum(watched.how["done"]), plain.results.answers["done"])
+        self.assertEqual(
+            sum(sum(one) for one in watched.sent.values()),
+            sum(plain.results.attempts_by_pod.values()),
+        )
 
     def test_a_page_has_a_picture_for_each_policy_and_its_figures(self):
         day, _ = large_fleet_scenarios.drawn(3, "zone", **SMALL)
--- a/tests/unit/policy/test_load_shedding.py
+++ b/tests/unit/policy/test_load_shedding.py
@@ -242,14 +242,14 @@
         (now, _), (before, _) = (
             self.played("calm", one, good=False) for one in (current_engine, was)
         )
-        self.assertLess(now.needless()[1], 0.05)
-        self.assertGreater(before.needless()[1], 2 * now.needless()[1])
+        self.assertLess(now.results.needless()[1], 0.05)
+        self.assertGreater(before.results.needless()[1], 2 * now.results.needless()[1])
         (now, end), (before, _) = (
             self.played("overload", one, good=False) for one in (current_engine, was)
         )
-        self.assertGreater(now.needless(8, 14)[0], 0.1)
-        self.assertGreater(now.service(), before.service() - 0.05)
-        self.assertLessEqual(now.recovered(end), 5)
+        self.assertGreater(now.results.needless(8, 14)[0], 0.1)
+        self.assertGreater(now.results.service(), before.results.service() - 0.05)
+        self.assertLessEqual(now.results.recovered(end), 5)
 
     def test_seven_in_ten_restart_at_once_and_a_good_build_moves_on(self):
         now, _ = self.played("herd", good=True, seconds=25)
@@ -257,9 +257,9 @@
         self.assertEqual([len(one.what) for one in killed], [21])
         self.assertNotIn(now.news[2], (ReleasePhase.ROLLING_BACK, ReleasePhase.WITHDRAWN))
         self.assertGreaterEqual(now.news[1], 2)
-        self.assertTrue(0 < now.scores["behind"] < now.scores["asked"])
-        self.assertLess(now.needless()[1], 0.1)
-        accepted = now.votes_asked["asked"] - now.votes_asked["full"]
+        self.assertTrue(0 < now.results.behind < now.results.asked)
+        self.assertLess(now.results.needless()[1], 0.1)
+        accepted = now.results.votes_asked["asked"] - now.results.votes_asked["full"]
         self.assertLessEqual(
             accepted, now.day.terms.votes_per_second * (2 + now.now / TICKS_PER_SECOND) + 1
         )
@@ -274,5 +274,5 @@
 
     def test_a_zone_that_is_lost_does_not_shut_the_rest(self):
         now, _ = self.played("zone", good=False)
-        self.assertLess(now.needless()[1], 0.2)
-        self.assertGreater(now.service(), 0.7)
+        self.assertLess(now.results.needless()[1], 0.2)
+        self.assertGreater(now.results.service(), 0.7)
--- a/tests/unit/simulation/test_hard_cases.py
+++ b/tests/unit/simulation/test_hard_cases.py
@@ -63,7 +63,8 @@
                 figures = vast_figures(fleet)
                 self.assertEqual(fleet.checker.rules_broken(), [], fleet.checker.broken[:3])
                 self.assertEqual(
-                    (fleet.released, fleet.sent_back), (released, [] if released else [2])
+                    (fleet.results.released, fleet.results.sent_back),
+                    (released, [] if released else [2]),
                 )
                 self.assertGreater(figures["service"], service)
                 self.assertLessEqual(figures["behind"], behind)
@@ -75,8 +76,8 @@
                     self.assertGreater(fleet.connections.refused, 0)
                     self.assertLessEqual(max(fleet.connections.held.values()), 10)
                 if faults == (ILL,):  # beside the others of its build until that is released
-                    others = [fleet.by_pod[f"p{at}-1"] for at in range(1, 15)]
-                    self.assertLess(fleet.by_pod["p0-1"], 0.6 * sum(others) / 14)
+                    others = [fleet.results.attempts_by_pod[f"p{at}-1"] for at in range(1, 15)]
+                    self.assertLess(fleet.results.attempts_by_pod["p0-1"], 0.6 * sum(others) / 14)
 
     def test_the_same_seed_gives_the_same_result(self):
         for kind in VAST:
--- a/tests/unit/simulation/test_platform_counts.py
+++ b/tests/unit/simulation/test_platform_counts.py
@@ -71,9 +71,9 @@
     def test_a_good_build_is_released_and_the_earlier_machines_leave_later(self):
         day, _ = mass(5, **SIZE, seconds=32, good=True)
         fleet = Simulator(day._replace(offers=day.offers[:1]), current_engine).play()
-        self.assertEqual(fleet.released, [2])
+        self.assertEqual(fleet.results.released, [2])
         self.assertEqual(fleet.checker.rules_broken(), [], fleet.checker.broken[:3])
-        stages = [at for at, _, what in fleet.course if what in ("stage", "released")]
+        stages = [at for at, _, what in fleet.results.course if what in ("stage", "released")]
         self.assertTrue(
             all(later - at >= 3.25 * TICKS_PER_SECOND for at, later in zip(stages, stages[1:])),
             stages,
--- a/tests/unit/simulation/test_simulation.py
+++ b/tests/unit/simulation/test_simulation.py
@@ -47,7 +47,7 @@
         asked = {
             name: Simulator(scenarios.drawn(5, **SMALL)._replace(retries=0, faults=()), policy)
             .play()
-            .scores["asked"]
+            .results.asked
             for name, policy in TEXTBOOK.items()
         }
         self.assertEqual(len(set(asked.values())), 1)
@@ -66,11 +66,11 @@
         class Forgets(Simulator):
             forgot = False
 
-            def _tell(self, instance, event):
+            def tell(self, instance, event):
                 if isinstance(event, AttemptEnded) and self.now > 10 * SECOND and not self.forgot:
                     self.forgot = True
                 else:
-                    super()._tell(instance, event)
+                    super().tell(instance, event)
 
         drawn = scenarios.drawn(5, **SMALL)._replace(faults=())  # no instance starts anew
         day = Forgets(drawn, current_engine).play()
--- a/thymeknot/simulation/experiments.py
+++ b/thymeknot/simulation/experiments.py
@@ -82,14 +82,14 @@
     day, (_, end) = large_fleet_scenarios.of_kind(seed, kind, **size)
     fleet = Simulator(day, policy(name)).play()
     offer = day.offers[0]
-    turned_away, needless = fleet.needless()
+    turned_away, needless = fleet.results.needless()
     if kind in large_fleet_scenarios.VAST:
         return {
             "policy": name,
             "kind": kind,
             "seed": seed,
             "turned_away": turned_away,
-            "recover_s": fleet.recovered(end),
+            "recover_s": fleet.results.recovered(end),
             **vast_figures(fleet),
         }
     if kind in large_fleet_scenarios.MASS:
@@ -98,28 +98,28 @@
             "kind": kind,
             "seed": seed,
             "turned_away": turned_away,
-            "recover_s": fleet.recovered(end),
+            "recover_s": fleet.results.recovered(end),
             **mass_figures(fleet),
         }
-    back = fleet.news[2] in (ReleasePhase.ROLLING_BACK, ReleasePhase.WITHDRAWN)
+    back = fleet.platform.state.phase in (ReleasePhase.ROLLING_BACK, ReleasePhase.WITHDRAWN)
     return {
         "policy": name,
         "kind": kind,
         "seed": seed,
         "good": offer.good,
-        "worth": fleet.worth(),
-        "service": fleet.service(),
-        "worst_10s": fleet.worst(),
+        "worth": fleet.results.worth(),
+        "service": fleet.results.service(),
+        "worst_10s": fleet.results.worst(),
         "turned_away": turned_away,
         "needless": needless,
-        "behind": fleet.scores["behind"] / max(LEAST_ASKED, fleet.scores["asked"]),
-        "recover_s": fleet.recovered(end),
+        "behind": fleet.results.behind / max(LEAST_ASKED, fleet.results.asked),
+        "recover_s": fleet.results.recovered(end),
         "good_back": offer.good and back,
-        "bad_released": not offer.good and bool(fleet.released),
+        "bad_released": not offer.good and bool(fleet.results.released),
         "bad_kept": not offer.good
-        and fleet.news[2] == ReleasePhase.RELEASED
-        and fleet.news[0] == offer.build,
-        "votes": fleet.votes_asked,
+        and fleet.platform.state.phase == ReleasePhase.RELEASED
+        and fleet.platform.state.build == offer.build,
+        "votes": fleet.results.votes_asked,
         "rules_broken": fleet.checker.rules_broken(),
         "breaches": [list(one) for one in fleet.checker.broken[:MAX_BREACHES]],
     }
@@ -145,28 +145,28 @@
     All are shares, but for lists_per_instance (calls in all) and cold_overrun (the most that a
     server that warms up was sent, over what overloads it).
     """
-    asked = max(LEAST_ASKED, fleet.scores["asked"])
+    asked = max(LEAST_ASKED, fleet.results.asked)
     good = [one.build for one in fleet.day.offers if one.good]
     bad = [one.build for one in fleet.day.offers if not one.good]
-    votes = fleet.votes_asked
+    votes = fleet.results.votes_asked
     return {
-        "worth": fleet.worth(),
-        "service": fleet.service(),
-        "worst_10s": fleet.worst(),
-        "needless_share": fleet.needless()[1],
-        "behind": fleet.scores["behind"] / asked,
-        "harm": fleet.scores["harm"] / asked,
-        "handshakes_per_transaction": fleet.connections.made / max(1, fleet.dispatched),
+        "worth": fleet.results.worth(),
+        "service": fleet.results.service(),
+        "worst_10s": fleet.results.worst(),
+        "needless_share": fleet.results.needless()[1],
+        "behind": fleet.results.behind / asked,
+        "harm": fleet.results.harm / asked,
+        "handshakes_per_transaction": fleet.connections.made / max(1, fleet.results.dispatched),
         "lists_per_instance": fleet.discovery.calls / fleet.day.instances
         if fleet.discovery
         else 0.0,
         "calls_refused_share": votes["full"] / max(1, votes["asked"]),
         "cold_overrun": fleet.checker.overrun,
-        "good_back": sum(build in fleet.sent_back for build in good),
+        "good_back": sum(build in fleet.results.sent_back for build in good),
         "good": len(good),
         "bad": len(bad),
-        "bad_released": sum(build in fleet.released for build in bad),
-        "good_released": sum(build in fleet.released for build in good),
+        "bad_released": sum(build in fleet.results.released for build in bad),
+        "good_released": sum(build in fleet.results.released for build in good),
         "rules_broken": fleet.checker.rules_broken(),
         "breaches": [list(one) for one in fleet.checker.broken[:MAX_BREACHES]],
     }
@@ -208,8 +208,8 @@
     figures = vast_figures(fleet)
     ends = [*(one.at for one in day.offers[1:]), day.span]
     spent = {
-        one.build: fleet.spent(
-            one.build, day.span if one.build in fleet.released and not one.good else end
+        one.build: fleet.results.spent(
+            one.build, day.span if one.build in fleet.results.released and not one.good else end
         )
         for one, end in zip(day.offers, ends)
     }
@@ -431,8 +431,8 @@
     for fault in list(kept):
         fewer = day._replace(faults=tuple(one for one in kept if one is not fault))
         rest = (
-            Simulator(fewer, policy(name)).play().service()
-            - Simulator(fewer, policy(against)).play().service()
+            Simulator(fewer, policy(name)).play().results.service()
+            - Simulator(fewer, policy(against)).play().results.service()
         )
         if rest <= gap + abs(gap) * 0.1:
             kept.remove(fault)
--- a/thymeknot/simulation/recording.py
+++ b/thymeknot/simulation/recording.py
@@ -8,6 +8,7 @@
 from ..interface.actions import CastVote, SendAttempt
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 from ..interface.enums import ReleasePhase, Verdict
+from .invariants import Answer
 from .scenarios import Day
 from .servers import PodState
 from .simulator import Simulator
@@ -51,7 +52,7 @@
         size = day.span // PERIOD + SPARE_PERIODS
         self.names = sorted({1, *(offer.build for offer in day.offers)})
         self.sent = {build: np.zeros(size) for build in self.names}
-        self.how = {how: np.zeros(size) for how in ("done", "deferred", "abandoned")}
+        self.how = {answer: np.zeros(size) for answer in Answer}
         self.cast = {verdict: np.zeros(size) for verdict in Verdict}
         self.took: list[list[float]] = [[] for _ in range(size)]
         self.looks: list[Look] = []
@@ -66,8 +67,8 @@
         return min(self.now // PERIOD, len(self.took) - 1)
 
     def _look(self) -> None:
-        build, stage, phase, cap = self.news
-        running = [pod.build.number for pod in self.pods.values() if pod.state == PodState.UP]
+        build, stage, phase, cap = self.platform.state
+        running = [pod.build.number for pod in self.servers.up(lambda _: True)]
         counts = {name: running.count(name) for name in self.names}
         self.looks.append(Look(self.now / TICKS_PER_SECOND, build, stage, phase, cap, counts))
         self.load.append(self._waiting_work())
@@ -76,7 +77,7 @@
 
     def _waiting_work(self) -> NDArray[np.float64]:
         by_place = np.zeros(self.day.pods)
-        for pod in self.pods.values():
+        for pod in self.servers.pods.values():
             if pod.state == PodState.UP:
                 place = int(pod.name[1:].split("-")[0])
                 by_place[place] = max(
@@ -84,25 +85,25 @@
                 )
         return by_place
 
-    def _deliver(self, instance: int, turn: int, action: SendAttempt) -> None:
-        pod = self.pods.get(action.endpoint)
+    def _send(self, instance: int, life: int, action: SendAttempt) -> None:
+        pod = self.servers.pods.get(action.endpoint)
         if pod:
             self.sent[pod.build.number][self._period()] += 1
-        super()._deliver(instance, turn, action)
+        super()._send(instance, life, action)
 
-    def _answered(self, instance: int, name: str, how: str, wait: Ticks) -> None:
-        held = self.transactions.get((instance, name))
+    def _answer(self, instance: int, name: str, answer: Answer, wait: Ticks) -> None:
+        held = self.requests.get((instance, name))
         if held is not None:
-            self.how[how][self._period()] += 1
-            if how == "done":
+            self.how[answer][self._period()] += 1
+            if answer == Answer.DONE:
                 self.took[self._period()].append(
                     (self.now - held.first) / self.lanes[held.lane].lane.latency_objective
                 )
-        super()._answered(instance, name, how, wait)
+        super()._answer(instance, name, answer, wait)
 
-    def _vote(self, instance: int, turn: int, vote: CastVote) -> None:
+    def _vote(self, instance: int, life: int, vote: CastVote) -> None:
         self.cast[vote.verdict][self._period()] += 1
-        super()._vote(instance, turn, vote)
+        super()._vote(instance, life, vote)
 
     def late(self, share: float = 0.95) -> NDArray[np.float64]:
         """The time that this share of the answers of each period stayed under.
--- a/thymeknot/simulation/report.py
+++ b/thymeknot/simulation/report.py
@@ -16,6 +16,7 @@
 
 from ..interface.clock import TICKS_PER_SECOND
 from ..interface.enums import ReleasePhase, Verdict
+from .invariants import Answer
 from .recording import PERIOD, RecordingSimulator
 from .scenarios import Day
 
@@ -107,7 +108,12 @@
 
 def _draw_answers(axis: Any, fleet: RecordingSimulator, times: list[float]) -> None:
     for how, colour in COLOURS.items():
-        axis.plot(times, fleet.how[how][: len(times)] * PERIODS_PER_SECOND, label=how, color=colour)
+        axis.plot(
+            times,
+            fleet.how[Answer(how)][: len(times)] * PERIODS_PER_SECOND,
+            label=how,
+            color=colour,
+        )
     axis.set_ylabel("answers a second")
 
 
@@ -171,13 +177,13 @@
 
 
 def _figures(fleet: RecordingSimulator) -> dict[str, Any]:
-    turned_away, needless = fleet.needless()
+    turned_away, needless = fleet.results.needless()
     return {
         **fleet.figures(),
         "turned_away": round(turned_away, 4),
         "needless": round(needless, 4),
-        "worth": round(fleet.worth(), 4),
-        "votes": fleet.votes_asked,
+        "worth": round(fleet.results.worth(), 4),
+        "votes": fleet.results.votes_asked,
     }
 
 
--- /dev/null
+++ b/thymeknot/simulation/server_fleet.py
@@ -0,0 +1,219 @@
+"""The servers of a simulated day: which run, and the endpoint lists that tell of them."""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import TYPE_CHECKING, TypeAlias
+
+from ..interface.clock import Ticks
+from ..interface.enums import EndpointCondition, UpdateKind
+from ..interface.events import Endpoint, EndpointUpdate
+from .invariants import Listed
+from .servers import Build, Pod, PodState
+from .simulated_requests import SimulatedAttempt
+
+if TYPE_CHECKING:
+    from .simulator import Simulator
+
+LISTED_WEIGHT = 1.0
+LISTED_KIND = "m"
+FIRST_BUILD = 1
+
+Server: TypeAlias = Pod[SimulatedAttempt]
+
+
+def place_of(name: str) -> int:
+    """Returns the place of a server: addresses are p, the place, a dash, and what started it."""
+    return int(name[1:].split("-", maxsplit=1)[0])
+
+
+class ServerFleet:
+    """The servers, in the order of their starts.
+
+    Attributes:
+        world: The day that is played.
+        pods: Those that are not gone, by address.
+        former: Those that are gone, by address.
+        failing: The share of attempts that servers fail besides their builds' faults, by address.
+        lost_zones: Zones in which nothing starts.
+        list_delay: By how much lists come later than usual.
+    """
+
+    def __init__(self, world: "Simulator", first: Build) -> None:
+        """Starts the day's first servers.
+
+        Args:
+            world: The day that is played.
+            first: The build that they run.
+        """
+        self.world = world
+        self.pods: dict[str, Server] = {}
+        self.former: dict[str, Server] = {}
+        self.failing: dict[str, float] = {}
+        self.lost_zones: set[str] = set()
+        self.list_delay: Ticks = 0
+        self._changes: dict[str, Endpoint] = {}  # not told yet, by address
+        day = world.day
+        for place, speed in enumerate(day.speeds):
+            name = f"p{place}-{FIRST_BUILD}"
+            self.pods[name] = Pod(
+                name,
+                self.zone_of(place),
+                cores=day.cores,
+                speed=speed,
+                queue_most=day.queue,
+                build=first,
+                started=0,
+            )
+
+    def zone_of(self, place: int) -> str:
+        """Returns the zone of a place."""
+        zones = self.world.day.zones
+        return zones[place % 3]
+
+    def start(self, name: str, place: int, build: Build) -> None:
+        """Starts a cold server and lists it."""
+        day = self.world.day
+        self._add(
+            Pod(
+                name,
+                self.zone_of(place),
+                cores=day.cores,
+                speed=day.speeds[place],
+                queue_most=day.queue,
+                build=build,
+                started=self.world.now,
+                cold=day.cold,
+                cold_from=day.cold_from,
+            )
+        )
+
+    def _add(self, pod: Server) -> None:
+        self.pods[pod.name] = pod
+        self.tell(self.entry(pod))
+
+    def up(self, wanted: Callable[[Server], bool]) -> list[Server]:
+        """Returns the servers that run, do not drain and are wanted."""
+        return [pod for pod in self.pods.values() if pod.state == PodState.UP and wanted(pod)]
+
+    def drain(self, wanted: Callable[[Server], bool]) -> None:
+        """Begins to drain servers; they are gone a while later."""
+        world = self.world
+        leaving = self.up(wanted)
+        for pod in leaving:
+            pod.state = PodState.DRAINING
+            world.at(world.now + world.day.gone_after, self._gone, pod)
+        if leaving:
+            self.tell(*(self.entry(pod) for pod in leaving))
+
+    def _gone(self, pod: Server) -> None:
+        pod.state = PodState.DOWN
+        self._drop_connections(pod.name)
+        self.former[pod.name] = self.pods.pop(pod.name, pod)
+        self.tell(self.entry(pod, EndpointCondition.GONE))
+
+    def lose_zone(self, zone: str) -> None:
+        """All that runs in a zone says nothing from now on."""
+        self.lost_zones.add(zone)
+        for pod in self.up(lambda pod: pod.zone == zone):
+            pod.silent = True
+
+    def restore_zone(self, zone: str) -> None:
+        """All that ran in a zone starts again, cold, at the same places."""
+        self.lost_zones.discard(zone)
+        day = self.world.day
+        for pod in self.up(lambda pod: pod.zone == zone):
+            pod.silent = False
+            fresh: Server = Pod(
+                pod.name,
+                pod.zone,
+                cores=pod.cores,
+                speed=pod.speed,
+                queue_most=pod.queue_most,
+                build=pod.build,
+                started=self.world.now,
+                cold=day.cold,
+                cold_from=day.cold_from,
+            )
+            pod.state = PodState.DOWN
+            self._drop_connections(pod.name)
+            self._add(fresh)
+
+    def _drop_connections(self, name: str) -> None:
+        self.world.connections.drop(lambda line: line[2] == name)
+
+    # Lists.
+
+    def entry(self, pod: Server, condition: EndpointCondition | None = None) -> Endpoint:
+        """Returns a server as it is listed.
+
+        Args:
+            pod: The server.
+            condition: Its condition; None for what its state says.
+        """
+        if condition is None:
+            is_up = pod.state == PodState.UP
+            condition = EndpointCondition.READY if is_up else EndpointCondition.DRAINING
+        return Endpoint(
+            pod.name,
+            pod.zone,
+            LISTED_WEIGHT,
+            0,
+            condition,
+            pod.started,
+            LISTED_KIND,
+            pod.build.number,
+        )
+
+    def entries(self) -> tuple[Endpoint, ...]:
+        """Returns the complete list."""
+        listed = (PodState.UP, PodState.DRAINING)
+        return tuple(self.entry(pod) for pod in self.pods.values() if pod.state in listed)
+
+    def tell(self, *entries: Endpoint) -> None:
+        """Tells of changes, at once or with all others of the moment."""
+        world = self.world
+        if not world.day.list_every:
+            self._send(entries)
+            return
+        if not self._changes:
+            world.at(world.now + world.day.list_every, self._send_changes)
+        self._changes.update((entry.address, entry) for entry in entries)
+
+    def _send_changes(self) -> None:
+        self._send(tuple(self._changes.values()))
+        self._changes = {}
+
+    def _send(self, entries: Sequence[Endpoint]) -> None:
+        """Changes reach each instance a while later."""
+        world = self.world
+        for instance in range(world.day.instances):
+            lag = world.day.list_lag * (0.5 + world.misc.random()) + self.list_delay
+            world.at(world.now + int(lag), self._told, instance, entries)
+
+    def _told(self, instance: int, entries: Sequence[Endpoint]) -> None:
+        world = self.world
+        if not world.runs(instance) or not world.has_watch(instance):
+            return
+        told = tuple(
+            entry
+            for entry in entries
+            if entry.condition != EndpointCondition.READY or entry.address in self.pods
+        )
+        self.note_told(instance, told)
+        world.tell(instance, EndpointUpdate(UpdateKind.DELTA, told))
+
+    def note_told(self, instance: int, entries: Iterable[Endpoint]) -> None:
+        """Has the checker know what an instance is told."""
+        checker = self.world.checker
+        for entry in entries:
+            is_ready = entry.condition == EndpointCondition.READY
+            listed = Listed.READY if is_ready else Listed.GONE
+            checker.listed(self.world.now, instance, entry.address, listed)
+            checker.started(instance, entry.address, entry.started)
+
+    def note_known(self, instance: int) -> None:
+        """Has the checker know what an instance that starts is given."""
+        checker = self.world.checker
+        for pod in self.pods.values():
+            checker.started(instance, pod.name, pod.started)
+            if pod.state == PodState.DRAINING:
+                checker.listed(self.world.now, instance, pod.name, Listed.DRAINING)
