--- a/tests/unit/policy/test_load_shedding.py
+++ b/tests/unit/policy/test_load_shedding.py
@@ -255,8 +255,10 @@
         now, _ = self.played("herd", good=True, seconds=25)
         killed = [one for one in now.day.faults if one.kind == "kill"]
         self.assertEqual([len(one.what) for one in killed], [21])
-        self.assertNotIn(now.news[2], (ReleasePhase.ROLLING_BACK, ReleasePhase.WITHDRAWN))
-        self.assertGreaterEqual(now.news[1], 2)
+        self.assertNotIn(
+            now.platform.state.phase, (ReleasePhase.ROLLING_BACK, ReleasePhase.WITHDRAWN)
+        )
+        self.assertGreaterEqual(now.platform.state.stage, 2)
         self.assertTrue(0 < now.results.behind < now.results.asked)
         self.assertLess(now.results.needless()[1], 0.1)
         accepted = now.results.votes_asked["asked"] - now.results.votes_asked["full"]
--- a/tests/unit/simulation/test_hard_cases.py
+++ b/tests/unit/simulation/test_hard_cases.py
@@ -10,7 +10,8 @@
 from thymeknot.simulation.experiments import crowd_played, vast_figures
 from thymeknot.simulation.large_fleet_scenarios import VAST, vast
 from thymeknot.simulation.scenarios import Fault, Offer
-from thymeknot.simulation.simulator import REFUSED_CALLS, SILENT_CALLS, Simulator, current_engine
+from thymeknot.simulation.simulated_platform import REFUSED_CALLS, SILENT_CALLS
+from thymeknot.simulation.simulator import Simulator, current_engine
 
 SIZE = {"instances": 16, "pods": 15, "seconds": 28}
 GOOD, BAD = (
--- a/tests/unit/simulation/test_platform_counts.py
+++ b/tests/unit/simulation/test_platform_counts.py
@@ -8,7 +8,8 @@
 from thymeknot.simulation.experiments import crowd_played, mass_compared
 from thymeknot.simulation.large_fleet_scenarios import MASS, mass
 from thymeknot.simulation.scenarios import Fault
-from thymeknot.simulation.simulator import REFUSED_CALLS, Simulator, current_engine
+from thymeknot.simulation.simulated_platform import REFUSED_CALLS
+from thymeknot.simulation.simulator import Simulator, current_engine
 
 SIZE, PERIOD = {"instances": 24, "pods": 18}, 2 * TICKS_PER_SECOND
 
@@ -20,7 +21,7 @@
         super().__init__(*given)
         self.ended, self.tallies = {}, {}
 
-    def _tell(self, instance, event):
+    def tell(self, instance, event):
         if type(event) is AttemptEnded and event.outcome not in (
             Outcome.NOT_SENT,
             Outcome.CANCELLED,
@@ -31,7 +32,7 @@
             some[2] += event.latency * (event.outcome == Outcome.DONE)
         if type(event) is FleetCounts:
             self.tallies.setdefault(instance, []).append((self.now, event))
-        super()._tell(instance, event)
+        super().tell(instance, event)
 
 
 class MassDays(unittest.TestCase):
@@ -78,7 +79,7 @@
             all(later - at >= 3.25 * TICKS_PER_SECOND for at, later in zip(stages, stages[1:])),
             stages,
         )
-        self.assertFalse([name for name in fleet.pods if name.endswith("-1")])
+        self.assertFalse([name for name in fleet.servers.pods if name.endswith("-1")])
 
     def test_the_same_seed_gives_the_same_result(self):
         for kind in MASS:
