--- a/measure/gossip_loopback.py
+++ b/measure/gossip_loopback.py
@@ -14,7 +14,8 @@
 from measure.hostile import Liar
 from measure.load import drive, quantile
 from measure.world import TERMS
-from tests.support.stand_ins import PodPeer, Program, until
+from tests.support.peers import PodPeer, until
+from tests.support.programs import Program
 from thymeknot.gossip import codec, keys
 from thymeknot.gossip.codec import Frame, Ping
 from thymeknot.gossip.context import TICK_INTERVAL
--- a/measure/laboratory.py
+++ b/measure/laboratory.py
@@ -10,7 +10,8 @@
 import numpy as np
 
 from measure.load import drive, quantile
-from tests.support.stand_ins import PodPeer, Program
+from tests.support.peers import PodPeer
+from tests.support.programs import Program
 from thymeknot.simulation import scenarios, statistics
 from thymeknot.simulation.baseline_policies import BREAKERS
 from thymeknot.simulation.calibration import broken_by, queue
--- a/measure/why.py
+++ b/measure/why.py
@@ -18,7 +18,9 @@
 
 from measure.load import drive, quantile
 from measure.why_cases import NOW, WHY, mix
-from tests.support.stand_ins import LANES, PodPeer, Program, reserved, until
+from tests.support.decisions import LANES
+from tests.support.peers import PodPeer, reserved, until
+from tests.support.programs import Program
 from thymeknot.cli.decision_log_client import lines_of
 from thymeknot.decision_log.entry_codec import SLOT_BYTES
 from thymeknot.decision_log.fair_eviction import FairEviction
--- a/measure/why_cases.py
+++ b/measure/why_cases.py
@@ -1,7 +1,7 @@
 """A known mix of transactions: each is brought about by a state built for it, and what explains it is known from that.
 Every reason of the table occurs. Figures from it are simulated."""
 
-from tests.support.stand_ins import LANES, TERMS, balancer, ended, news, pod, taken
+from tests.support.decisions import LANES, TERMS, balancer, ended, news, pod, taken
 from thymeknot.decision_log.entry_filter import EntryFilter
 from thymeknot.decision_log.recorder import Recorder
 from thymeknot.decision_log.settings import DecisionLogSettings
--- a/measure/why_story.py
+++ b/measure/why_story.py
@@ -8,7 +8,7 @@
 
 from measure.shop import SHOP
 from measure.world import World
-from tests.support.stand_ins import LANES
+from tests.support.decisions import LANES
 from thymeknot.decision_log.entry_filter import EntryFilter
 from thymeknot.decision_log.explanations import explained
 from thymeknot.decision_log.recorder import Recorder
--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -12,7 +12,8 @@
 from twisted.internet.tcp import Server
 from twisted.python.failure import Failure
 
-from tests.support.stand_ins import command, reserved
+from tests.support.peers import reserved
+from tests.support.programs import command
 from tests.unit.proxy.test_proxy import ANSWER, Network, entry
 from thymeknot.interface.events import ClientDisconnected
 from thymeknot.protocol.client import (
--- a/tests/integration/test_gossip.py
+++ b/tests/integration/test_gossip.py
@@ -6,7 +6,7 @@
 
 from measure.gossip import main
 from measure.gossip_loopback import HONEST, Fleet, loopback
-from tests.support.stand_ins import until
+from tests.support.peers import until
 from thymeknot.gossip import keys
 
 
--- a/tests/integration/test_lifecycle.py
+++ b/tests/integration/test_lifecycle.py
@@ -12,16 +12,8 @@
 from unittest import mock
 
 from tests.integration.test_sockets import READ, WithPods, value
-from tests.support.stand_ins import (
-    PATIENCE,
-    DiscoveryPeer,
-    Program,
-    begun_by,
-    coded,
-    patient,
-    stands_still,
-    until,
-)
+from tests.support.peers import PATIENCE, DiscoveryPeer, until
+from tests.support.programs import Program, begun_by, coded, patient, stands_still
 from thymeknot.proxy.endpoint_updates import followed_by
 from thymeknot.service import lifecycle
 
--- a/tests/integration/test_sockets.py
+++ b/tests/integration/test_sockets.py
@@ -5,16 +5,8 @@
 import threading
 import unittest
 
-from tests.support.stand_ins import (
-    PATIENCE,
-    DiscoveryPeer,
-    PlatformPeer,
-    PodPeer,
-    Program,
-    command,
-    stands_still,
-    until,
-)
+from tests.support.peers import PATIENCE, DiscoveryPeer, PlatformPeer, PodPeer, until
+from tests.support.programs import Program, command, stands_still
 
 READ, MARK, PAY = "c=read,t=acme,d=15000", "c=mark,t=acme,d=15000,k=5c0f", "c=pay,t=acme,d=15000"
 
--- a/tests/soak/player.py
+++ b/tests/soak/player.py
@@ -15,7 +15,7 @@
 from tests.soak.plan import ClientPlan, Early, Ending, Feature, Habit, Trouble, drawn
 from tests.soak.sidecar import READY_WITHIN, Sidecar, clock
 from tests.soak.stand_ins import Pod
-from tests.support.stand_ins import reserved
+from tests.support.peers import reserved
 from thymeknot.gossip import keys
 
 LAG_LOOKS = 0.01  # seconds between two looks at how late this process itself is
--- a/tests/soak/sidecar.py
+++ b/tests/soak/sidecar.py
@@ -11,7 +11,7 @@
 
 from tests.soak.ledger import Process
 from tests.soak.stand_ins import Discovery, Platform, host_of
-from tests.support.stand_ins import SETTINGS, reserved
+from tests.support.peers import SETTINGS, reserved
 
 SOCKETS = 256
 OUTER_LIMIT = 3.0  # seconds: the longest deadline that a client has
--- /dev/null
+++ b/tests/support/decisions.py
@@ -0,0 +1,146 @@
+"""A decision engine, and the events and actions that tests feed it and read."""
+
+from thymeknot.interface.actions import SendAttempt
+from thymeknot.interface.clock import TICKS_PER_SECOND
+from thymeknot.interface.enums import (
+    DeduplicationScope,
+    EndpointCondition,
+    Idempotency,
+    Outcome,
+    PromotionMode,
+    ReleasePhase,
+    UpdateKind,
+)
+from thymeknot.interface.events import (
+    AttemptEnded,
+    Endpoint,
+    EndpointUpdate,
+    ReleaseUpdate,
+    RequestReceived,
+)
+from thymeknot.interface.settings import RequestClass, Settings
+from thymeknot.policy.engine import DecisionEngine
+
+NOW = 1000 * TICKS_PER_SECOND
+
+
+LANES = {
+    "read": RequestClass(
+        "read",
+        Idempotency.IDEMPOTENT,
+        DeduplicationScope.ALL,
+        5 * TICKS_PER_SECOND,
+        TICKS_PER_SECOND,
+        4 * TICKS_PER_SECOND,
+        1.0,
+        0.0,
+    ),
+    "mark": RequestClass(
+        "mark",
+        Idempotency.KEYED,
+        DeduplicationScope.ALL,
+        2 * TICKS_PER_SECOND,
+        TICKS_PER_SECOND,
+        4 * TICKS_PER_SECOND,
+        5.0,
+        0.0,
+    ),
+    "zoned": RequestClass(
+        "zoned",
+        Idempotency.KEYED,
+        DeduplicationScope.ZONE,
+        2 * TICKS_PER_SECOND,
+        TICKS_PER_SECOND,
+        4 * TICKS_PER_SECOND,
+        5.0,
+        0.0,
+    ),
+    "pay": RequestClass(
+        "pay",
+        Idempotency.NON_IDEMPOTENT,
+        DeduplicationScope.ALL,
+        5 * TICKS_PER_SECOND,
+        TICKS_PER_SECOND,
+        4 * TICKS_PER_SECOND,
+        5.0,
+        0.0,
+    ),
+}
+
+
+TERMS = Settings(
+    request_classes=LANES,
+    instances=2,
+    lists_polled=False,
+    max_attempts=4,
+    max_retry_after=TICKS_PER_SECOND,
+    hedging_allowed=True,
+    cancellation_allowed=True,
+    retry_after_allowed=True,
+    load_metrics=(),
+    poll_within=10 * TICKS_PER_SECOND,
+    warmup_initial_fraction=0.25,
+    warmup_duration=4 * TICKS_PER_SECOND,
+    overload_factor=2.0,
+    overload_window=TICKS_PER_SECOND,
+    exposure_window=2 * TICKS_PER_SECOND,
+    exposure_allowance=2.0,
+    guarded_stages=1,
+    stage_fractions=(0.1, 0.5, 0.5, 1.0, 1.0),
+    exposure_by_class=False,
+    sticky_keys=True,
+    replaces_machines=False,
+    promotion_mode=PromotionMode.QUORUM,
+    votes_to_revert=1,
+    vote_lifetime=4 * TICKS_PER_SECOND,
+    vote_timeout=TICKS_PER_SECOND,
+    votes_per_second=100.0,
+)
+
+
+def pod(address, build=1, started=0, condition=EndpointCondition.READY, zone="a"):
+    return Endpoint(address, zone, 1.0, 0, condition, started, "std", build)
+
+
+def news(stage=1, phase=ReleasePhase.ON_TRIAL, cap=0.5, build=2):
+    return ReleaseUpdate(build, stage, phase, False, Outcome.DONE, cap, 0)
+
+
+def balancer(*pods, told=None, **changes):
+    """An instance that knows these pods (two of the earlier build, one of the new) and this news."""
+    made = DecisionEngine(TERMS._replace(**changes), 7, NOW - 10 * TICKS_PER_SECOND)
+    pods = pods or (pod("old-1"), pod("old-2"), pod("new-1", 2))
+    made.handle(
+        NOW - 10 * TICKS_PER_SECOND,
+        [EndpointUpdate(UpdateKind.CACHED, pods), news(4, ReleasePhase.RELEASED, 1.0, 1)],
+    )
+    if told:
+        made.handle(NOW - 10 * TICKS_PER_SECOND, [told])
+    made.context.actions, made.context.now, made.context.first_traffic_at = (
+        [],
+        NOW,
+        NOW - 10 * TICKS_PER_SECOND,
+    )
+    return made
+
+
+def pressed(made, times, count=40):
+    """Its answers of now took so many times their goal."""
+    made.admission.responses.add(made.context.now, count)
+    made.admission.times.add(made.context.now, count * times)
+
+
+def taken(name="t1", lane="read", key=None, left=3 * TICKS_PER_SECOND):
+    return RequestReceived(name, lane, None, key, left, None, False, False)
+
+
+def ended(name="t1", outcome=Outcome.ERROR, address="old-1", number=0, closed=False, latency=100):
+    return AttemptEnded(name, outcome, closed, latency, address, number, None)
+
+
+def kinds(actions):
+    return [type(action) for action in actions]
+
+
+def sent(actions):
+    return [action.endpoint for action in actions if isinstance(action, SendAttempt)]
--- a/tests/support/process_rig.py
+++ b/tests/support/process_rig.py
@@ -10,7 +10,8 @@
 import time
 from collections import Counter
 
-from tests.support.stand_ins import PATIENCE, PodPeer, Program, command, reserved
+from tests.support.peers import PATIENCE, PodPeer, reserved
+from tests.support.programs import Program, command
 from thymeknot.coordination.blocking_client import BlockingClient
 from thymeknot.gossip import keys
 from thymeknot.gossip.keyring import Keyring
--- /dev/null
+++ b/tests/support/programs.py
@@ -0,0 +1,176 @@
+"""The real program as a process of its own, and clients of it."""
+
+import copy
+import json
+import os
+import queue
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from unittest import mock
+
+from tests.support.peers import PATIENCE, SETTINGS, DiscoveryPeer, PlatformPeer, reserved, until
+
+
+def coded(code):
+    """Programs that are made meanwhile are started by this code."""
+    start = subprocess.Popen
+    return mock.patch(
+        f"{__name__}.subprocess.Popen", lambda words, **more: start([words[0], "-c", code], **more)
+    )
+
+
+def begun_by(code):
+    """They begin with this code, and end with Life's."""
+    return coded(f"""import os, signal, sys
+from thymeknot.service import lifecycle
+{code}
+sys.exit(lifecycle.main(os.environ))""")
+
+
+def patient():
+    """Has the program wait for its first list for as long as the test does: what comes before it, comes every time."""
+    return begun_by(f"lifecycle.FIRST_LIST = {PATIENCE}")
+
+
+def stands_still():
+    """Has the program stop itself at SIGTERM, its end set, up to SIGCONT: what comes in its last half second, comes
+    every time."""
+    return begun_by("""stop = lifecycle.Lifecycle._stop
+def stands(one):
+    first = not one.stopping
+    stop(one)
+    if first:
+        os.kill(os.getpid(), signal.SIGSTOP)
+lifecycle.Lifecycle._stop = stands""")
+
+
+class Program:
+    """The program, started on a configuration beside stand-ins of all that it speaks to."""
+
+    def __init__(
+        self,
+        *entries,
+        answer=None,
+        news=PlatformPeer.NEWS,
+        change=None,
+        operator=None,
+        silent=False,
+    ):
+        self.discovery, self.platform = DiscoveryPeer(silent=silent), PlatformPeer(answer, news)
+        self.place, self.port = reserved()
+        told = {
+            "name": "n1",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": self.discovery.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "deployer": {"address": self.platform.address, "news": dict(news)},
+            "known": {"version": 7, "full": True, "servers": list(entries)},
+            "settings": copy.deepcopy(SETTINGS),
+        }
+        if change:
+            change(told)
+        self.folder = tempfile.TemporaryDirectory()
+        path = self.path = os.path.join(self.folder.name, "config.json")
+        self.told, self.lines, self.readers = told, queue.Queue(), []
+        self.write(told)
+        words = [sys.executable, "-m", "thymeknot"]
+        if operator:  # the text of an operator's file, its folder given
+            self.operator = os.path.join(self.folder.name, "operator.cue")
+            with open(self.operator, "w", encoding="utf-8") as target:
+                target.write(operator(self.folder.name))
+            words += ["--operator", self.operator]
+        self.process = subprocess.Popen(
+            words,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "NODE_CONFIG": path},
+        )
+
+    def write(self, told):
+        with open(self.path, "w", encoding="utf-8") as target:
+            json.dump(told, target)
+
+    def logged(self, event):
+        """The next line of this event."""
+        until(
+            lambda: self.line["event"] == event,
+            lambda: setattr(self, "line", json.loads(self.lines.get(timeout=PATIENCE))),
+        )
+        line, self.line = self.line, {"event": None}
+        return line
+
+    def stood_still(self):
+        def state():
+            with open(f"/proc/{self.process.pid}/stat", encoding="utf-8") as source:
+                return source.read().rpartition(")")[2].split()[0]
+
+        until(lambda: state() == "T", lambda: time.sleep(0.005))
+
+    def __enter__(self):
+        line, self.line = b"", {"event": None}
+        while b'"ready"' not in line:
+            line = self.process.stdout.readline()
+            if not line:
+                raise AssertionError(self.process.stderr.read().decode())
+        self.read(self.process.stdout)
+        self.discovery.asked.get(timeout=PATIENCE)
+        self.platform.asked.get(timeout=PATIENCE)
+        return self
+
+    def read(self, source):
+        """Keeps the lines that are logged there."""
+        self.readers.append(
+            threading.Thread(target=lambda: [self.lines.put(line) for line in source], daemon=True)
+        )
+        self.readers[-1].start()
+
+    def __exit__(self, *_):
+        self.process.kill()
+        for reader in self.readers:
+            reader.join()
+        self.process.communicate()
+        self.discovery.close()
+        self.platform.close()
+        self.place.close()
+        self.folder.cleanup()
+
+    def client(self):
+        return Client(self.port)
+
+
+class Client:
+    def __init__(self, port):
+        self.connection = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE)
+        self.source = self.connection.makefile("rb")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.source.close()
+        self.connection.close()
+
+    def send(self, *words):
+        self.connection.sendall(command(*words))
+
+    def ask(self, *words):
+        self.send(*words)
+        return self.answer()
+
+    def answer(self):
+        line = self.source.readline()
+        if line.startswith(b"$"):
+            return self.source.read(int(line[1:]) + 2)[:-2]
+        return line.strip()
+
+
+def command(*words):
+    words = [word if isinstance(word, bytes) else word.encode() for word in words]
+    return b"*%d\r\n" % len(words) + b"".join(
+        b"$%d\r\n%s\r\n" % (len(word), word) for word in words
+    )
--- a/tests/unit/decision_log/test_decision_log.py
+++ b/tests/unit/decision_log/test_decision_log.py
@@ -14,7 +14,9 @@
 
 from measure.why import Clocked, flood, kills
 from measure.why_cases import NOW, WHY, mix
-from tests.support.stand_ins import LANES, PATIENCE, SETTINGS, PodPeer, Program, reserved, until
+from tests.support.decisions import LANES
+from tests.support.peers import PATIENCE, SETTINGS, PodPeer, reserved, until
+from tests.support.programs import Program
 from thymeknot.cli.decision_log_client import lines_of
 from thymeknot.decision_log import query_protocol
 from thymeknot.decision_log.entry_codec import SLOT_BYTES, Entry, packed, pods, unpacked
--- a/tests/unit/gossip/test_gossip_messages.py
+++ b/tests/unit/gossip/test_gossip_messages.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from measure.world import SECOND, TERMS, World
-from tests.support.stand_ins import NOW, balancer, kinds, pod, sent, taken
+from tests.support.decisions import NOW, balancer, kinds, pod, sent, taken
 from thymeknot.gossip import codec, keys
 from thymeknot.gossip.codec import Ack, Alive, Evidence, Frame, Item, Left, Ping, Push
 from thymeknot.gossip.dissemination_queue import LIFE, DisseminationQueue
--- a/tests/unit/load_generator/test_load_generator.py
+++ b/tests/unit/load_generator/test_load_generator.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as some
 from twisted.internet.defer import succeed
 
-from tests.support.stand_ins import PodPeer, Program, words_of
+from tests.support.peers import PodPeer, words_of
+from tests.support.programs import Program
 from thymeknot.load_generator import schedule
 from thymeknot.load_generator.codecs import Resp2Codec
 from thymeknot.load_generator.driver import Driver, DriverSettings
--- a/tests/unit/policy/outcomes.py
+++ b/tests/unit/policy/outcomes.py
@@ -1,6 +1,6 @@
 """An instance that judges a build on trial, and outcomes that it books."""
 
-from tests.support.stand_ins import NOW, balancer, news, taken
+from tests.support.decisions import NOW, balancer, news, taken
 from thymeknot.policy.baseline import BeforeOffer, LatencyMark
 from thymeknot.policy.request_lifecycle import RequestPhase
 from thymeknot.state.request_state import RequestState
--- a/tests/unit/policy/test_concurrency_limit.py
+++ b/tests/unit/policy/test_concurrency_limit.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.support.stand_ins import LANES, NOW, balancer
+from tests.support.decisions import LANES, NOW, balancer
 from thymeknot.interface.clock import TICKS_PER_SECOND
 
 
--- a/tests/unit/policy/test_five_rules.py
+++ b/tests/unit/policy/test_five_rules.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.support.stand_ins import NOW, balancer, ended, kinds, news, pod, sent, taken
+from tests.support.decisions import NOW, balancer, ended, kinds, news, pod, sent, taken
 from thymeknot.interface.actions import Fail, Reject, SendAttempt, SetTimer
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.interface.enums import EndpointCondition, Outcome, ReleasePhase, UpdateKind
--- a/tests/unit/policy/test_global_slowdown.py
+++ b/tests/unit/policy/test_global_slowdown.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.support.stand_ins import NOW, balancer, news, taken
+from tests.support.decisions import NOW, balancer, news, taken
 from tests.unit.policy.outcomes import USUAL, judged, judging
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.interface.enums import (
--- a/tests/unit/policy/test_large_fleets.py
+++ b/tests/unit/policy/test_large_fleets.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.support.stand_ins import (
+from tests.support.decisions import (
     NOW,
     TERMS,
     balancer,
--- a/tests/unit/policy/test_load_shedding.py
+++ b/tests/unit/policy/test_load_shedding.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
-from tests.support.stand_ins import LANES, NOW, TERMS, ended, kinds, news, pod, taken
-from tests.support.stand_ins import balancer as made_of
+from tests.support.decisions import LANES, NOW, TERMS, ended, kinds, news, pod, taken
+from tests.support.decisions import balancer as made_of
 from thymeknot.interface.actions import CastVote, Reject
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.interface.enums import Outcome, ReleasePhase, Verdict
--- a/tests/unit/policy/test_request_lifecycle.py
+++ b/tests/unit/policy/test_request_lifecycle.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.support.stand_ins import NOW, balancer, ended
+from tests.support.decisions import NOW, balancer, ended
 
 
 class RequestLifecycleTest(unittest.TestCase):
--- a/tests/unit/policy/test_request_windows.py
+++ b/tests/unit/policy/test_request_windows.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from tests.support.stand_ins import NOW, balancer, news, taken
+from tests.support.decisions import NOW, balancer, news, taken
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.state import sliding_window
 from thymeknot.state.sliding_window import SlidingWindow, window_of
--- a/tests/unit/policy/test_sequential_test.py
+++ b/tests/unit/policy/test_sequential_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.support.stand_ins import NOW, balancer, news, pod
+from tests.support.decisions import NOW, balancer, news, pod
 from tests.unit.policy.outcomes import judged
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.interface.enums import (
--- a/tests/unit/policy/test_traffic_split.py
+++ b/tests/unit/policy/test_traffic_split.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.support.stand_ins import NOW, balancer, news, sent, taken
+from tests.support.decisions import NOW, balancer, news, sent, taken
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.state.key_hash import key_position
 
--- a/tests/unit/protocol/test_parsers.py
+++ b/tests/unit/protocol/test_parsers.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from tests.support.stand_ins import command
+from tests.support.programs import command
 from thymeknot.interface.actions import CastVote
 from thymeknot.interface.enums import EndpointCondition, Outcome, ReleasePhase, UpdateKind, Verdict
 from thymeknot.interface.events import Endpoint, EndpointUpdate, FleetCounts, ReleaseUpdate
--- a/tests/unit/protocol/test_watch_streams.py
+++ b/tests/unit/protocol/test_watch_streams.py
@@ -13,7 +13,8 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
-from tests.support.stand_ins import PATIENCE, PodPeer, Program, patient, until
+from tests.support.peers import PATIENCE, PodPeer, until
+from tests.support.programs import Program, patient
 from tests.unit.proxy.test_proxy import Network, entry, told
 from thymeknot.interface.actions import CastVote, FetchEndpoints
 from thymeknot.interface.enums import Outcome, UpdateKind, Verdict
--- a/tests/unit/proxy/test_attempts.py
+++ b/tests/unit/proxy/test_attempts.py
@@ -22,7 +22,8 @@
 from twisted.python.failure import Failure
 
 from tests.integration.test_sockets import MARK, PAY, READ, WithPods, value
-from tests.support.stand_ins import PATIENCE, PodPeer, command, until, words_of
+from tests.support.peers import PATIENCE, PodPeer, until, words_of
+from tests.support.programs import command
 from tests.unit.proxy.test_proxy import ANSWER, Network, Transport, entry
 from thymeknot.interface.actions import SendAttempt
 from thymeknot.interface.enums import Outcome, ReleasePhase
--- a/tests/unit/proxy/test_proxy.py
+++ b/tests/unit/proxy/test_proxy.py
@@ -11,7 +11,8 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
-from tests.support.stand_ins import SETTINGS, command
+from tests.support.peers import SETTINGS
+from tests.support.programs import command
 from thymeknot.interface.actions import CastVote
 from thymeknot.interface.enums import Outcome, ReleasePhase, Verdict
 from thymeknot.interface.events import ReleaseUpdate
--- a/tests/unit/service/test_rejection_summary.py
+++ b/tests/unit/service/test_rejection_summary.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from tests.support.stand_ins import NOW, ended, pod, taken
-from tests.support.stand_ins import balancer as made_of
+from tests.support.decisions import NOW, ended, pod, taken
+from tests.support.decisions import balancer as made_of
 from thymeknot.interface.actions import CancelAttempt, CastVote, Fail, SendAttempt
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.interface.enums import Outcome, ReleasePhase, Verdict
--- a/tests/unit/service/test_settings.py
+++ b/tests/unit/service/test_settings.py
@@ -12,7 +12,8 @@
 
 import orjson
 
-from tests.support.stand_ins import PATIENCE, SETTINGS, PodPeer, Program
+from tests.support.peers import PATIENCE, SETTINGS, PodPeer
+from tests.support.programs import Program
 from tests.unit.proxy.test_proxy import Network
 from thymeknot.interface.actions import (
     CancelAttempt,
--- a/tests/unit/simulation/test_hard_cases.py
+++ b/tests/unit/simulation/test_hard_cases.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from tests.support.stand_ins import NOW, ended, pod, sent, taken
-from tests.support.stand_ins import balancer as made_with
+from tests.support.decisions import NOW, ended, pod, sent, taken
+from tests.support.decisions import balancer as made_with
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.interface.enums import Outcome
 from thymeknot.interface.events import TimerFired
--- a/tests/unit/support/test_stand_ins.py
+++ b/tests/unit/support/test_stand_ins.py
@@ -6,7 +6,7 @@
 import struct
 import unittest
 
-from tests.support.stand_ins import PATIENCE, DiscoveryPeer, Peer, PlatformPeer, reserved, until
+from tests.support.peers import PATIENCE, DiscoveryPeer, Peer, PlatformPeer, reserved, until
 from thymeknot.protocol import deployer
 
 NEWS = {"version": 42, "step": 0, "status": "trial", "maxWeight": 0.5, "observedAgoMs": 5}
