--- a/tests/unit/service/test_rejection_summary.py
+++ b/tests/unit/service/test_rejection_summary.py
@@ -12,6 +12,7 @@
 from thymeknot.service.rejection_summary import EVERY, RejectionSummary
 from thymeknot.simulation import large_fleet_scenarios
 from thymeknot.simulation.scenarios import Fault
+from thymeknot.simulation.simulated_platform import ReleaseState
 from thymeknot.simulation.simulator import Simulator, current_engine
 
 
@@ -94,12 +95,12 @@
     def test_a_lost_zone_says_nothing_and_comes_back_cold(self):
         fleet, _ = self.made("zone")
         fleet.now = 8 * TICKS_PER_SECOND
-        fleet._zone("b", True)
-        lost = [one for one in fleet.pods.values() if one.zone == "b"]
+        fleet.servers.lose_zone("b")
+        lost = [one for one in fleet.servers.pods.values() if one.zone == "b"]
         self.assertTrue(lost and all(one.silent for one in lost))
         fleet.now = 13 * TICKS_PER_SECOND
-        fleet._zone("b", False)
-        back = [fleet.pods[one.name] for one in lost]
+        fleet.servers.restore_zone("b")
+        back = [fleet.servers.pods[one.name] for one in lost]
         self.assertTrue(
             all(one.started == fleet.now and one.warmth(fleet.now) < 0.5 for one in back)
         )
@@ -107,48 +108,61 @@
 
     def test_a_zone_that_is_cut_off_reaches_itself_alone_and_no_platform(self):
         fleet, _ = self.made("split")
-        fleet.cuts = {"b"}
+        fleet.cut_zones = {"b"}
         inside, outside = 1, 0
         reached = {
-            one.zone: (fleet._reached(inside, one), fleet._reached(outside, one))
-            for one in fleet.pods.values()
+            one.zone: (fleet._reaches(inside, one), fleet._reaches(outside, one))
+            for one in fleet.servers.pods.values()
         }
         self.assertEqual(reached, {"a": (False, True), "b": (True, False), "c": (False, True)})
-        self.assertEqual((fleet._off(inside), fleet._off(outside)), (True, False))
-        fleet.heap.clear()
-        fleet._fault(Fault("cut", 0, 1, (1,), 0.0), False)
+        self.assertEqual(
+            (fleet.is_off_platform(inside), fleet.is_off_platform(outside)), (True, False)
+        )
+        fleet._calls.clear()
+        fleet._faults._zone_cut(Fault("cut", 0, 1, (1,), 0.0), False)
         told = sorted(
-            arguments[0] for _, _, call, arguments in fleet.heap if call == fleet._told_news
+            arguments[0] for _, _, call, arguments in fleet._calls if call == fleet.platform.told
         )
         self.assertEqual(
-            (fleet.cuts, told), (set(), list(range(9)))
+            (fleet.cut_zones, told), (set(), list(range(9)))
         )  # what was missed is told again
 
     def test_what_a_pause_holds_up_is_done_after_it(self):
         fleet, _ = self.made("herd")
-        some = next(iter(fleet.pods.values()))
+        some = next(iter(fleet.servers.pods.values()))
         some.paused = 5 * TICKS_PER_SECOND
         fleet.now = TICKS_PER_SECOND
         fleet._served(some, None)
-        self.assertEqual(fleet.heap[0][0], 5 * TICKS_PER_SECOND + 1)
+        self.assertEqual(fleet._calls[0][0], 5 * TICKS_PER_SECOND + 1)
         self.assertFalse(some.fits(TICKS_PER_SECOND, TICKS_PER_SECOND))
 
     def test_the_platform_turns_votes_away_beyond_its_calls(self):
         fleet, _ = self.made("calm")
         fleet.day = fleet.day._replace(terms=fleet.day.terms._replace(votes_per_second=2.0))
-        fleet.news, fleet.calls = [2, 0, ReleasePhase.ON_TRIAL, 0.08], 4.0
+        fleet.platform.state = ReleaseState(2, 0, ReleasePhase.ON_TRIAL, 0.08)
+        fleet.platform._calls = 4.0
         for instance in range(9):
-            fleet._vote(instance, fleet.turns[instance], CastVote(2, 0, Verdict.PROMOTE))
-        self.assertEqual(fleet.votes_asked["full"], 5)
-        told = [arguments[2] for _, _, call, arguments in fleet.heap if call == fleet._told_vote]
+            fleet._vote(instance, fleet.lives[instance], CastVote(2, 0, Verdict.PROMOTE))
+        self.assertEqual(fleet.results.votes_asked["full"], 5)
+        told = [
+            arguments[2]
+            for _, _, call, arguments in fleet._calls
+            if call == fleet.platform._told_vote
+        ]
         self.assertEqual((told.count(Outcome.DONE), told.count(Outcome.REJECTED)), (4, 5))
-        fleet.now = fleet.calls_at = TICKS_PER_SECOND
+        fleet.now = fleet.platform._calls_at = TICKS_PER_SECOND
         fleet.now = 2 * TICKS_PER_SECOND
-        fleet._vote(0, fleet.turns[0], CastVote(2, 1, Verdict.PROMOTE))  # for another stage
-        self.assertEqual((fleet.votes_asked["full"], fleet.votes_asked["moot"]), (5, 1))
+        fleet._vote(0, fleet.lives[0], CastVote(2, 1, Verdict.PROMOTE))  # for another stage
+        self.assertEqual(
+            (fleet.results.votes_asked["full"], fleet.results.votes_asked["moot"]), (5, 1)
+        )
         self.assertIn(
             Outcome.NOT_SENT,
-            [arguments[2] for _, _, call, arguments in fleet.heap if call == fleet._told_vote],
+            [
+                arguments[2]
+                for _, _, call, arguments in fleet._calls
+                if call == fleet.platform._told_vote
+            ],
         )
 
     def test_a_recalled_delivery_ends_and_what_it_set_off_runs_on(self):
