Tests: how soon a process ends is measured by its own log, against 3.55 s in place of 3.7

Cause, by runs: the process was gone after 3.56 s alone and after 3.61 to 3.67 s beside 16 busy processes on eight cores; the bound was 3.7 s, and what differs is the interpreter's end, which wants a processor.

--- a/tests/integration/test_lifecycle.py
+++ b/tests/integration/test_lifecycle.py
@@ -399,16 +399,17 @@
         with running.client() as client:
             client.send("SVC.QUERY", "a", "01", "c=read,t=acme,d=3000")
             pod.heard.get(timeout=PATIENCE)
-            stopped_at = time.monotonic()
             running.process.send_signal(signal.SIGTERM)
-            running.logged("stopping")
+            stopping = running.logged("stopping")
             time.sleep(2 * lifecycle.SERVES_ON)
             client.send("SVC.QUERY", "a", "02", "c=read,t=acme,d=3000")
             answers = [client.answer() for _ in range(3)]
+            stopped = running.logged("stopped")
         self.assertRegex(answers[0], b"^-")
         self.assertRegex(answers[1], b"^-")
         self.assertEqual((answers[2], running.process.wait(PATIENCE)), (b"", 0))
-        self.assertLess(time.monotonic() - stopped_at, 3.7)
+        # The kill, less the time for which the page lets a sidecar be held up.
+        self.assertLess(stopped["at"] - stopping["at"], 3.7 - 0.15)
 
     def test_it_has_ended_by_itself_though_requests_were_read_only_at_the_last_moment(self):
         """A client has 90 requests in hand when the process stops, and endpoints hang. The first 65 are answered at the
@@ -419,16 +420,16 @@
         running = self.program(pod.entry("s-1"))
         with running.client() as client:
             running.process.send_signal(signal.SIGTERM)
-            stopped_at = time.monotonic()
-            running.logged("stopping")
+            stopping = running.logged("stopping")
             time.sleep(0.9 * lifecycle.SERVES_ON)
             for number in range(90):
                 client.send("SVC.QUERY", "a", f"{number:02x}", "c=read,t=acme,d=3000")
             answers = [client.answer() for _ in range(91)]
+            stopped = running.logged("stopped")
             self.assertEqual(running.process.wait(PATIENCE), 0)
-        took = time.monotonic() - stopped_at
         self.assertEqual([answer[:1] for answer in answers], [b"-"] * 90 + [b""])
-        self.assertLess(took, 3.7)
+        # The kill, less the time for which the page lets a sidecar be held up.
+        self.assertLess(stopped["at"] - stopping["at"], 3.7 - 0.15)
 
     def test_a_half_written_file_is_kept_and_the_whole_one_is_owed_to_the_next_sighup(self):
         new = DiscoveryPeer()
