--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -70,6 +70,14 @@
     if not self.places:
         self.transport.write(content)
 ClientConnection.answer = twice
+""",
+    ),
+    "a connection that is used again at once": Planted(
+        "answers",
+        (47, 21, 28),
+        """
+from thymeknot.state import connection_pool
+connection_pool.REST_AFTER_RESPONSE = 0
 """,
     ),
     "a binding request that runs again": Planted(
