--- a/thymeknot/policy/endpoint_selection.py
+++ b/thymeknot/policy/endpoint_selection.py
@@ -18,9 +18,9 @@
 EXCHANGE_TIME = 4 * TICKS_PER_SECOND  # after which the dearest endpoint of a subset is exchanged
 EJECTION_SHORTEST = TICKS_PER_SECOND // 2  # after a connection failed; doubled with each more
 EJECTION_LONGEST = 4 * TICKS_PER_SECOND
-FAILURES_KEPT = 0.5  # of a failure rate that is forgotten
-LATENCY_KEPT = 0.5  # of what an endpoint's latency is off the usual, where it is forgotten
-JUDGEMENT_LASTS = 30 * TICKS_PER_SECOND  # without an attempt that ended; then it is forgotten
+FAILURES_KEPT = 0.5  # of a failure rate, at each decay
+LATENCY_KEPT = 0.5  # of what a latency is off the usual, at each decay
+STALE_AFTER = 30 * TICKS_PER_SECOND  # without an outcome
 FAILURE_GAIN = 0.1  # of the moving mean of an endpoint's failures
 LOSS_GAIN = 0.05  # of the moving mean of attempts lost on the way
 LOSS_EXPONENT = 4  # the subset shrinks by this power of what is not lost
@@ -109,12 +109,12 @@
             for newest in context.subsets:
                 dearest = sorted(context.subsets[newest], key=self.cost)[-1:]
                 self.draw_subset(newest, dearest)
-            self._forget()
+            self._decay_stale()
         if context.settings.lists_polled and context.now >= self.poll_at:
             self.poll_at = context.now + context.settings.poll_within // 2
             context.actions.append(SubscribeToEndpoints(True))
 
-    def _forget(self) -> None:
+    def _decay_stale(self) -> None:
         """Halves what no outcome corrects: failure rates, and how much slower than usual it was.
 
         An endpoint that costs several times what the others cost gets no attempt while others
@@ -122,12 +122,12 @@
         """
         now = self.context.now
         for known in self.context.endpoints.values():
-            is_stale = now - known.judged_at >= JUDGEMENT_LASTS
+            is_stale = now - known.outcome_at >= STALE_AFTER
             if is_stale or known.ejection_time:
                 known.failure_rate *= FAILURES_KEPT
             if is_stale:
                 known.relative_latency += (1 - LATENCY_KEPT) * (1 - known.relative_latency)
-                known.judged_at = now
+                known.outcome_at = now
 
     def choose(self, request: RequestState, newest: bool) -> EndpointState | None:
         """The endpoint of a build for the next attempt; None if none will do.
@@ -202,7 +202,7 @@
     def count_end(self, known: EndpointState, outcome: Outcome) -> None:
         """Takes in whether an attempt failed, and ejects what can't be connected to."""
         known.failure_rate += FAILURE_GAIN * ((outcome != Outcome.DONE) - known.failure_rate)
-        known.judged_at = self.context.now
+        known.outcome_at = self.context.now
         lost = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
         self.connection_loss += LOSS_GAIN * (lost - self.connection_loss)
         if outcome == Outcome.CONNECT_FAILED:
--- a/thymeknot/simulation/simulator.py
+++ b/thymeknot/simulation/simulator.py
@@ -49,7 +49,7 @@
 FAILURES_LEAST = 0.001  # share of the attempts that fail in any case
 ROOM_PART = 0.25  # of the objective: a wait that is no cause to reject
 ROOMY_PART = 0.25  # of the servers: so many must have no more than that
-BESIDE_STREAM = 17  # draws what was added later, so that other days stay as they were
+EXTRA_STREAM = 17  # draws what was added later, so that other days stay as they were
 
 Policy: TypeAlias = Callable[[Settings, int, Ticks], Any]
 """policy(settings, seed, now) has handle(now, events) -> actions, as `DecisionEngine` has."""
@@ -134,8 +134,8 @@
         self._keys = zipf_keys(keys, day.keys, day.zipf)
         self._clients = Stream(clients.random)
         self._strikes = Stream(works.random)
-        beside = np.random.Generator(np.random.PCG64([day.seed, BESIDE_STREAM]))
-        self._samples = Stream(beside.random)
+        extra = np.random.Generator(np.random.PCG64([day.seed, EXTRA_STREAM]))
+        self._samples = Stream(extra.random)
 
     def _new_checker(self) -> InvariantChecker:
         day = self.day
@@ -415,7 +415,7 @@
         )
         ends = min(self.now + action.timeout, held.ends)
         if pod.silent or not self._reaches(instance, pod):
-            self._send_in_vain(attempt, ends)
+            self._send_unanswered(attempt, ends)
         else:
             self._connect(attempt, pod, ends)
 
@@ -440,7 +440,7 @@
             pod.build.number if pod else 0,
         )
 
-    def _send_in_vain(self, attempt: SimulatedAttempt, ends: Ticks) -> None:
+    def _send_unanswered(self, attempt: SimulatedAttempt, ends: Ticks) -> None:
         """Nothing is said: an open connection takes it, a new one never comes up."""
         if self.now - self._answered_at.pop(_line_of(attempt), NEVER) > IDLE_TIMEOUT:
             failed_at = min(ends, self.now + CONNECT_TIMEOUT)
--- a/thymeknot/state/endpoint_state.py
+++ b/thymeknot/state/endpoint_state.py
@@ -20,7 +20,7 @@
         in_flight: attempts of this instance that have not ended.
         relative_latency: a moving mean of the response time, in times of its request class's mean.
         failure_rate: a moving mean of the attempts that failed.
-        judged_at: when an outcome came, or the lack of any was counted, last.
+        outcome_at: when an outcome came, or the lack of any was counted, last.
         load: the utilisation that it reported last.
         recent_attempts: attempts of this instance in the overload window.
         last_response_at: when it last responded well.
@@ -38,7 +38,7 @@
         self.in_flight = 0
         self.relative_latency = 1.0
         self.failure_rate = 0.0
-        self.judged_at: Ticks = 0
+        self.outcome_at: Ticks = 0
         self.load = 0.0
         self.recent_attempts = SlidingWindow(overload_window, ATTEMPT_WINDOW_BUCKETS)
         self.last_response_at: Ticks = 0
