--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -300,7 +300,11 @@
             self.transport.abortConnection()
 
     def stop_lingering(self) -> None:
-        """Waits for the client's close no more, also once what is still owed has been sent."""
+        """Waits for the client's close no more, also once what is still owed has been sent.
+
+        Requests that are read at the last moment are answered after it; another wait would last
+        until the process is killed.
+        """
         self.linger = 0
         if self.ended and not self.flushing:
             self.transport.loseConnection()
