--- a/measure/shop.py
+++ b/measure/shop.py
@@ -6,6 +6,7 @@
 
 from measure.hostile import Liar
 from measure.world import TERMS, World
+from tests.support.decisions import TERMS as SETTINGS
 from thymeknot.gossip.own_experience import EndpointKey
 from thymeknot.interface.actions import SendAttempt, SetTimer
 from thymeknot.interface.enums import (
@@ -13,7 +14,6 @@
     EndpointCondition,
     Idempotency,
     Outcome,
-    PromotionMode,
     ReleasePhase,
     UpdateKind,
 )
@@ -26,7 +26,7 @@
     SuspicionReported,
     TimerFired,
 )
-from thymeknot.interface.settings import RequestClass, Settings
+from thymeknot.interface.settings import RequestClass
 from thymeknot.policy.engine import DecisionEngine
 
 SECOND = 10_000
@@ -42,33 +42,13 @@
         0.0,
     )
 }
-SHOP = Settings(
+SHOP = SETTINGS._replace(
     request_classes=LANES,
     instances=1,
-    lists_polled=False,
     max_attempts=3,
-    max_retry_after=SECOND,
     hedging_allowed=False,
     cancellation_allowed=False,
-    retry_after_allowed=True,
-    load_metrics=(),
-    poll_within=10 * SECOND,
-    warmup_initial_fraction=0.25,
-    warmup_duration=4 * SECOND,
-    overload_factor=2.0,
-    overload_window=SECOND,
-    exposure_window=2 * SECOND,
-    exposure_allowance=2.0,
-    guarded_stages=1,
     stage_fractions=(0.1, 0.5, 1.0),
-    exposure_by_class=False,
-    sticky_keys=True,
-    replaces_machines=False,
-    promotion_mode=PromotionMode.QUORUM,
-    votes_to_revert=1,
-    vote_lifetime=4 * SECOND,
-    vote_timeout=SECOND,
-    votes_per_second=100.0,
 )
 
 
