Process rig: clients keep how each connection ended

An unanswered request told only b'': a reset could not be told from an end of stream, nor a connection that the server closed from one whose handshake its kernel never completed. unanswered() now gives the seconds since connect, the socket's state and error, the segments sent again and the bytes acknowledged (TCP_INFO). No check is changed; a request that was not answered still fails the test.

--- a/tests/support/process_rig.py
+++ b/tests/support/process_rig.py
@@ -7,6 +7,7 @@
 import os
 import selectors
 import socket
+import struct
 import subprocess
 import tempfile
 import threading
@@ -21,6 +22,8 @@
 from thymeknot.gossip.settings import Peer, PeerKey
 
 READ_METADATA, PAY_METADATA = "c=read,t=acme,d=6000", "c=pay,t=acme,d=6000"
+# Fields of the kernel's struct tcp_info, as offsets in bytes.
+TCP_INFO_TOTAL_RETRANSMITS, TCP_INFO_BYTES_ACKED, TCP_INFO_SIZE = 100, 120, 128
 CHECK_INTERVAL_SECONDS = 0.03  # between two checks of the monitor
 
 
@@ -185,10 +188,12 @@
             except OSError:
                 time.sleep(0.005)
                 continue  # not accepted, so no request was sent
+            connected_at = time.monotonic()
             with connection:
                 answer = send_request(connection, request_id, metadata)
+                ending = describe_ending(connection, connected_at)
             with self.lock:
-                self.results.append((request_id, name, time.monotonic(), answer))
+                self.results.append((request_id, name, time.monotonic(), answer, ending))
             time.sleep(0.01)
 
     def close(self):
@@ -197,11 +202,14 @@
             thread.join(9)
 
     def unanswered(self):
-        """Returns (id, sidecar, bytes) of requests that did not get exactly one response or error."""
+        """Returns the requests that did not get exactly one response or error.
+
+        Each is a tuple of its id, its sidecar, the bytes it got and how its connection ended.
+        """
         with self.lock:
             return [
-                (request_id, name, answer)
-                for request_id, name, _, answer in self.results
+                (request_id, name, answer, ending)
+                for request_id, name, _, answer, ending in self.results
                 if answer != b"$%d\r\n%s\r\n+PONG\r\n" % (len(request_id), request_id.encode())
                 and not (answer.startswith((b"-BUSY", b"-ERR")) and answer.count(b"\r\n") == 2)
             ]
@@ -209,7 +217,24 @@
     def answered_count(self):
         """Returns how many requests got a response from an endpoint."""
         with self.lock:
-            return sum(answer.startswith(b"$") for *_, answer in self.results)
+            return sum(answer.startswith(b"$") for _, _, _, answer, _ in self.results)
+
+
+def describe_ending(connection, connected_at):
+    """Returns how a connection ended, seen by its client, as a text.
+
+    Where nothing was acknowledged, the server's kernel had never completed the handshake.
+    """
+    error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    information = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+    (state,) = struct.unpack_from("B", information)
+    (repeated,) = struct.unpack_from("I", information, TCP_INFO_TOTAL_RETRANSMITS)
+    (acknowledged,) = struct.unpack_from("Q", information, TCP_INFO_BYTES_ACKED)
+    seconds = time.monotonic() - connected_at
+    return (
+        f"{seconds:.4f} s after connect, state {state}, error {error}, "
+        f"{repeated} segments sent again, {acknowledged} bytes acknowledged"
+    )
 
 
 def send_request(connection, request_id, metadata):
