Close the listener only after the handshakes that have begun are complete

Cause: the filter on the listener dropped every packet, also the last segment of a handshake that was half done. The client's connect() had returned by then; the kernel here kept the connection in SYN_RECV, accept() never saw it, and the close of the listener reset it when the client's kernel repeated its data, 0.2 s after it was sent.

Change: the filter drops only segments with SYN and without ACK. The kernel is asked (sock_diag) whether handshakes of this port are unfinished. Where none is, the port closes in the same turn as before; else it stays open until they are complete, for a quarter of a second at most, and their connections are accepted. Where the kernel does not tell, 3 ms are waited. A drain ends only once the port is closed.

Why it works: a client whose connect() has succeeded has a connection here that is in the backlog, accepted, or in SYN_RECV; the first two were accepted before, and the port does not close over the third. A client whose first segment is dropped has not connected and is refused when it repeats it.

The fake listener of the drawn orders has an address now, for which the kernel knows no handshake.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -6,6 +6,7 @@
 import errno
 import select
 import socket
+import time
 import unittest
 
 from twisted.internet.epollreactor import EPollReactor
@@ -16,6 +17,7 @@
 
 from tests.support.peers import reserve_port
 from tests.support.programs import encode_command
+from tests.support.unfinished_handshakes import hold_handshakes
 from tests.unit.proxy.test_proxy import VALUE_RESPONSE, Network, endpoint_entry
 from thymeknot.interface.events import ClientDisconnected
 from thymeknot.protocol.client import (
@@ -28,6 +30,7 @@
 )
 from thymeknot.proxy.client_listener import CLOSING_ALLOWANCE
 from thymeknot.proxy.graceful_shutdown import BACKLOG_ACCEPT_TIMEOUT
+from thymeknot.proxy.listener_closer import MAX_HANDSHAKE_TIME
 
 PING, PONG = encode_command("PING"), b"+PONG\r\n"
 
@@ -487,6 +490,54 @@
             late_connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), errno.ECONNREFUSED
         )
 
+    def test_handshake_in_progress_at_close_completes_and_its_request_is_answered(self):
+        """Guards against a reset of a client whose connect() succeeded as the listener closed."""
+        network, factory = self.network(), Factory()
+        factory.noisy, factory.buildProtocol = (
+            False,
+            lambda address: ClientConnection(network.proxy.listener),
+        )
+        port = network.proxy.listener.port = network.loop.listenTCP(
+            0, factory, interface="127.0.0.1"
+        )
+        hold_handshakes(port.socket)
+        client_socket = socket.create_connection(("127.0.0.1", port.getHost().port), timeout=5)
+        self.addCleanup(client_socket.close)
+        client_socket.sendall(PING)
+        drained = []
+        network.proxy.shut_down(lambda: drained.append(True))
+        network.reactor.advance(0)
+        self.assertEqual((len(network.proxy.clients), port.disconnected), (0, False))
+        for _ in range(40):  # the client's kernel repeats the data 0.2 s after it was sent
+            time.sleep(0.01)
+            network.advance_time(50)
+        network.advance_time(2 * LINGER_TIME)
+        self.assertEqual(read_to_end(client_socket), PONG)
+        network.step(9)
+        self.assertEqual((port.disconnected, drained), (True, [True]))
+
+    def test_handshake_that_never_completes_does_not_hold_up_the_close(self):
+        """Guards against a listener that stays open for a client that has vanished."""
+        network, factory = self.network(), Factory()
+        factory.noisy, factory.buildProtocol = (
+            False,
+            lambda address: ClientConnection(network.proxy.listener),
+        )
+        port = network.proxy.listener.port = network.loop.listenTCP(
+            0, factory, interface="127.0.0.1"
+        )
+        hold_handshakes(port.socket)
+        client_socket = socket.create_connection(("127.0.0.1", port.getHost().port), timeout=5)
+        self.addCleanup(client_socket.close)  # it sends nothing
+        drained = []
+        network.proxy.shut_down(lambda: drained.append(True))
+        network.reactor.advance(0)
+        network.advance_time(MAX_HANDSHAKE_TIME - 100)
+        self.assertEqual((port.disconnected, drained), (False, []))
+        network.advance_time(200)
+        network.step(9)
+        self.assertEqual((port.disconnected, drained), (True, [True]))
+
 
 class ConnectionLimitTest(unittest.TestCase):
     """More connections in the kernel's backlog than the sidecar may hold open.
--- a/tests/support/stepped_network.py
+++ b/tests/support/stepped_network.py
@@ -199,10 +199,14 @@
             True,
         )
         self.sessionno, self.numberAccepts = 0, 100
-        self.socket, self.accepting = self, True
+        self.socket, self.accepting, self.family = self, True, socket.AF_INET
+
+    def getsockname(self):
+        """Returns an address with which the kernel has no handshake in progress."""
+        return "127.0.0.1", 1
 
     def setsockopt(self, level, name, value):
-        """Stops accepting: the one option that the sidecar sets is a filter that drops all."""
+        """Stops accepting: the only option set is a filter that drops connection requests."""
         self.accepting = False
 
     def doRead(self):
--- a/thymeknot/protocol/write_progress.py
+++ b/thymeknot/protocol/write_progress.py
@@ -2,16 +2,9 @@
 
 import select
 import socket
-import struct
-from array import array
 from enum import StrEnum
 from typing import Any, Final, NamedTuple
 
-SO_ATTACH_FILTER: Final = 26
-"""Linux socket option that attaches a BPF packet filter; the socket module does not define it."""
-BPF_RET: Final = 0x06
-"""BPF opcode of the instruction that returns how many bytes of a packet to accept."""
-
 
 class WriteProgress(StrEnum):
     """How much of a request had been written when its connection ended."""
@@ -59,21 +52,6 @@
     return bool(poll.poll(0))
 
 
-def drop_new_connections(listener: socket.socket) -> None:
-    """Makes the kernel drop new connections to this listener, by a packet filter.
-
-    Connections that the kernel completes between the last accept() and the close of the listener
-    would be reset by the close. One that is never completed is refused, and its client can try
-    another instance.
-    """
-    drop_all_packets = array("B", struct.pack("=HBBI", BPF_RET, 0, 0, 0))
-    program = struct.pack("@HP", 1, drop_all_packets.buffer_info()[0])
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
-    except OSError:
-        pass  # without the filter the caller can only close the listener as soon as possible
-
-
 class RequestWriter:
     """Mixin for protocols that must know when the last byte of a request was written.
 
--- a/thymeknot/proxy/client_listener.py
+++ b/thymeknot/proxy/client_listener.py
@@ -192,7 +192,8 @@
         """Resumes accepting, since the idle connection can be evicted for the next client."""
         if self.accepting_paused and not self.shutdown.is_draining():
             self.accepting_paused = False
-            self.port.startReading()
+            if self.shutdown.listener_closed is None:  # else the port is about to be replaced
+                self.port.startReading()
         elif self.accepting_paused and self.listening:
             self.shutdown.accept_rest()
 
--- a/thymeknot/proxy/graceful_shutdown.py
+++ b/thymeknot/proxy/graceful_shutdown.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred, maybeDeferred, succeed
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import CannotListenError
 
 from ..interface.clock import Ticks
-from ..protocol.write_progress import drop_new_connections
 from .client_listener import ClientListener
+from .listener_closer import ListenerCloser
 
 READ_GRACE_PERIOD = 300
 """Ticks between the last accept and the first close, in which received data is still read."""
@@ -44,6 +44,7 @@
         self.on_drained: Callable[[], None] | None = None
         self.answer_by: Ticks | None = None
         self.listener_closed: Deferred[Any] | None = None
+        self._port_closing = False  # from the decision to close the port until it is closed
         self._close_timer: int | None = None
         self._finish_timer: int | None = None
         self._undrain_token: object | None = None  # the latest undrain, until a drain
@@ -93,16 +94,14 @@
         """
         self.timers.cancel(self._close_timer)
         self.listener.listening = False
+        self._port_closing = True
         closed = self.listener_closed
         assert closed is not None  # created when the drain began
-        # Connections that arrive until the port closes are accepted just before.
-        self.reactor.callLater(0, self._accept_last)
-        maybeDeferred(self.listener.port.stopListening).chainDeferred(closed)
+        ListenerCloser(self.listener, self._port_closed).closed.chainDeferred(closed)
 
-    def _accept_last(self) -> None:
-        if self.listener_closed and not self.listener_closed.called:
-            drop_new_connections(self.listener.port.socket)
-            self.listener.accept_all()
+    def _port_closed(self) -> None:
+        self._port_closing = False
+        self.notify_if_drained()
 
     def undrain(self, on_listening: Callable[[], None], on_failure: Callable[[str], None]) -> None:
         """Accepts new work again; connections that were closing still close.
@@ -160,7 +159,8 @@
 
     def notify_if_drained(self) -> None:
         """Calls `on_drained`, once, if the port and all connections are closed."""
-        if self.on_drained and not self.listener.clients and not self.listener.listening:
+        port_open = self.listener.listening or self._port_closing
+        if self.on_drained and not self.listener.clients and not port_open:
             on_drained = self.on_drained
             self.on_drained = _noop
             on_drained()
