Cap the time of requests from SIGTERM on, not only once the listener closes

Cause: requests were cut to the last responses' moment only from the close of the listener on, half a second after SIGTERM. One with 3 s that was read 0.45 s after SIGTERM ended at 3.45 s, one read 0.49 s after it at 3.49 s, behind the 3.4 s that are meant; a busy machine delivers the test's requests later than the 0.45 s at which it sends them. A request with a deadline beyond 3 s that was in flight at SIGTERM was waited for until the kill.

Change: the moment is set at SIGTERM. What is still unanswered there fails, as an overdue request does: it would otherwise be ended without an answer or killed. The last response comes 0.3 s after the longest deadline in place of 0.4 s, so that the close of the connections, a delay of 0.15 s, the flush and the exit of the interpreter (0.05 s each) end before the kill.

--- a/tests/integration/test_lifecycle.py
+++ b/tests/integration/test_lifecycle.py
@@ -475,6 +475,22 @@
         # The time of the kill minus the 0.15 s for which a sidecar may be delayed.
         self.assertLess(stopped["at"] - stopping["at"], 3.7 - 0.15)
 
+    def test_requests_read_just_before_the_listener_closes_are_answered_as_early_as_others(self):
+        """Guards against an exit that is late by the time in which connections are accepted."""
+        pod = self.pod(lambda arguments: b"")
+        program = self.program(pod.entry("s-1"))
+        with program.client() as client:
+            program.process.send_signal(signal.SIGTERM)
+            stopping = program.wait_for_log("stopping")
+            time.sleep(0.98 * lifecycle.ACCEPT_AFTER_SIGTERM_SECONDS)
+            client.send("SVC.QUERY", "a", "01", "c=read,t=acme,d=3000")
+            answers = [client.read_response() for _ in range(2)]
+            stopped = program.wait_for_log("stopped")
+            self.assertEqual(program.process.wait(TIMEOUT_SECONDS), 0)
+        self.assertEqual([answer[:1] for answer in answers], [b"-", b""])
+        # 0.05 s for the flush and as much for the exit, beside the 0.15 s of a delay.
+        self.assertLess(stopped["at"] - stopping["at"], 3.7 - 0.15 - 0.05 - 0.05)
+
     def test_partial_file_is_rejected_and_the_complete_one_loaded_on_next_sighup(self):
         new = FakeDiscovery()
         self.addCleanup(new.close)
--- a/thymeknot/proxy/client_requests.py
+++ b/thymeknot/proxy/client_requests.py
@@ -12,14 +12,11 @@
 from ..protocol.write_progress import peer_has_closed
 from ..service import structured_log
 from .attempt import BUSY
-from .in_flight import InFlightRequest, RequestTable
+from .in_flight import OVERDUE_MARGIN, InFlightRequest, RequestTable
 
 if TYPE_CHECKING:
     from .proxy import Proxy
 
-OVERDUE_MARGIN = 50
-"""Ticks after its deadline when a request fails if the engine has not responded to it."""
-
 UNKNOWN_CLASS_RESPONSE = resp.failure("ERR no such lane")
 """Response to a request whose class is not in the settings."""
 
@@ -173,13 +170,23 @@
 
     def _overdue(self, request: InFlightRequest) -> None:
         """Fails a request to which the engine has not responded in time."""
-        proxy = self.proxy
         if not request.closed:
             structured_log.log("request overdue", id=request.id, out=request.attempts_in_flight)
-            if proxy.why is not None:
-                proxy.why.request_answered(request.id, proxy.why.abandoned_reason)
-            self.answer(request, FAILED_RESPONSE)
-            proxy.handle_events(ClientDisconnected(request.id))
+            self._abandon(request)
+
+    def fail_all(self) -> None:
+        """Fails all requests in flight, as the process ends before their deadlines."""
+        for request in self.table.by_slot:
+            if not request.closed:
+                self._abandon(request)
+
+    def _abandon(self, request: InFlightRequest) -> None:
+        """Fails a request to which the engine has not responded, and tells the engine."""
+        proxy = self.proxy
+        if proxy.why is not None:
+            proxy.why.request_answered(request.id, proxy.why.abandoned_reason)
+        self.answer(request, FAILED_RESPONSE)
+        proxy.handle_events(ClientDisconnected(request.id))
 
     def answer(self, request: InFlightRequest | None, content: bytes) -> None:
         """Sends a request its final response, unless it is closed."""
--- a/thymeknot/proxy/graceful_shutdown.py
+++ b/thymeknot/proxy/graceful_shutdown.py
@@ -8,6 +8,7 @@
 
 from ..interface.clock import Ticks
 from .client_listener import ClientListener
+from .in_flight import OVERDUE_MARGIN
 from .listener_closer import ListenerCloser
 
 READ_GRACE_PERIOD = 300
@@ -36,8 +37,15 @@
         listener_closed: A Deferred that fires once the port is closed; None while it serves.
     """
 
-    def __init__(self, listener: ClientListener) -> None:
+    def __init__(self, listener: ClientListener, fail_requests: Callable[[], None]) -> None:
+        """Creates it for a listener that serves.
+
+        Args:
+            listener: The listener to drain.
+            fail_requests: Gives all requests in flight their final response.
+        """
         self.listener = listener
+        self._fail_requests = fail_requests
         self.reactor = listener.reactor
         self.timers = listener.timers
         self.clock = listener.clock
@@ -58,6 +66,12 @@
         """Returns whether connections close as soon as their responses are sent."""
         return self.on_drained is not None and self._finish_timer is None
 
+    def limit_responses(self, answer_by: Ticks) -> None:
+        """Has each request answered by then, in ticks: the process is to end."""
+        self.answer_by = answer_by
+        # A request that has been accepted already may have a later deadline.
+        self.timers.add(answer_by + OVERDUE_MARGIN, self._fail_requests)
+
     def drain(self, on_drained: Callable[[], None], answer_by: Ticks | None = None) -> None:
         """Stops accepting new work, and closes each client's connection after its responses.
 
--- a/thymeknot/proxy/in_flight.py
+++ b/thymeknot/proxy/in_flight.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from .attempt import Attempt
 
+OVERDUE_MARGIN: Ticks = 50
+"""Ticks after its deadline when a request fails if the engine has not responded to it."""
+
 
 class InFlightRequest:
     """One request in flight.
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -122,7 +122,7 @@
             request_received=self.client_requests.accept,
             client_gone=self.client_requests.client_disconnected,
         )
-        self.shutdown = GracefulShutdown(self.listener)
+        self.shutdown = GracefulShutdown(self.listener, self.client_requests.fail_all)
         self.exposure = TrialExposure(start.settings)
         self.pending_events: list[Event] = []
         self.handling_events = False
@@ -240,6 +240,10 @@
         """
         self.listener.serve()
 
+    def limit_responses(self, answer_by: Ticks) -> None:
+        """Has each request answered by then; see GracefulShutdown.limit_responses."""
+        self.shutdown.limit_responses(answer_by)
+
     def shut_down(self, on_drained: Callable[[], None], answer_by: Ticks | None = None) -> None:
         """Drains before the process ends; see GracefulShutdown.drain."""
         self.shutdown.drain(on_drained, answer_by)
--- a/thymeknot/service/lifecycle.py
+++ b/thymeknot/service/lifecycle.py
@@ -16,11 +16,11 @@
 """Seconds after SIGTERM in which new connections are still accepted."""
 FLUSH_SECONDS: Final = 0.05
 """Seconds for the last responses to be sent."""
-SHUTDOWN_MARGIN: Final[Ticks] = 4_000
+SHUTDOWN_MARGIN: Final[Ticks] = 3_000
 """Ticks after the longest deadline, counted from SIGTERM, by which the last response is sent.
 
-The process is killed 0.7 s later. That time is for connections to close, for the process to exit,
-and for delays of up to 0.15 s."""
+The process is killed 0.7 s after that deadline. The time in between is for connections to close,
+for the process to exit, and for delays of up to 0.15 s."""
 MAX_COUNTED_DEADLINE: Final[Ticks] = 3 * TICKS_PER_SECOND
 """Upper bound on the longest deadline in this calculation."""
 FIRST_LIST_TIMEOUT_SECONDS = 0.5
@@ -224,11 +224,10 @@
                 request_class.outer_limit
                 for request_class in self.proxy.settings.request_classes.values()
             )
+            answer_by = clock() + min(longest_deadline, MAX_COUNTED_DEADLINE) + SHUTDOWN_MARGIN
+            self.proxy.limit_responses(answer_by)
             self.reactor.callLater(
-                ACCEPT_AFTER_SIGTERM_SECONDS,
-                self.proxy.shut_down,
-                self._on_drained,
-                clock() + min(longest_deadline, MAX_COUNTED_DEADLINE) + SHUTDOWN_MARGIN,
+                ACCEPT_AFTER_SIGTERM_SECONDS, self.proxy.shut_down, self._on_drained, answer_by
             )
         else:
             self._on_drained()
