End every connection before the kill after SIGTERM, whatever its client does

Cause: at the end only the wait for a client's close was cut short. A command that had begun was waited for 2.5 s from when it came, one that was read late for 0.1 s more, a first command half a second, a client that reads nothing ten seconds; each of these timers had its own figure, and a client that always has a further command in transit kept its connection open without end.

Change: GracefulShutdown holds the limit for all. 0.05 s after the last responses' moment every connection stops waiting: half a command gets its error, no first command and no close of the client is awaited, a port that is still open closes. What is still open 0.05 s later is aborted. The connections' own timers are left as they are: no later one can matter, since the connections are gone.

The stepped network closes its epoll descriptor and pipe, which the garbage collector would otherwise find too late in so many plays.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -73,8 +73,9 @@
         for client in self.proxy.clients:
             client.transport.abortConnection()
         self.step()
-        for reader in self.loop.removeAll():
+        for reader in [*self.loop.removeAll(), self.loop.waker]:
             reader.connectionLost(None)
+        self.loop._poller.close()  # Twisted leaves it to the garbage collector
 
 
 def read_to_end(client_socket):
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -195,12 +195,15 @@
                 self.timers.clock() + LATE_READ_GRACE, self._command_overdue, False
             )
         elif self.parser.buffered_bytes:
-            self.input_valid = False
-            self.answer(self._reserve_response(), resp.failure("ERR no whole command in time"))
-            self.finish()
+            self._fail_incomplete_command()
         else:
             self.finish()
 
+    def _fail_incomplete_command(self) -> None:
+        self.input_valid = False
+        self.answer(self._reserve_response(), resp.failure("ERR no whole command in time"))
+        self.finish()
+
     def pauseProducing(self) -> None:  # noqa: N802 (Twisted's name)
         """Called by the transport when its write buffer is full: the client does not read."""
         self.write_blocked = True
@@ -338,15 +341,24 @@
         if not self.ended:
             self.transport.abortConnection()
 
-    def stop_lingering(self) -> None:
-        """Ends the wait for the client's close, now and after any responses still to be sent.
+    def stop_waiting(self) -> None:
+        """Ends all waits for the client; what was read is still answered, and then it closes.
 
-        During shutdown, requests that were read at the last moment are answered after this call. To
-        linger again after them would take until the process is killed.
+        The process exits soon. A command that has begun to arrive gets its error, a first command
+        and the client's close are not awaited, and there is no other lingering after responses that
+        are still to be sent.
         """
         self.linger = 0
-        if self.ended and not self.flushing:
+        if self.input_valid and self.parser.buffered_bytes:
+            self._fail_incomplete_command()
+        elif self.ended and not self.flushing:
             self.transport.loseConnection()
+        else:
+            self.finish()
+
+    def abort(self) -> None:
+        """Closes at once, whatever has not been sent."""
+        self.transport.abortConnection()
 
     def finish(self) -> None:
         """Closes the connection once all requests are answered.
--- a/thymeknot/proxy/graceful_shutdown.py
+++ b/thymeknot/proxy/graceful_shutdown.py
@@ -15,7 +15,13 @@
 """Ticks between the last accept and the first close, in which received data is still read."""
 
 CLOSE_AFTER_LAST_RESPONSE = 500
-"""Ticks after the deadline of the last response when connections still open are closed."""
+"""Ticks after the deadline of the last response when nothing more is awaited from clients."""
+
+MIN_TIME_TO_ANSWER = 400
+"""Ticks after the last accept in which connections are not closed early, at the least."""
+
+MAX_CLOSE_TIME = 500
+"""Ticks after that in which connections may close; those that are still open are aborted."""
 
 BACKLOG_ACCEPT_TIMEOUT = 10_000
 """Ticks after the start of a drain in which connections beyond the limit are still accepted.
@@ -52,6 +58,8 @@
         self.on_drained: Callable[[], None] | None = None
         self.answer_by: Ticks | None = None
         self.listener_closed: Deferred[Any] | None = None
+        self._stop_waiting_at: Ticks | None = None  # when nothing more is awaited from clients
+        self._limit_timer: int | None = None
         self._port_closing = False  # from the decision to close the port until it is closed
         self._close_timer: int | None = None
         self._finish_timer: int | None = None
@@ -83,16 +91,26 @@
         self.on_drained = on_drained
         self.answer_by = answer_by
         self._undrain_token = None
+        if answer_by is not None:
+            self._limit_waits(answer_by)
         if not self.listener_closed:
             self.listener_closed = Deferred()
-            self._close_timer = self.timers.add(
-                self.clock() + BACKLOG_ACCEPT_TIMEOUT, self._close_listener
-            )
+            close_at = self.clock() + BACKLOG_ACCEPT_TIMEOUT
+            if self._stop_waiting_at is not None:
+                close_at = min(close_at, self._stop_waiting_at)
+            self._close_timer = self.timers.add(close_at, self._close_listener)
             self.accept_rest()
         self.timers.cancel(self._finish_timer)
         self._finish_timer = self.timers.add(self.clock() + READ_GRACE_PERIOD, self._finish_clients)
-        if answer_by is not None:
-            self.timers.add(answer_by + CLOSE_AFTER_LAST_RESPONSE, self._close_lingering)
+
+    def _limit_waits(self, answer_by: Ticks) -> None:
+        """Schedules the end of all connections, which no timer of a connection can postpone."""
+        # Late enough for what has just been accepted to be read and answered.
+        self._stop_waiting_at = max(
+            answer_by + CLOSE_AFTER_LAST_RESPONSE, self.clock() + MIN_TIME_TO_ANSWER
+        )
+        self.timers.cancel(self._limit_timer)
+        self._limit_timer = self.timers.add(self._stop_waiting_at, self._stop_waiting)
 
     def accept_rest(self) -> None:
         """Closes the port once the backlog is accepted; at the connection limit the rest waits."""
@@ -111,7 +129,8 @@
         self._port_closing = True
         closed = self.listener_closed
         assert closed is not None  # created when the drain began
-        ListenerCloser(self.listener, self._port_closed).closed.chainDeferred(closed)
+        closer = ListenerCloser(self.listener, self._port_closed, self._stop_waiting_at)
+        closer.closed.chainDeferred(closed)
 
     def _port_closed(self) -> None:
         self._port_closing = False
@@ -128,6 +147,8 @@
             on_failure: Called with the reason if the port cannot be opened.
         """
         self.timers.cancel(self._finish_timer)
+        self.timers.cancel(self._limit_timer)
+        self._stop_waiting_at = None
         self.on_drained = None
         self.answer_by = None
         self.listener.accepting_paused = False
@@ -166,10 +187,19 @@
             connection.finish()
         self.notify_if_drained()
 
-    def _close_lingering(self) -> None:
-        """Closes connections that still wait for the client to close them; the process exits."""
+    def _stop_waiting(self) -> None:
+        """Closes the port and the connections without waiting for clients; the process exits."""
+        if self.listener.listening:
+            self._close_listener()
+        for connection in self.listener.clients:
+            connection.stop_waiting()
+        # Counted from now, so that a delay until here does not take the time to send the responses.
+        self._limit_timer = self.timers.add(self.clock() + MAX_CLOSE_TIME, self._abort_connections)
+
+    def _abort_connections(self) -> None:
+        """Aborts the connections that are still open, so that the process exits in time."""
         for connection in self.listener.clients:
-            connection.stop_lingering()
+            connection.abort()
 
     def notify_if_drained(self) -> None:
         """Calls `on_drained`, once, if the port and all connections are closed."""
--- a/thymeknot/proxy/listener_closer.py
+++ b/thymeknot/proxy/listener_closer.py
@@ -35,18 +35,22 @@
         closed: Fires with None once the port is closed.
     """
 
-    def __init__(self, listener: "ClientListener", on_closed: Callable[[], None]) -> None:
+    def __init__(
+        self, listener: "ClientListener", on_closed: Callable[[], None], deadline: Ticks | None
+    ) -> None:
         """Closes the port in the next event loop turn if no handshake is unfinished by then.
 
         Args:
             listener: The listener whose port is closed.
             on_closed: Called just before `closed` fires.
+            deadline: When the port closes whatever is unfinished, in ticks; None without one.
         """
         self.listener = listener
         self.timers = listener.timers
         self.clock = listener.clock
         self.closed: Deferred[None] = Deferred()
         self._on_closed = on_closed
+        self._deadline = deadline
         self._give_up_at: Ticks = 0
         # Runs before the port closes, which Twisted schedules for the same turn.
         listener.reactor.callLater(0, self._await_handshakes)
@@ -75,6 +79,8 @@
         self._closing.cancel()
         patience = ASSUMED_HANDSHAKE_TIME if unfinished is None else MAX_HANDSHAKE_TIME
         self._give_up_at = self.clock() + patience
+        if self._deadline is not None:
+            self._give_up_at = min(self._give_up_at, self._deadline)
         self._check_later()
 
     def _check_later(self) -> None:
