Gossip: keep several told addresses of a peer, one for each group that told one

Cause: PeerHints.learn took a hint only while no address was known, so the first word stood for ever, whoever said it. True addresses told later were passed over, and the pings to the false one backed off to a minute. An Alive item of an unknown start counted as its origin's own word, though its signature is not verified at that point.

Change: an instance that is not live has candidates for its address, at most one for each group of peers that told one, and two more than the groups that may lie (hearsay.liars). They are probed in turn, each with its own backoff. A group's new word replaces its former one; a further group gets a place only of an address that was probed in vain. All are dropped once the peer has proved its address. An Alive item that is not verified yet counts as the word of who forwarded it.

Why it works: liars hold at most their own places, so one is left for an honest word, whose probe does not wait for the failures of the others. What a liar can cost is one probe a period for each peer, within the four that a period allows for all.

--- a/thymeknot/gossip/item_exchange.py
+++ b/thymeknot/gossip/item_exchange.py
@@ -67,7 +67,7 @@
         if origin is None or context.key_owner(sealed.key_id) != item.origin:
             return DropReason.KEY
         if origin.start != item.start or not origin.is_live():
-            return self._hold_until_proved(now, origin, item, content)
+            return self._hold_until_proved(now, forwarder, origin, item, content)
         digest = blake2b(content, digest_size=DIGEST_SIZE).digest()
         if origin.item_window.seen(item.number):
             known = origin.digests.get(item.number)
@@ -160,28 +160,37 @@
             context.outbox.publish(now, Alive(*local.announced, local.incarnation), LIVENESS)
 
     def _hold_until_proved(
-        self, now: Ticks, origin: Member, item: Item, content: bytes
+        self, now: Ticks, forwarder: Member, origin: Member, item: Item, content: bytes
     ) -> DropReason | None:
         """Holds an item whose origin has not proved the item's start, and probes the origin."""
         body = item.body
-        if isinstance(body, Alive) and origin.state == MemberState.UNPROVED:
-            self._hints.learn(now, origin.name, (body.host, body.port))
+        if isinstance(body, Alive):
+            # Not verified yet, so it is the forwarder's word.
+            self._hints.learn(now, origin.name, (body.host, body.port), forwarder.name)
         pending = self._pending_by_origin.get(origin.name, 0)
         if (
             isinstance(body, Alive)
             or origin.start == item.start
-            or origin.address is None
+            or not (origin.address or origin.candidates)
             or len(self.pending) >= MAX_PENDING_ITEMS
             or pending >= MAX_PENDING_ITEMS_PER_ORIGIN
         ):
             return DropReason.UNPROVED
         self._pending_by_origin[origin.name] = pending + 1
         self.pending.append(PendingItem(now, origin.name, content))
-        if now - origin.last_probe_at >= self._context.settings.probe_every:
-            origin.last_probe_at = now
-            self._prober.probe(now, origin.address, origin.name, SendPurpose.PROVE)
+        self._probe_origin(now, origin)
         return None
 
+    def _probe_origin(self, now: Ticks, origin: Member) -> None:
+        """Probes the origin of a held item, if it was not probed within the last period."""
+        period = self._context.settings.probe_every
+        if now - origin.last_probe_at < period:
+            return
+        address = origin.address or origin.candidates.take_next(now, period)
+        if address is not None:
+            origin.last_probe_at = now
+            self._prober.probe(now, address, origin.name, SendPurpose.PROVE)
+
     def release_pending(self, now: Ticks, member: Member) -> None:
         """Processes the items that were held for a peer which has now been validated."""
         if not self._pending_by_origin.pop(member.name, None):
--- a/thymeknot/gossip/membership.py
+++ b/thymeknot/gossip/membership.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple, cast
 
 from ..interface.clock import TICKS_PER_SECOND, Ticks
+from .address_candidates import MAX_BACKOFF_DOUBLINGS, AddressCandidates
 from .dissemination_queue import RandomSource
 from .rate_limits import Address
 from .replay_window import ReplayWindow
@@ -29,7 +30,6 @@
 MAX_DIGESTS_PER_ORIGIN = 64  # latest items, to detect equivocation
 MAX_SUSPECTING_GROUPS = 16  # recorded per suspected peer
 MAX_CONFIRMATIONS = 3  # reports by other groups that shorten a suspicion
-MAX_BACKOFF_DOUBLINGS = 6  # of the interval between probes of a peer that does not answer
 
 
 class MemberState(StrEnum):
@@ -161,7 +161,8 @@
 
     Attributes:
         name: Name in the keyring.
-        address: Validated address, or before validation an address from hints.
+        address: Validated address, or None.
+        candidates: Addresses that others have told, as long as none is validated.
         state: Membership state.
         start: Id of the proved start, or None.
         incarnation: Incarnation within the start.
@@ -180,6 +181,7 @@
     __slots__ = (
         "address",
         "backoff_doublings",
+        "candidates",
         "challenged_at",
         "digests",
         "frame_window",
@@ -198,6 +200,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.address: Address | None = None
+        self.candidates = AddressCandidates()
         self.state = MemberState.UNPROVED
         self.state_since: Ticks = 0
         self.backoff_doublings = 0
@@ -235,6 +238,18 @@
         self.digests[number] = digest
 
 
+class AddressToValidate(NamedTuple):
+    """An address at which a peer may answer.
+
+    Attributes:
+        member: The peer.
+        address: The address to probe.
+    """
+
+    member: Member
+    address: Address
+
+
 class Members:
     """The peers in the keyring.
 
@@ -390,20 +405,30 @@
                 return [member]
         return []
 
-    def peers_to_validate(self, now: Ticks, limit: int) -> list[Member]:
-        """Returns peers with an address that are not live and whose backoff is over."""
+    def addresses_to_validate(self, now: Ticks, limit: int) -> list["AddressToValidate"]:
+        """Returns addresses to probe, of peers that are not live and whose backoff is over."""
         period = self._settings.probe_every
-        candidates = [
-            member
+        due = [
+            (due_at, member.name)
             for member in self.all.values()
-            if member.address
-            and not member.is_live()
-            and now - member.last_probe_at >= period * (1 << member.backoff_doublings)
+            if not member.is_live() and (due_at := self._validation_due_at(member)) is not None
         ]
-        candidates.sort(key=lambda member: member.last_probe_at)
-        for member in candidates[:limit]:
+        due = sorted((due_at, name) for due_at, name in due if due_at <= now)
+        chosen = []
+        for _, name in due[:limit]:
+            member = self.all[name]
+            address = member.address or member.candidates.take_next(now, period)
             member.last_probe_at = now
-        return candidates[:limit]
+            if address is not None:
+                chosen.append(AddressToValidate(member, address))
+        return chosen
+
+    def _validation_due_at(self, member: Member) -> Ticks | None:
+        """Returns when a peer that is not live may be probed; None without an address."""
+        period = self._settings.probe_every
+        if member.address is None:
+            return member.candidates.next_due_at(period)
+        return member.last_probe_at + period * (1 << member.backoff_doublings)
 
     def sample(self, count: int, exclude: Collection[str] = ()) -> list[Member]:
         """Returns up to `count` random peers in state `ALIVE`."""
--- a/thymeknot/gossip/node.py
+++ b/thymeknot/gossip/node.py
@@ -22,7 +22,7 @@
 
 PUSHES_PER_PERIOD = 5  # rounds of pushed items per protocol period
 PUSH_FANOUT = 2  # peers that receive the items of a round
-VALIDATIONS_PER_PERIOD = 4  # unvalidated peers that are probed per period
+VALIDATIONS_PER_PERIOD = 4  # addresses of peers that are not live, probed per period
 EVALUATIONS_PER_PERIOD = 2  # rounds of evidence and suspicions per period
 LEAVE_FANOUT = 4  # peers that are notified when this instance leaves
 SEED_PROBE_INTERVAL = 5 * TICKS_PER_SECOND  # while any member is live
@@ -203,9 +203,8 @@
                 self.prober.probe(
                     now, member.live_address(), member.name, SendPurpose.PROBE, is_period_probe=True
                 )
-        for member in self.members.peers_to_validate(now, VALIDATIONS_PER_PERIOD):
-            if member.address is not None:
-                self.prober.probe(now, member.address, member.name, SendPurpose.PROVE)
+        for member, address in self.members.addresses_to_validate(now, VALIDATIONS_PER_PERIOD):
+            self.prober.probe(now, address, member.name, SendPurpose.PROVE)
         for seed in self._seeds_to_probe(now):
             self.prober.probe(now, seed, None, SendPurpose.PROVE)
 
--- a/thymeknot/gossip/peer_hints.py
+++ b/thymeknot/gossip/peer_hints.py
@@ -4,11 +4,12 @@
 from . import codec
 from .codec import Hints
 from .context import GossipContext
-from .membership import Member, MemberState
+from .membership import Member
 from .rate_limits import Address, SendPurpose
 
 REQUEST_INTERVAL = 5 * TICKS_PER_SECOND  # between requests while no new hint arrives
 HINTS_PER_REQUEST = 8  # peers in a request; a reply has up to this many more
+HONEST_CANDIDATES = 2  # for the address of a peer, beside one for each group that may lie
 
 
 class PeerHints:
@@ -25,20 +26,27 @@
             reply = Hints(False, self._sample_hints(len(hints.peers) + HINTS_PER_REQUEST))
             self._context.outbox.send(now, source, member.name, reply, SendPurpose.PROVE)
         for name, host, port in hints.peers:
-            self.learn(now, name, (host, port))
+            self.learn(now, name, (host, port), member.name)
 
-    def learn(self, now: Ticks, name: str, address: Address) -> None:
-        """Stores a possible address of a peer, to be probed, unless the peer already has one."""
+    def learn(self, now: Ticks, name: str, address: Address, teller: str = "") -> None:
+        """Stores a possible address of a peer, to be probed, unless the peer has a validated one.
+
+        Args:
+            now: Current time.
+            name: Name of the peer.
+            address: Its possible address.
+            teller: Name of the peer that told it, whether or not it made the claim; empty for an
+                unknown one.
+        """
         context = self._context
         member = context.members.all.get(name)
-        if (
-            member
-            and member.state == MemberState.UNPROVED
-            and address[0] in context.sources
-            and member.address is None
-        ):
-            member.address = address
-            member.last_probe_at = now - context.settings.probe_every
+        if member is None or member.is_live() or member.address is not None:
+            return
+        if address[0] not in context.sources:
+            return
+        group = context.keyring.groups.get(teller, teller)
+        capacity = context.settings.hearsay.liars + HONEST_CANDIDATES
+        if member.candidates.add(group, address, capacity):
             self._has_new_hints = True
 
     def tick(self, now: Ticks) -> None:
--- a/thymeknot/gossip/receiver.py
+++ b/thymeknot/gossip/receiver.py
@@ -232,6 +232,7 @@
         if member.address is not None:
             context.by_address.pop(member.address, None)
         member.address = address
+        member.candidates.clear()
         context.by_address[address] = member.name
         context.limits.set_validated_addresses(
             [peer.address for peer in context.members.all.values() if peer.address and peer.start]
