--- a/tests/unit/simulation/test_simulation.py
+++ b/tests/unit/simulation/test_simulation.py
@@ -1,8 +1,10 @@
 """The simulator: reproducible days, queues by Erlang's formulas, and checks of the five rules."""
 
 import json
+import os
 import subprocess
 import sys
+import tempfile
 import unittest
 
 import numpy as np
@@ -11,6 +13,7 @@
 from thymeknot.simulation import scenarios, statistics
 from thymeknot.simulation.baseline_policies import BASELINE_POLICIES, RULE_BREAKING_POLICIES
 from thymeknot.simulation.calibration import find_broken_rules, simulate_queue
+from thymeknot.simulation.experiments import simulate_days
 from thymeknot.simulation.invariants import InvariantChecker
 from thymeknot.simulation.random_streams import gamma, zipf_keys
 from thymeknot.simulation.servers import Build, Pod
@@ -56,6 +59,20 @@
         self.assertEqual(len(set(requested.values())), 1)
 
 
+class KeptResultsTest(unittest.TestCase):
+    def test_comparison_is_continued_from_its_file(self):
+        """Guards against results that cannot be written, or are not found again."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "results.jsonl")
+            task = ("now", 2, {"instances": 4, "pods": 4, "rate": 20.0, "seconds": 8})
+            first = simulate_days([task], 1, path)
+            with open(path, "rb") as source:
+                self.assertEqual(len(source.readlines()), 1)
+            progress = []
+            again = simulate_days([task], 1, path, lambda *counts: progress.append(counts))
+            self.assertEqual((again, progress), (first, []))
+
+
 class InFlightCounts(unittest.TestCase):
     """Engines and the simulator each count attempts in flight and agree at the end of a day."""
 
--- a/thymeknot/simulation/experiments.py
+++ b/thymeknot/simulation/experiments.py
@@ -446,7 +446,8 @@
             results[task_key(task_by_future[future])] = result
             if results_path:
                 with open(results_path, "ab") as target:
-                    target.write(orjson.dumps(result) + b"\n")
+                    # The numbers of answers have enum members as keys.
+                    target.write(orjson.dumps(result, option=orjson.OPT_NON_STR_KEYS) + b"\n")
             on_progress(
                 len(tasks) - sum(task_key(task) not in results for task in tasks), len(tasks)
             )
