Raft storage: a new disk incarnation is found again before its second acknowledgement

Cause: Lineage.read takes the slot with more records for the last one. A new incarnation begins at few, so the other slot, of the old incarnation, won until both were overwritten.

Change: the first write of a new incarnation goes to both slots, each with its flush. The bytes of a slot are as before. A process that ends between the two finds the old slot and starts anew with another incarnation, as before; a test ends it there.

--- a/tests/unit/raft/test_storage.py
+++ b/tests/unit/raft/test_storage.py
@@ -52,6 +52,23 @@
         return os.write(file, content[: self.max_write_bytes])
 
 
+class FailingLineageWrites(FileSystem):
+    """Fails the writes of lineage slots after the first ones.
+
+    Args:
+        successful_writes: Number of writes that succeed.
+    """
+
+    def __init__(self, successful_writes):
+        self.remaining_writes = successful_writes
+
+    def pwrite(self, file, content, offset):
+        if not self.remaining_writes:
+            raise OSError(errno.EIO, "input/output error")
+        self.remaining_writes -= 1
+        return super().pwrite(file, content, offset)
+
+
 class StorageTests(unittest.TestCase):
     def setUp(self):
         self.directory = tempfile.TemporaryDirectory()
@@ -223,6 +240,27 @@
             self.open_storage(True)
         self.assertEqual(self.open_storage()[1].recovered.disk_incarnation, 13)
 
+    def test_new_incarnation_is_found_again_before_its_first_record(self):
+        """Guards against a start that sets a directory aside since an older slot is read."""
+        storage = self.filled_storage()
+        storage.close()
+        os.rename(self.folder, self.folder + ".away")
+        storage, opened = self.open_storage()
+        self.assertEqual(opened.recovered.disk_incarnation, 11)
+        storage.close()
+        _, opened = self.open_storage()
+        self.assertEqual((opened.recovered.disk_incarnation, opened.warnings), (11, ()))
+
+    def test_crash_between_the_writes_of_both_slots_is_safe(self):
+        """Guards against a half-written lineage file that hides a lost directory."""
+        self.filled_storage().close()
+        os.rename(self.folder, self.folder + ".away")
+        with self.assertRaisesRegex(OSError, "input/output"):
+            self.open_storage(files=FailingLineageWrites(1))
+        _, opened = self.open_storage()
+        self.assertEqual(opened.recovered.disk_incarnation, 12)
+        self.assertIn("new incarnation", opened.warnings[0])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/thymeknot/raft/lineage.py
+++ b/thymeknot/raft/lineage.py
@@ -43,6 +43,7 @@
         self._folder = os.path.dirname(path) or "."
         self._files = files
         self._slot = 0  # slot that was written last
+        self._latest: Acknowledged | None = None  # content of that slot
         self._file: int | None = None
 
     def create_folder(self) -> None:
@@ -64,7 +65,8 @@
         if not valid_slots:
             return None
         record_count, self._slot, disk_incarnation = max(valid_slots)
-        return Acknowledged(disk_incarnation, record_count)
+        self._latest = Acknowledged(disk_incarnation, record_count)
+        return self._latest
 
     def open(self) -> None:
         """Opens the file for writing and creates it if it does not exist."""
@@ -72,7 +74,22 @@
         self._files.sync_folder(self._folder)
 
     def write(self, acknowledged: Acknowledged) -> None:
-        """Writes the slot that is not the last one and flushes it to the disk."""
+        """Writes the slot that is not the last one and flushes it to the disk.
+
+        The slot with more records is taken for the last one, but a new incarnation begins with few:
+        its first write goes to both slots. If the process ends in between, the directory is taken
+        for lost once more, which is safe.
+        """
+        is_new_incarnation = (
+            self._latest is not None
+            and self._latest.disk_incarnation != acknowledged.disk_incarnation
+        )
+        self._write_next_slot(acknowledged)
+        if is_new_incarnation:
+            self._write_next_slot(acknowledged)
+        self._latest = acknowledged
+
+    def _write_next_slot(self, acknowledged: Acknowledged) -> None:
         if self._file is None:
             raise ValueError(f"lineage file {self._path} is not open")
         self._slot ^= 1
