Soak: clients that race the close of the listener, and half commands after SIGTERM

No run had connects at the moment of the close, or half a command behind a request in hand late in a shutdown, so the soak could not find the resets at the close or the exits past the kill.

Change: at the drawn shutdown two to five clients connect again and again from SIGTERM on, each with one PING, and one to three others send half a command behind a request that no endpoint answers, 0 to 2.6 s after SIGTERM. A connection that was established and reset counts, however busy the machine; one that ended without an answer counts where the run was conclusive. What was drawn before is unchanged: the new draws come last.

--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -21,7 +21,13 @@
 )
 
 SEEDS = (1, 2, 4, 5, 6)
-INJECTED_FAULTS = ("dropped response", "keys not sticky", "shutdown that never ends")
+INJECTED_FAULTS = (
+    "dropped response",
+    "keys not sticky",
+    "shutdown that never ends",
+    "handshakes dropped at the close",
+    "each connection waits by its own timers",
+)
 ORDER_SEEDS = (1, 2)
 LISTS_PER_SEED = 60  # lists of events drawn for each seed
 WORKER_PROCESSES = 3
@@ -65,6 +71,9 @@
         self.assertEqual({plan.early_signal for plan in plans}, set(EarlySignal))
         self.assertEqual({plan.shutdown for plan in plans}, set(Shutdown))
         self.assertEqual({plan.instance_count for plan in plans}, {1, 2, 3})
+        self.assertTrue(all(plan.racing_clients for plan in plans))
+        half_command_times = [at for plan in plans for at in plan.half_command_times]
+        self.assertTrue(min(half_command_times) < 0.3 and max(half_command_times) > 2.3)
         clients = [client for plan in plans for client in plan.clients]
         self.assertEqual({client.behaviour for client in clients}, set(ClientBehaviour))
         peer_faults = {(peer, fault) for plan in plans for _, peer, fault in plan.peer_faults}
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 
+from tests.soak.closing import RESET
 from tests.soak.plan import NEWEST_BUILD
 from tests.soak.sidecar import KILL_AFTER_SECONDS, STARTUP_TIMEOUT_SECONDS
 
@@ -31,7 +32,14 @@
 # The timeout that an attempt sends to its endpoint may exceed the time left by this much.
 TIMEOUT_SLACK_SECONDS = 0.15
 TIMING_INDEPENDENT_KINDS = frozenset(
-    ("lost response", "wrong response", "duplicate execution", "logged fault", "exit status")
+    (
+        "lost response",
+        "reset connection",
+        "wrong response",
+        "duplicate execution",
+        "logged fault",
+        "exit status",
+    )
 )
 """Kinds of violations that count even if the machine was too busy for the time limits."""
 # From sending the entry of a restarted endpoint until its former process must get nothing.
@@ -76,6 +84,7 @@
         self._check_exposure()
         self._check_sticky_keys()
         self._check_invalid_commands()
+        self._check_lost_connections()
         self._check_processes()
         for text in self.observations.unexpected_responses:
             self.add_violation("wrong response", text)
@@ -366,6 +375,16 @@
                     f"{command.description} is not rejected after {INVALID_COMMAND_LIMIT_SECONDS} s",
                 )
 
+    def _check_lost_connections(self):
+        """Checks that each connection that was established got an answer to its first command."""
+        for lost in self.observations.lost_connections:
+            if self.observations.processes[lost.process_number].killed:
+                continue
+            # A client that is held up itself may find its connection closed, but never reset.
+            kind = "reset connection" if lost.ending == RESET else "lost connection"
+            text = f"process {lost.process_number}: {lost.ending} after {lost.seconds:.4f} s"
+            self.add_violation(kind, text)
+
     def _check_processes(self):
         for process in self.observations.processes:
             label = f"process {process.number}"
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -133,6 +133,20 @@
     gave_up_at: float | None = None
 
 
+@dataclass
+class LostConnection:
+    """A connection that was established and ended before its first command was answered.
+
+    Attributes:
+        ending: How it ended.
+        seconds: Time from its establishment to its end.
+    """
+
+    process_number: int
+    ending: str
+    seconds: float
+
+
 @dataclass
 class SidecarProcess:
     """A sidecar process.
@@ -167,6 +181,7 @@
         self.endpoint_states_sent = []
         self.release_states_sent = []
         self.invalid_commands = []
+        self.lost_connections = []
         self.processes = []
         self.unexpected_responses = []
         self.events = []
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -13,6 +13,7 @@
 REQUEST_CLASSES = ("read", "mark", "pay")
 EARLIER_BUILD, NEWEST_BUILD = 41, 42
 BURST_SEED_INTERVAL = 3  # plans of every third seed have a burst of clients
+MAX_HALF_COMMAND_SECONDS = 2.6  # after SIGTERM; the request in front of it ends at 3 s at most
 MAX_REQUESTS_PER_SECOND = 300.0  # approximate limit for one instance
 TYPICAL_RESPONSE_SECONDS = 0.03  # assumed response time when request rates are estimated
 
@@ -135,6 +136,8 @@
         reload_times: When one of the instances is sent SIGHUP.
         peer_faults: (time, "discovery" or "platform", fault) of each fault.
         shutdown: How one of the instances is shut down; the others get a SIGTERM.
+        racing_clients: Clients that connect to it again and again from SIGTERM on.
+        half_command_times: Seconds after its SIGTERM at which a client sends half a command.
     """
 
     seed: int
@@ -150,6 +153,8 @@
     trial: TrialPlan
     shutdown: Shutdown
     shutdown_at: float
+    racing_clients: int
+    half_command_times: tuple[float, ...]
     notes: tuple[str, ...] = field(default=())
 
     def summary(self):
@@ -167,6 +172,8 @@
             f"reloads {len(self.reload_times)}",
             "peer faults " + ", ".join(f"{peer} {fault}" for _, peer, fault in self.peer_faults),
             f"shutdown {self.shutdown}",
+            f"{self.racing_clients} racing connects",
+            "half commands at " + ", ".join(f"{at:.1f}" for at in self.half_command_times),
         ]
         return "; ".join(parts)
 
@@ -291,4 +298,8 @@
         trial=_draw_trial(rng),
         shutdown=shutdowns[int(rng.integers(len(shutdowns)))],
         shutdown_at=TRAFFIC_SECONDS + float(rng.uniform(0, 0.5)),
+        racing_clients=int(rng.integers(2, 6)),
+        half_command_times=tuple(
+            sorted(rng.uniform(0.0, MAX_HALF_COMMAND_SECONDS, rng.integers(1, 4)).tolist())
+        ),
     )
--- a/tests/soak/player.py
+++ b/tests/soak/player.py
@@ -9,6 +9,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from tests.soak import closing
 from tests.soak.checks import TIMING_INDEPENDENT_KINDS, Checks
 from tests.soak.clients import Client, send_burst
 from tests.soak.ledger import Observations
@@ -37,6 +38,7 @@
 SECOND_SIGNAL_DELAY_SECONDS = 0.1
 SERVING_AFTER_RESTART_SECONDS = 1.0
 CLIENT_SHUTDOWN_TIMEOUT_SECONDS = 6.0
+CONNECT_BEFORE_STOP_SECONDS = 0.05  # for clients whose connections are open at SIGTERM
 
 
 @dataclass(frozen=True)
@@ -177,6 +179,7 @@
             for endpoint_plan in plan.endpoints
         ]
         self.operator_files, self.sidecars = OperatorFiles(plan), []
+        self.closing_tasks = []
         self.stop_event, self.max_lag, self.max_cpu_wait, self.tasks = (
             asyncio.Event(),
             0.0,
@@ -342,6 +345,7 @@
         """Shuts one instance down as planned, and the others by SIGTERM."""
         chosen = self.sidecars[self.plan.seed % self.plan.instance_count]
         await self._shut_down_as_drawn(chosen)
+        await asyncio.wait(self.closing_tasks, timeout=CLIENT_SHUTDOWN_TIMEOUT_SECONDS)
         for sidecar in self.sidecars:
             if sidecar is not chosen:
                 sidecar.stop()
@@ -359,6 +363,9 @@
         if shutdown == Shutdown.RELOADS_AND_STOP:
             sidecar.reload()
             sidecar.reload()
+        self.closing_tasks = closing.start_clients(self.plan, sidecar, self.observations)
+        self.tasks += self.closing_tasks
+        await asyncio.sleep(CONNECT_BEFORE_STOP_SECONDS)
         sidecar.stop()
         if shutdown == Shutdown.STOP_TWICE:
             await asyncio.sleep(SECOND_SIGNAL_DELAY_SECONDS)
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -21,6 +21,7 @@
 # later than this is left out.
 MAX_DUPLICATE_DELAY_SECONDS = 0.008
 STALL_SECONDS = 0.7
+HANGING_BODY = b"hang"  # of a request that is never answered
 HEARTBEAT_INTERVAL_SECONDS = 0.5
 
 
@@ -169,7 +170,7 @@
         )
         self.observations.attempts.append(attempt)
         connection.pending_count += 1
-        outcome = self._draw_outcome()
+        outcome = "silent" if arguments[4:] == [HANGING_BODY] else self._draw_outcome()
         if outcome != "silent":
             delay = self.rng.expovariate(1 / self.plan.mean_delay_seconds)
             asyncio.get_running_loop().call_later(
