Answer the connections that found no place before their listener closes

Callers saw: at the limit of connections, a second after a drain began, the listener closed over what still waited in its backlog, and those clients were reset after they had sent their requests.

Cause: what finds no place for a second is no longer waited for, so that a crowd cannot hold up the end, and the close of a listener resets what it has not accepted.

Evidence: 60 clients at 64 descriptors, requests that take longer than the second: without the change those that waited read a reset (the new test).

Change: once new requests for connections are dropped, what is left is accepted one at a time, its commands are answered with -BUSY (PING with PONG), and it is closed. Nothing is forwarded, so the refusal holds. A client that has sent nothing yet sees the end and asks elsewhere.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -655,6 +655,32 @@
             network.advance_time(100)
         self.assertEqual((proxy.listener.listening, proxy.listener_closed.called), (False, True))
 
+    def test_connections_without_a_place_are_answered_before_the_listener_closes(self):
+        """Guards against a reset of clients whose connections waited in the backlog in vain."""
+        network = SocketNetwork(endpoint_entry("s-1"), sockets=64)
+        self.addCleanup(network.close)
+        proxy, network.reactor.listenTCP = network.proxy, network.loop.listenTCP
+        proxy.listener.address = ("127.0.0.1", 0)
+        proxy.serve()
+        address, clients = proxy.listener.port.socket.getsockname(), []
+        for number in range(60):
+            client_socket = socket.create_connection(address, timeout=5)
+            self.addCleanup(client_socket.close)
+            if number % 3:
+                client_socket.sendall(query(f"{number}", 20_000) + PING)
+            clients.append((client_socket, bool(number % 3)))
+        proxy.shut_down(lambda: None, proxy.clock() + 5 * BACKLOG_ACCEPT_TIMEOUT)
+        for _ in range(BACKLOG_ACCEPT_TIMEOUT // 100 + 2):
+            network.advance_time(100)
+        self.assertTrue(proxy.listener_closed.called)
+        for _ in range(500):
+            network.advance_time(100)
+        received = [(read_to_end(client_socket), sent) for client_socket, sent in clients]
+        self.assertEqual([data for data, sent in received if not sent and data], [])
+        answers = [data for data, sent in received if sent]
+        self.assertEqual([data for data in answers if b"RESET" in data or not data], [])
+        self.assertEqual({data[:1] + data[-7:] for data in answers}, {b"-" + PONG})
+
 
 class ShutdownTest(unittest.TestCase):
     def test_request_accepted_during_shutdown_is_answered_before_kill(self):
--- a/thymeknot/proxy/listener_closer.py
+++ b/thymeknot/proxy/listener_closer.py
@@ -1,15 +1,14 @@
 """Closes the clients' listening port without resetting connections that are being established."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
 
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 from ..protocol.listening_socket import count_unfinished_handshakes, drop_connection_requests
-
-if TYPE_CHECKING:
-    from .client_listener import ClientListener
+from .backlog_rejection import reject_backlog
+from .client_listener import LISTEN_BACKLOG, ClientListener
 
 HANDSHAKE_CHECK_INTERVAL: Ticks = 50
 """Ticks between two checks whether the handshakes that have begun are complete."""
@@ -36,7 +35,7 @@
     """
 
     def __init__(
-        self, listener: "ClientListener", on_closed: Callable[[], None], deadline: Ticks | None
+        self, listener: ClientListener, on_closed: Callable[[], None], deadline: Ticks | None
     ) -> None:
         """Closes the port in the next event loop turn if no handshake is unfinished by then.
 
@@ -72,7 +71,7 @@
             return
         port_socket = self.listener.port.socket
         drop_connection_requests(port_socket)
-        self.listener.accept_all()
+        self._accept_rest()
         unfinished = count_unfinished_handshakes(port_socket)
         if unfinished == 0:
             return
@@ -83,14 +82,20 @@
             self._give_up_at = min(self._give_up_at, self._deadline)
         self._check_later()
 
+    def _accept_rest(self) -> None:
+        """Accepts the whole backlog; what finds no place is rejected."""
+        if not self.listener.accepting_paused:
+            self.listener.accept_all()
+        if self.listener.accepting_paused:
+            reject_backlog(self.listener.port.socket, LISTEN_BACKLOG)
+
     def _check_later(self) -> None:
         check_at = min(self.clock() + HANDSHAKE_CHECK_INTERVAL, self._give_up_at)
         self.timers.add(check_at, self._check_handshakes)
 
     def _check_handshakes(self) -> None:
         unfinished = count_unfinished_handshakes(self.listener.port.socket)
-        if not self.listener.accepting_paused:
-            self.listener.accept_all()
+        self._accept_rest()
         if unfinished != 0 and self.clock() < self._give_up_at:
             self._check_later()
             return
