Accept after asking for unfinished handshakes, not before

A handshake that completes between the accept and the end of the question, some 2 ms, is no longer unfinished, and was not accepted either: the close reset it.

Now the kernel is asked first and the backlog accepted then: where no handshake was unfinished, none can complete after the accept.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -8,6 +8,7 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.error import ConnectionLost
@@ -28,6 +29,8 @@
     MAX_PIPELINED_COMMANDS,
     ClientConnection,
 )
+from thymeknot.protocol.listening_socket import count_unfinished_handshakes
+from thymeknot.proxy import listener_closer
 from thymeknot.proxy.client_listener import CLOSING_ALLOWANCE
 from thymeknot.proxy.graceful_shutdown import BACKLOG_ACCEPT_TIMEOUT
 from thymeknot.proxy.listener_closer import MAX_HANDSHAKE_TIME
@@ -517,6 +520,34 @@
         network.step(9)
         self.assertEqual((port.disconnected, drained), (True, [True]))
 
+    def test_handshake_that_completes_while_the_kernel_is_asked_is_accepted(self):
+        """Guards against a close over a connection that came between the accept and the check."""
+        network, factory = self.network(), Factory()
+        factory.noisy, factory.buildProtocol = (
+            False,
+            lambda address: ClientConnection(network.proxy.listener),
+        )
+        port = network.proxy.listener.port = network.loop.listenTCP(
+            0, factory, interface="127.0.0.1"
+        )
+        hold_handshakes(port.socket)
+        client_socket = socket.create_connection(("127.0.0.1", port.getHost().port), timeout=5)
+        self.addCleanup(client_socket.close)
+        client_socket.sendall(PING)
+
+        def count_slowly(listener):
+            time.sleep(0.3)  # the client's kernel repeats the data after 0.2 s
+            return count_unfinished_handshakes(listener)
+
+        network.proxy.shut_down(lambda: None)
+        with mock.patch.object(listener_closer, "count_unfinished_handshakes", count_slowly):
+            network.reactor.advance(0)
+        network.step(9)
+        self.assertTrue(port.disconnected)
+        network.advance_time(400)
+        network.advance_time(2 * LINGER_TIME)
+        self.assertEqual(read_to_end(client_socket), PONG)
+
     def test_handshake_that_never_completes_does_not_hold_up_the_close(self):
         """Guards against a listener that stays open for a client that has vanished."""
         network, factory = self.network(), Factory()
--- a/thymeknot/proxy/listener_closer.py
+++ b/thymeknot/proxy/listener_closer.py
@@ -69,10 +69,8 @@
         """Drops new requests, and postpones the close if a handshake is unfinished."""
         if self.closed.called:
             return
-        port_socket = self.listener.port.socket
-        drop_connection_requests(port_socket)
-        self._accept_rest()
-        unfinished = count_unfinished_handshakes(port_socket)
+        drop_connection_requests(self.listener.port.socket)
+        unfinished = self._accept_finished()
         if unfinished == 0:
             return
         self._closing.cancel()
@@ -82,20 +80,26 @@
             self._give_up_at = min(self._give_up_at, self._deadline)
         self._check_later()
 
-    def _accept_rest(self) -> None:
-        """Accepts the whole backlog; what finds no place is rejected."""
+    def _accept_finished(self) -> int | None:
+        """Accepts the whole backlog; what finds no place is rejected.
+
+        Returns:
+            How many handshakes were unfinished before that; None if the kernel does not tell. If
+            none was, no further connection can come.
+        """
+        unfinished = count_unfinished_handshakes(self.listener.port.socket)
         if not self.listener.accepting_paused:
             self.listener.accept_all()
         if self.listener.accepting_paused:
             reject_backlog(self.listener.port.socket, LISTEN_BACKLOG)
+        return unfinished
 
     def _check_later(self) -> None:
         check_at = min(self.clock() + HANDSHAKE_CHECK_INTERVAL, self._give_up_at)
         self.timers.add(check_at, self._check_handshakes)
 
     def _check_handshakes(self) -> None:
-        unfinished = count_unfinished_handshakes(self.listener.port.socket)
-        self._accept_rest()
+        unfinished = self._accept_finished()
         if unfinished != 0 and self.clock() < self._give_up_at:
             self._check_later()
             return
