--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -19,6 +19,7 @@
     Shutdown,
     draw_plan,
 )
+from tests.soak.returns import run_returns
 
 SEEDS = (1, 2, 4, 5, 6)
 INJECTED_FAULTS = (
@@ -31,6 +32,7 @@
 ORDER_SEEDS = (1, 2)
 LISTS_PER_SEED = 60  # lists of events drawn for each seed
 WORKER_PROCESSES = 3
+RETURNS_SECONDS = 4.0
 
 
 class SoakTest(unittest.TestCase):
@@ -59,6 +61,19 @@
                 self.assertIsNone(found)
 
 
+class ReturnsTest(unittest.TestCase):
+    def test_no_connection_is_reset_by_drains_in_series(self):
+        """Guards against a reset of a client whose connect() succeeded as the listener closed."""
+        result = run_returns(RETURNS_SECONDS)
+        self.assertEqual(result.lost, [])
+        self.assertGreater(result.drains, 20)
+        self.assertGreater(result.answered, 500)
+
+    def test_injected_fault_is_found(self):
+        result = run_returns(RETURNS_SECONDS, "handshakes dropped at the close")
+        self.assertNotEqual(result.resets(), [])
+
+
 class PlanTest(unittest.TestCase):
     def test_plans_are_reproducible_and_differ_between_seeds(self):
         plans = [draw_plan(seed) for seed in range(1, 51)]
--- a/tests/soak/campaign.py
+++ b/tests/soak/campaign.py
@@ -7,7 +7,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
 
-from tests.soak import orders, planted, rounds
+from tests.soak import orders, planted, returns, rounds
 from tests.soak.plan import draw_plan
 from tests.soak.player import run_plan
 
@@ -104,6 +104,16 @@
     return len(growth)
 
 
+def _run_returns(seconds):
+    result = returns.run_returns(seconds)
+    print(
+        f"returns: {result.drains} drains, {result.answered} connections answered, "
+        f"not answered: {'; '.join(result.lost) or 'none'}",
+        flush=True,
+    )
+    return len(result.lost)
+
+
 def main(arguments):
     """Runs what the command line asks for and returns the exit status."""
     parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
@@ -124,6 +134,9 @@
         default=[],
         help="seeds of rounds against one process, to find leaks",
     )
+    parser.add_argument(
+        "--returns", type=float, default=0.0, help="seconds of drains and returns in series"
+    )
     options = parser.parse_args(arguments)
     failures = 0
     with ProcessPoolExecutor(options.jobs, mp_context=get_context("spawn")) as pool:
@@ -135,4 +148,6 @@
             failures += _run_orders(pool, options.orders, options.lists)
     if options.rounds:
         failures += _run_rounds(options.rounds)
+    if options.returns:
+        failures += _run_returns(options.returns)
     return 1 if failures else 0
