One function attaches packet filters; tests share the client whose handshake is held

The filter was packed in three places (the product, the tests' support, the injected fault) and the connection with an unfinished handshake was set up twice.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -494,8 +494,8 @@
             late_connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), errno.ECONNREFUSED
         )
 
-    def test_handshake_in_progress_at_close_completes_and_its_request_is_answered(self):
-        """Guards against a reset of a client whose connect() succeeded as the listener closed."""
+    def unfinished_connection(self):
+        """Returns a network, its port, and a client whose handshake is held in progress."""
         network, factory = self.network(), Factory()
         factory.noisy, factory.buildProtocol = (
             False,
@@ -507,6 +507,11 @@
         hold_handshakes(port.socket)
         client_socket = socket.create_connection(("127.0.0.1", port.getHost().port), timeout=5)
         self.addCleanup(client_socket.close)
+        return network, port, client_socket
+
+    def test_handshake_in_progress_at_close_completes_and_its_request_is_answered(self):
+        """Guards against a reset of a client whose connect() succeeded as the listener closed."""
+        network, port, client_socket = self.unfinished_connection()
         client_socket.sendall(PING)
         drained = []
         network.proxy.shut_down(lambda: drained.append(True))
@@ -522,17 +527,7 @@
 
     def test_handshake_that_completes_while_the_kernel_is_asked_is_accepted(self):
         """Guards against a close over a connection that came between the accept and the check."""
-        network, factory = self.network(), Factory()
-        factory.noisy, factory.buildProtocol = (
-            False,
-            lambda address: ClientConnection(network.proxy.listener),
-        )
-        port = network.proxy.listener.port = network.loop.listenTCP(
-            0, factory, interface="127.0.0.1"
-        )
-        hold_handshakes(port.socket)
-        client_socket = socket.create_connection(("127.0.0.1", port.getHost().port), timeout=5)
-        self.addCleanup(client_socket.close)
+        network, port, client_socket = self.unfinished_connection()
         client_socket.sendall(PING)
 
         def count_slowly(listener):
@@ -550,17 +545,7 @@
 
     def test_handshake_that_never_completes_does_not_hold_up_the_close(self):
         """Guards against a listener that stays open for a client that has vanished."""
-        network, factory = self.network(), Factory()
-        factory.noisy, factory.buildProtocol = (
-            False,
-            lambda address: ClientConnection(network.proxy.listener),
-        )
-        port = network.proxy.listener.port = network.loop.listenTCP(
-            0, factory, interface="127.0.0.1"
-        )
-        hold_handshakes(port.socket)
-        client_socket = socket.create_connection(("127.0.0.1", port.getHost().port), timeout=5)
-        self.addCleanup(client_socket.close)  # it sends nothing
+        network, port, _ = self.unfinished_connection()  # its client sends nothing
         drained = []
         network.proxy.shut_down(lambda: drained.append(True))
         network.reactor.advance(0)
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -179,26 +179,18 @@
         (1, 2, 4),
         """
 # Until the close, the last segments of handshakes are on their way, as on a busy machine.
-import socket, struct
-from array import array
-from thymeknot.protocol import listening_socket
+from tests.support.unfinished_handshakes import hold_handshakes
+from thymeknot.protocol.listening_socket import BpfInstruction, attach_filter
 from thymeknot.proxy import listener_closer
 from thymeknot.proxy.graceful_shutdown import GracefulShutdown
-HOLD = ((0x30, 0, 0, 13), (0x54, 0, 0, 2), (0x15, 0, 1, 2), (6, 0, 0, 0xFFFFFFFF), (6, 0, 0, 0))
-def attach(listener, instructions):
-    program = array("B", b"".join(struct.pack("=HBBI", *one) for one in instructions))
-    listener.setsockopt(
-        socket.SOL_SOCKET,
-        listening_socket.SO_ATTACH_FILTER,
-        struct.pack("@HP", len(instructions), program.buffer_info()[0]),
-    )
+DROP_ALL = (BpfInstruction(6, 0, 0, 0),)
 close_listener = GracefulShutdown._close_listener
 def close_later(self):
-    attach(self.listener.port.socket, HOLD)
+    hold_handshakes(self.listener.port.socket)
     self.timers.cancel(self._close_timer)
     self.reactor.callLater(0.05, close_listener, self)
 GracefulShutdown._close_listener = close_later
-listener_closer.drop_connection_requests = lambda listener: attach(listener, ((6, 0, 0, 0),))
+listener_closer.drop_connection_requests = lambda listener: attach_filter(listener, DROP_ALL)
 listener_closer.count_unfinished_handshakes = lambda listener: 0
 """,
     ),
--- a/tests/support/unfinished_handshakes.py
+++ b/tests/support/unfinished_handshakes.py
@@ -1,8 +1,6 @@
 """Holds handshakes with a listening socket in the state SYN_RECV, as a busy machine does by chance."""
 
 import socket
-import struct
-from array import array
 
 from thymeknot.protocol.listening_socket import (
     BPF_AND,
@@ -11,10 +9,10 @@
     BPF_RETURN,
     DROP,
     PASS,
-    SO_ATTACH_FILTER,
     TCP_FLAGS_OFFSET,
     TCP_SYN,
     BpfInstruction,
+    attach_filter,
 )
 
 DROP_ALL_BUT_CONNECTION_REQUESTS = (
@@ -32,11 +30,4 @@
     The client's kernel repeats it with the first data, 0.2 s after that was sent; whoever attaches
     another filter until then lets the handshake complete.
     """
-    content = b"".join(
-        struct.pack("=HBBI", *instruction) for instruction in DROP_ALL_BUT_CONNECTION_REQUESTS
-    )
-    instructions = array("B", content)
-    program = struct.pack(
-        "@HP", len(DROP_ALL_BUT_CONNECTION_REQUESTS), instructions.buffer_info()[0]
-    )
-    listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+    attach_filter(listener, DROP_ALL_BUT_CONNECTION_REQUESTS)
--- a/thymeknot/protocol/listening_socket.py
+++ b/thymeknot/protocol/listening_socket.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 from array import array
+from collections.abc import Sequence
 from typing import Final, NamedTuple
 
 SO_ATTACH_FILTER: Final = 26
@@ -52,6 +53,18 @@
 NETLINK_TIMEOUT_SECONDS: Final = 0.05
 
 
+def attach_filter(listener: socket.socket, instructions: Sequence[BpfInstruction]) -> None:
+    """Attaches a packet filter, which replaces a former one.
+
+    Raises:
+        OSError: The kernel does not take it.
+    """
+    content = b"".join(struct.pack("=HBBI", *instruction) for instruction in instructions)
+    buffer = array("B", content)
+    program = struct.pack("@HP", len(instructions), buffer.buffer_info()[0])
+    listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
 def drop_connection_requests(listener: socket.socket) -> None:
     """Makes the kernel drop new connection requests to this listener, by a packet filter.
 
@@ -60,13 +73,8 @@
     of the listener reset them. A client whose request is dropped repeats it after a second and is
     refused, so it can try another instance.
     """
-    content = b"".join(
-        struct.pack("=HBBI", *instruction) for instruction in DROP_CONNECTION_REQUESTS
-    )
-    instructions = array("B", content)
-    program = struct.pack("@HP", len(DROP_CONNECTION_REQUESTS), instructions.buffer_info()[0])
     try:
-        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        attach_filter(listener, DROP_CONNECTION_REQUESTS)
     except OSError:
         pass  # without the filter the caller can only close the listener as soon as possible
 
