Serve an endpoint's value only if what follows it is part of the response

What callers saw: values with protocol bytes at their end ("\r\n$-1\r\n$21") as good answers, where an endpoint declared too large a length.

Cause: where a response is malformed, and where its connection ends, the first string of the array counted as the value. A false length that ends before a line break of the same response makes that string complete; what follows it, which alone shows that it is none, was not looked at.

Change: protocol/pod_response.py says in one place which bytes are a response. A malformed array counts only if the load report alone can't be read, and not where that may be the end of a response with a false length (its null or its second copy within the value). What a connection's end cuts short is a reset.

--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -5,60 +5,25 @@
 
 import socket
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from . import resp
+from .pod_response import PodResponse, ResponseParser, read_response
 from .write_progress import NOT_CONNECTED, BrokenConnection, RequestWriter, is_receive_buffer_empty
 
 MAX_VALUE_BYTES: Final = 512 * 1024
 """Maximum size of a value: the protocol allows 64 KiB, but endpoints sent up to 400,000 bytes."""
 MAX_RESPONSE_BYTES: Final = MAX_VALUE_BYTES + 64 * 1024
 """Maximum size of a whole response; a larger one is treated as endless."""
-MAX_LOAD_REPORT_BYTES: Final = 4 * 1024
-"""Maximum size of a load report: parsing a longer one would block the event loop for too long."""
-RESPONSE_LENGTH: Final = 3
-"""Elements of a successful response: the value, null, and the load report or null."""
-
-
-class PodResponse(NamedTuple):
-    """An endpoint's response: a value with an optional load report, or the text of an error."""
-
-    value: memoryview | None
-    report: bytes | None
-    failure: str | None
-
-
-def read_response(message: Any) -> PodResponse | None:
-    """Returns the response in a RESP message, or None if the message is not a valid response."""
-    if isinstance(message, resp.Failure):
-        return PodResponse(None, None, message.text)
-    if isinstance(message, list) and message and isinstance(message[0], memoryview):
-        report = message[2] if len(message) == RESPONSE_LENGTH else None
-        if isinstance(report, memoryview) and len(report) <= MAX_LOAD_REPORT_BYTES:
-            return PodResponse(message[0], bytes(report), None)
-        return PodResponse(message[0], None, None)
-    return None
 
 
 def ignore(*_: Any) -> None:
     """Does nothing: the default callback for the start of a response."""
 
 
-class ResponseParser(resp.Parser):
-    """Parser of endpoints' responses: rejects nested arrays.
-
-    Without this limit few bytes would make the parser visit many elements again for each chunk.
-    """
-
-    def _array(self, buffer: bytes, at: int, length: int, depth: int) -> tuple[Any, int]:
-        if depth:
-            raise resp.MalformedRespError("nested array in a response")
-        return super()._array(buffer, at, length, depth)
-
-
 class PodConnection(RequestWriter, Protocol):
     """One connection to an endpoint.
 
@@ -83,7 +48,7 @@
     def __init__(self, owner: Any, connector: "PodConnector") -> None:
         self.owner = owner
         self.connector = connector
-        self.parser: resp.Parser = ResponseParser(MAX_VALUE_BYTES)
+        self.parser = ResponseParser(MAX_VALUE_BYTES)
         self.pending_response: Deferred[PodResponse | BrokenConnection] | None = None
         self.on_response_started: Callable[[], None] = ignore
         self.given_up = False
@@ -143,7 +108,7 @@
         if self.pending_response is None or not self.written:
             self.drop("unsolicited response")
             return
-        response = read_response(messages[0]) if messages else None
+        response = self._first_response(messages, error)
         if response is not None:
             excess_data = error is not None or len(messages) > 1
             self._complete(self.pending_response, response, excess_data)
@@ -155,6 +120,17 @@
         if error or messages:
             self.drop(error or "unreadable response")
 
+    def _first_response(self, messages: list[Any], error: str | None) -> PodResponse | None:
+        """Returns the response that has arrived; None if it is incomplete or invalid.
+
+        Args:
+            messages: The complete messages that have arrived.
+            error: The error after them, if any.
+        """
+        if messages:
+            return read_response(messages[0])
+        return self.parser.response_before_error() if error else None
+
     def _parse(self, data: bytes) -> tuple[list[Any], str | None]:
         """Returns the messages that this data completes, and the error after them, if any."""
         messages: list[Any] = []
@@ -165,8 +141,6 @@
             error = f"unreadable response: {malformed}"
         if self.parser.buffered_bytes > MAX_RESPONSE_BYTES:
             error = error or f"response larger than {MAX_RESPONSE_BYTES} bytes"
-        if error:  # an error after a complete value does not invalidate the value
-            messages = messages or [[value] for value in self.parser.first_element()]
         return messages, error
 
     def _complete(
@@ -196,7 +170,7 @@
         self.transport.abortConnection()
         self._fail(reason)
         # Frees buffers and the attempt, since the closed connection may be referenced for longer.
-        self.parser = resp.Parser(0)
+        self.parser = ResponseParser(0)
         self.on_response_started = ignore
         self.attempt = None
 
@@ -223,14 +197,12 @@
             pending.callback(self.broken_connection(reason))
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802 (Twisted's name)
-        """Called by Twisted."""
+        """Called by Twisted.
+
+        A response that is not complete by now is a failure of the connection, whatever has arrived
+        of it: the end of the value is known only by what follows it.
+        """
         self.owner.connection_lost(self)
-        pending = self.pending_response
-        if pending is not None and self.written:
-            # The value was complete and the rest was cut off: handled like an error after it.
-            for value in self.parser.first_element():
-                self.pending_response = None
-                pending.callback(PodResponse(value, None, None))
         self._fail(reason.getErrorMessage())
 
 
--- a/thymeknot/protocol/resp.py
+++ b/thymeknot/protocol/resp.py
@@ -91,16 +91,27 @@
         """Returns whether an incomplete message of this type, given by its first byte, is held."""
         return bool(self.chunks) and self.chunks[0][:1] == kind
 
-    def first_element(self) -> Iterator[memoryview]:
-        """Yields the first string of an incomplete or malformed array, if it is complete."""
+    def elements_before_error(self) -> tuple[int, list[Any]]:
+        """Returns the declared length of a malformed array, and the elements before its error.
+
+        The length is 0 if the malformed message is not an array.
+        """
         buffer = b"".join(self.chunks)
-        if buffer[:1] == b"*":
-            try:
-                element, _ = self._message(buffer, self._line(buffer, 0)[1], 1)
-            except MalformedRespError:
-                return
-            if isinstance(element, memoryview):
-                yield element
+        elements: list[Any] = []
+        if buffer[:1] != b"*":
+            return 0, elements
+        length = 0
+        try:
+            line, at = self._line(buffer, 0)
+            length = self._number(line or b"")
+            for _ in range(min(length, MAX_ARRAY_LENGTH)):
+                element, at = self._message(buffer, at, 1)
+                if element is INCOMPLETE:
+                    break
+                elements.append(element)
+        except MalformedRespError:
+            pass
+        return length, elements
 
     def _line(self, buffer: bytes, at: int) -> tuple[bytes | None, int]:
         line_end = buffer.find(b"\r\n", at, at + MAX_LINE_BYTES)
