--- a/thymeknot/protocol/pod_response.py
+++ b/thymeknot/protocol/pod_response.py
@@ -32,17 +32,13 @@
         return PodResponse(None, None, message.text)
     if not isinstance(message, list) or len(message) not in RESPONSE_LENGTHS:
         return None
-    value, separator, *report = message
-    if not isinstance(value, memoryview) or separator is not None:
-        return None
-    if _contains_own_header(value, len(message)):
+    value = _value(message, len(message))
+    if value is None:
         return None
-    if not report or report[0] is None:
-        return PodResponse(value, None, None)
-    if not isinstance(report[0], memoryview):
-        return _without_report(value)
-    is_readable = len(report[0]) <= MAX_LOAD_REPORT_BYTES
-    return PodResponse(value, bytes(report[0]) if is_readable else None, None)
+    report = message[-1] if len(message) == RESPONSE_LENGTH else None
+    if report is None or isinstance(report, memoryview):
+        return PodResponse(value, _readable_report(report), None)
+    return _without_report(value)
 
 
 def read_response_before_error(elements: list[Any], length: int) -> PodResponse | None:
@@ -54,10 +50,22 @@
     """
     if length != RESPONSE_LENGTH or len(elements) != RESPONSE_LENGTH - 1:
         return None
-    value, separator = elements
+    value = _value(elements, length)
+    return None if value is None else _without_report(value)
+
+
+def _value(elements: list[Any], length: int) -> memoryview | None:
+    """Returns the value of a response that begins with these elements, or None if it has none."""
+    value, separator = elements[:2]
     if not isinstance(value, memoryview) or separator is not None:
         return None
-    return None if _contains_own_header(value, length) else _without_report(value)
+    return None if _contains_own_header(value, length) else value
+
+
+def _readable_report(report: memoryview | None) -> bytes | None:
+    if report is None or len(report) > MAX_LOAD_REPORT_BYTES:
+        return None
+    return bytes(report)
 
 
 def _without_report(value: memoryview) -> PodResponse | None:
