--- a/tests/unit/protocol/test_parsers.py
+++ b/tests/unit/protocol/test_parsers.py
@@ -9,7 +9,7 @@
 from thymeknot.interface.enums import EndpointCondition, Outcome, ReleasePhase, UpdateKind, Verdict
 from thymeknot.interface.events import Endpoint, EndpointUpdate, FleetCounts, ReleaseUpdate
 from thymeknot.protocol import command as commands
-from thymeknot.protocol import deployer, discovery, http, pod, resp
+from thymeknot.protocol import deployer, discovery, http, pod_response, resp
 from thymeknot.protocol.http_calls import Reply
 from thymeknot.protocol.write_progress import (
     NOT_ALL_WRITTEN,
@@ -160,14 +160,14 @@
 
     def test_endpoint_responses(self):
         for data, expected in (
-            (b"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\nq=1\r\n", pod.PodResponse(b"v", b"q=1", None)),
-            (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", pod.PodResponse(b"v", None, None)),
-            (b"-BUSY\r\n", pod.PodResponse(None, None, "BUSY")),
+            (b"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\nq=1\r\n", pod_response.PodResponse(b"v", b"q=1", None)),
+            (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", pod_response.PodResponse(b"v", None, None)),
+            (b"-BUSY\r\n", pod_response.PodResponse(None, None, "BUSY")),
             (b"+OK\r\n", None),
             (b"*0\r\n", None),
             (b"*1\r\n$-1\r\n", None),
         ):
-            self.assertEqual(pod.read_response(next(resp.Parser().feed(data))), expected)
+            self.assertEqual(pod_response.read_response(next(resp.Parser().feed(data))), expected)
 
 
 class HttpTest(unittest.TestCase):
--- a/tests/unit/protocol/test_pod_responses.py
+++ b/tests/unit/protocol/test_pod_responses.py
@@ -6,7 +6,8 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from thymeknot.protocol.pod import PodConnection, PodResponse
+from thymeknot.protocol.pod import PodConnection
+from thymeknot.protocol.pod_response import PodResponse
 
 VALUE = b"value of car-1 by pod p3"
 REPORTS = None, b"n=1,b=0.5", b"q=3,busy=0.52,rate=41", b"n" * 120
--- a/thymeknot/proxy/attempt.py
+++ b/thymeknot/proxy/attempt.py
@@ -5,7 +5,8 @@
 from ..interface.clock import Ticks
 from ..interface.enums import Idempotency, Outcome, ReleasePhase
 from ..interface.events import Endpoint, ReleaseUpdate
-from ..protocol.pod import PodConnection, PodResponse
+from ..protocol.pod import PodConnection
+from ..protocol.pod_response import PodResponse
 from ..protocol.write_progress import WRITTEN, BrokenConnection
 from .in_flight import InFlightRequest
 
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -37,7 +37,7 @@
 from ..policy.engine import INPUT_BY_OUTCOME, DecisionEngine
 from ..protocol import resp
 from ..protocol.http_calls import HttpCaller
-from ..protocol.pod import PodResponse
+from ..protocol.pod_response import PodResponse
 from ..service import structured_log
 from ..service.configuration import StartConfiguration
 from ..service.rejection_summary import RejectionSummary
