--- a/tests/unit/protocol/test_parsers.py
+++ b/tests/unit/protocol/test_parsers.py
@@ -160,7 +160,10 @@
 
     def test_endpoint_responses(self):
         for data, expected in (
-            (b"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\nq=1\r\n", pod_response.PodResponse(b"v", b"q=1", None)),
+            (
+                b"*3\r\n$1\r\nv\r\n$-1\r\n$3\r\nq=1\r\n",
+                pod_response.PodResponse(b"v", b"q=1", None),
+            ),
             (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", pod_response.PodResponse(b"v", None, None)),
             (b"-BUSY\r\n", pod_response.PodResponse(None, None, "BUSY")),
             (b"+OK\r\n", None),
