Move the pinned keys out of TrafficSplit into StickyKeys

A move alone: which keys may go to no earlier build is asked in one place, policy/sticky_keys.py, before that rule changes. No decision changes.

--- a/measure/why_cases.py
+++ b/measure/why_cases.py
@@ -141,7 +141,7 @@
 
 def keep_sticky_key(case, name):
     """The key of a request is sticky to the newest build."""
-    case.engine.split.pinned_keys = {name}
+    case.engine.sticky_keys.pinned_keys = {name}
     endpoint = sent_to(case.receive(name, key=name))
     case.end_attempt(name, Outcome.DONE, endpoint)
     case.expect(name, R.DONE, R.SENT, R.ENDED, R.STAYS)
@@ -173,7 +173,7 @@
 
 def hit_closed_trial(case, name):
     """The key of a request is sticky to a build on trial that accepts no requests."""
-    case.engine.split.pinned_keys = {name}
+    case.engine.sticky_keys.pinned_keys = {name}
     case.receive(name, key=name)
     case.expect(name, R.DEFERRED, R.STAYS, R.CLOSED)
 
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -123,8 +123,8 @@
         "sticky key",
         (1, 4, 5, 7, 8),
         """
-from thymeknot.policy.traffic_split import TrafficSplit
-TrafficSplit.pin = lambda self, event: None
+from thymeknot.policy.sticky_keys import StickyKeys
+StickyKeys.pin = lambda self, event: None
 """,
     ),
     "shutdown that never ends": InjectedFault(
--- a/tests/unit/policy/test_five_rules.py
+++ b/tests/unit/policy/test_five_rules.py
@@ -21,7 +21,7 @@
 from thymeknot.interface.clock import TICKS_PER_SECOND
 from thymeknot.interface.enums import EndpointCondition, Outcome, ReleasePhase, UpdateKind
 from thymeknot.interface.events import ClientDisconnected, EndpointUpdate, LateResponseSeen
-from thymeknot.policy.traffic_split import MAX_REMEMBERED_KEYS
+from thymeknot.policy.sticky_keys import MAX_REMEMBERED_KEYS
 
 
 class FinalResponseTest(unittest.TestCase):
@@ -240,7 +240,7 @@
 
     def test_sticky_key_is_not_sent_to_an_earlier_build_during_the_trial(self):
         engine = make_engine(release_update=make_release_update(cap=0.0))
-        engine.split.pinned_keys.add("k")
+        engine.sticky_keys.pinned_keys.add("k")
         self.assertEqual(action_types(engine.handle(NOW, [make_request(key="k")])), [Reject])
         engine.handle(NOW, [make_release_update(phase=ReleasePhase.ROLLING_BACK, cap=0.0)])
         self.assertIn(
@@ -252,7 +252,7 @@
         engine = make_engine(release_update=make_release_update(cap=0.0))
         for key in range(MAX_REMEMBERED_KEYS + 9):
             engine.handle(NOW, [LateResponseSeen(str(key), 1), LateResponseSeen(str(key), 2)])
-        self.assertEqual(len(engine.split.pinned_keys), MAX_REMEMBERED_KEYS)
+        self.assertEqual(len(engine.sticky_keys.pinned_keys), MAX_REMEMBERED_KEYS)
         self.assertEqual(action_types(engine.handle(NOW, [make_request(key="another")])), [Reject])
         engine.handle(NOW, [make_release_update(build=3)])
-        self.assertEqual(engine.split.pinned_keys, set())
+        self.assertEqual(engine.sticky_keys.pinned_keys, set())
--- a/thymeknot/policy/engine.py
+++ b/thymeknot/policy/engine.py
@@ -36,6 +36,7 @@
 from .request_lifecycle import INPUT_BY_OUTCOME, RequestLifecycle
 from .sequential_test import SequentialTest
 from .slow_start import SlowStart
+from .sticky_keys import StickyKeys
 from .traffic_split import TrafficSplit
 from .trial_evidence import TrialEvidence
 from .voting import VoteEvidence, Voting
@@ -67,7 +68,8 @@
         self.slow_start = SlowStart(context)
         self.selection = EndpointSelection(context, self.slow_start)
         self.exposure = ExposureBudget(context)
-        self.split = TrafficSplit(context, self.slow_start)
+        self.sticky_keys = StickyKeys(context)
+        self.split = TrafficSplit(context, self.slow_start, self.sticky_keys)
         self.sequential_test = SequentialTest(context)
         self.baseline = Baseline(context, self.sequential_test)
         self.slowdown = GlobalSlowdown(context, self.baseline, self.split)
@@ -83,6 +85,7 @@
             selection=self.selection,
             exposure=self.exposure,
             split=self.split,
+            sticky_keys=self.sticky_keys,
             test=self.sequential_test,
             baseline=self.baseline,
             slowdown=self.slowdown,
@@ -95,6 +98,7 @@
             slow_start=self.slow_start,
             exposure=self.exposure,
             split=self.split,
+            sticky_keys=self.sticky_keys,
             baseline=self.baseline,
             slowdown=self.slowdown,
             evidence=self.evidence,
@@ -113,7 +117,7 @@
             TimerFired: self._fire_timer,
             ComplaintReceived: self.evidence.add_complaint,
             FleetCounts: self.fleet.add_counts,
-            LateResponseSeen: self.split.pin,
+            LateResponseSeen: self.sticky_keys.pin,
             SuspicionReported: self.selection.apply_suspicion,
         }
 
@@ -125,7 +129,7 @@
     @property
     def pinned_keys(self) -> set[str]:
         """The sticky keys: those that stay with the newest build."""
-        return self.split.pinned_keys
+        return self.sticky_keys.pinned_keys
 
     def vote_evidence(self) -> VoteEvidence:
         """Returns the current evidence on the newest build, for the log."""
--- a/thymeknot/policy/release_lifecycle.py
+++ b/thymeknot/policy/release_lifecycle.py
@@ -10,6 +10,7 @@
 from .exposure_budget import ExposureBudget
 from .global_slowdown import GlobalSlowdown
 from .sequential_test import SequentialTest
+from .sticky_keys import StickyKeys
 from .traffic_split import TrafficSplit
 from .voting import Voting
 
@@ -64,6 +65,7 @@
         selection: EndpointSelection,
         exposure: ExposureBudget,
         split: TrafficSplit,
+        sticky_keys: StickyKeys,
         test: SequentialTest,
         baseline: Baseline,
         slowdown: GlobalSlowdown,
@@ -73,6 +75,7 @@
         self.selection = selection
         self.exposure = exposure
         self.split = split
+        self.sticky_keys = sticky_keys
         self.test = test
         self.baseline = baseline
         self.slowdown = slowdown
@@ -91,7 +94,7 @@
         previous = context.release
         context.release = current
         if previous is None or previous.build != current.build:
-            self.split.pinned_keys = set()
+            self.sticky_keys.reset()
             self.voting.first_started = {}
             self.selection.group_by_build()
         change = _change_between(previous, current)
--- a/thymeknot/policy/request_lifecycle.py
+++ b/thymeknot/policy/request_lifecycle.py
@@ -27,6 +27,7 @@
 from .load_shedding import LoadShedder
 from .retry_budget import RetryBudget
 from .slow_start import SlowStart
+from .sticky_keys import StickyKeys
 from .traffic_split import TrafficSplit
 from .trial_evidence import TrialEvidence
 
@@ -84,6 +85,7 @@
         slow_start: SlowStart,
         exposure: ExposureBudget,
         split: TrafficSplit,
+        sticky_keys: StickyKeys,
         baseline: Baseline,
         slowdown: GlobalSlowdown,
         evidence: TrialEvidence,
@@ -94,6 +96,7 @@
         self.slow_start = slow_start
         self.exposure = exposure
         self.split = split
+        self.sticky_keys = sticky_keys
         self.baseline = baseline
         self.slowdown = slowdown
         self.evidence = evidence
@@ -142,7 +145,7 @@
         )
         self.record_outcome(request, attempt.endpoint_state, event)
         if event.outcome == Outcome.DONE:
-            self.split.pin(LateResponseSeen(request.key, attempt.endpoint.build))
+            self.sticky_keys.pin(LateResponseSeen(request.key, attempt.endpoint.build))
         self._apply_input(request, RequestInput.ANSWERED if event.closed else request_input)
 
     def disconnect_client(self, event: ClientDisconnected) -> None:
--- a/thymeknot/policy/traffic_split.py
+++ b/thymeknot/policy/traffic_split.py
@@ -2,19 +2,18 @@
 
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 from ..interface.enums import ReleasePhase
-from ..interface.events import LateResponseSeen
 from ..interface.reasons import Reason
 from ..state.key_hash import key_position
 from ..state.request_state import RequestState
 from .context import BuildState, DecisionContext
 from .slow_start import SlowStart
+from .sticky_keys import StickyKeys
 
 RAMP_DURATION = 2 * TICKS_PER_SECOND  # ticks for the ramp from 0 to a stage's target
 # Target fraction as a ratio of the cap: the rest is left to pinned keys and retries.
 CAP_TARGET_RATIO = 0.8
 HOT_KEY_FRACTION = 0.03  # minimum fraction of the recent requests with keys for a hot key
 HOT_KEY_MIN_REQUESTS = 8  # minimum number of recent requests for a hot key
-MAX_REMEMBERED_KEYS = 10_000  # maximum number of pinned keys, and of failing keys
 RECENT_KEYS_HALF_LIFE = 2 * TICKS_PER_SECOND  # ticks after which the counts of keys are halved
 MIN_RECENT_KEY_COUNT = 0.5  # counts up to this value are discarded when the counts are halved
 
@@ -26,17 +25,18 @@
         fraction: The fraction of the keys that the newest build serves; it never falls during a
             stage.
         fraction_updated_at: When the fraction was last updated.
-        pinned_keys: Keys that the newest build has answered and therefore keeps.
         failing_keys: Keys whose requests failed on the newest build in this stage.
         recent_keys: Number of requests by key, halved at regular intervals.
     """
 
-    def __init__(self, context: DecisionContext, slow_start: SlowStart) -> None:
+    def __init__(
+        self, context: DecisionContext, slow_start: SlowStart, sticky_keys: StickyKeys
+    ) -> None:
         self.context = context
         self.slow_start = slow_start
+        self.sticky_keys = sticky_keys
         self.fraction = 0.0
         self.fraction_updated_at: Ticks = context.now
-        self.pinned_keys: set[str] = set()
         self.failing_keys: set[str] = set()
         self.recent_keys: dict[str, float] = {}
         self._keys_halved_at: Ticks = context.now
@@ -54,15 +54,6 @@
         """Counts a request with a key."""
         self.recent_keys[key] = self.recent_keys.get(key, 0) + 1
 
-    def pin(self, event: LateResponseSeen) -> None:
-        """Pins a key to the newest build if that build answered it, even late or partially."""
-        if not self.context.settings.sticky_keys:
-            return
-        release = self.context.release
-        assert release is not None  # nothing is sent before the first update
-        if event.build == release.build and len(self.pinned_keys) < MAX_REMEMBERED_KEYS:
-            self.pinned_keys.add(event.key)
-
     def raise_fraction(self, all_slow: bool) -> None:
         """Raises the fraction towards what the newest build's ready endpoints can carry.
 
@@ -104,9 +95,8 @@
         assert release is not None
         if not context.newest_accepts_requests():
             return (False, True)
-        # Once the set of pinned keys is full, any key may be one that the newest build answered.
-        if key in self.pinned_keys or len(self.pinned_keys) >= MAX_REMEMBERED_KEYS:
-            context.explain(Reason.STAYS, len(self.pinned_keys))
+        if self.sticky_keys.must_stay(key):
+            context.explain(Reason.STAYS, len(self.sticky_keys.pinned_keys))
             return (True,)
         position = key_position(key)
         below_fraction = position < self.fraction
--- a/thymeknot/policy/trial_evidence.py
+++ b/thymeknot/policy/trial_evidence.py
@@ -18,7 +18,8 @@
 from .context import FEW_ENDPOINTS_LOW_RATE, DecisionContext
 from .global_slowdown import GlobalSlowdown
 from .sequential_test import SequentialTest, Symptom
-from .traffic_split import MAX_REMEMBERED_KEYS, TrafficSplit
+from .sticky_keys import MAX_REMEMBERED_KEYS
+from .traffic_split import TrafficSplit
 
 # Minimum fraction of its capacity at which an endpoint's latency counts as evidence.
 MIN_WARMUP_FRACTION = 0.75
