Keep a key at the newest build while it may have answered it there

What callers saw: a second copy of a request at the earlier build 0.4 to 0.6 s after the build on trial had answered its key, where the answer was lost.

Cause: a key counts as answered from 150 ms after the endpoint has written its answer, which the sidecar can't see. It kept the key only once an answer was read or the attempt given up, so while an attempt was in flight second copies, other requests with the key and waiting attempts went to the earlier build.

Change: StickyKeys counts attempts in flight by build and key; a key with one at the newest build may go to no earlier build. Decisions and the check before an attempt is written ask the same function, which also covers a full set.

One test of RestartedEndpointTest kept stickiness out by clearing the pinned keys; it does so by the setting now, since a request in flight keeps its key, too. All else that it checks stands.

--- a/tests/unit/proxy/test_attempts.py
+++ b/tests/unit/proxy/test_attempts.py
@@ -28,6 +28,7 @@
 from thymeknot.interface.actions import SendAttempt
 from thymeknot.interface.enums import Outcome, ReleasePhase
 from thymeknot.interface.events import LateResponseSeen, ReleaseUpdate
+from thymeknot.policy.sticky_keys import MAX_REMEMBERED_KEYS
 from thymeknot.protocol import discovery
 from thymeknot.protocol.pod import PodConnection
 from thymeknot.service import structured_log
@@ -292,6 +293,10 @@
     ):
         for changes in ({"build": 40}, {"started_ms": 9}):
             network = Network(endpoint_entry("s-1"))
+            # Otherwise the key stays with the previous build, which has it in flight.
+            network.proxy.engine.context.settings = network.proxy.settings._replace(
+                sticky_keys=False
+            )
             clients = [network.ask(request_id) for request_id in ("01", "02")]
             idle, in_use = (
                 network.connect(network.initial_dials),
@@ -301,7 +306,6 @@
                 connection.resumeProducing()
             idle.dataReceived(VALUE_RESPONSE)
             clients.append(network.ask("03"))  # the idle connection rests, so a new one is dialled
-            network.proxy.engine.pinned_keys.clear()  # otherwise the key is sticky to the previous build
             network.update_endpoints(endpoint_entry("s-1", **changes))
             self.assertTrue(idle.transport.disconnecting)
             self.assertEqual(network.connect(network.initial_dials + 2).transport.value(), b"")
@@ -704,6 +708,43 @@
             if sticky:
                 self.assertIn(b"$2\r\n01\r\n", network.connect().transport.value())
 
+    # Guards against a waiting attempt that is written at an earlier build while the newest build
+    # may have answered its key for another request.
+    def test_waiting_attempt_is_not_written_while_the_newest_build_may_have_answered(self):
+        for response, is_written in ((None, False), (b"-BUSY\r\n", True)):
+            network = Network(
+                endpoint_entry("s-1"),
+                endpoint_entry("s-2", build=42),
+                version=42,
+                step=2,
+                status="trial",
+                maxWeight=1.0,
+            )
+            network.ask("01")
+            network.proxy.engine.split.fraction = 1.0
+            network.ask("02", request_class="pay")
+            self.assertEqual(dialled_endpoint_ports(network), [7001, 7002])
+            newest = network.connect()
+            newest.resumeProducing()
+            if response is not None:
+                newest.dataReceived(response)
+            earlier = network.connect(network.initial_dials)
+            self.assertEqual(b"$2\r\n01\r\n" in earlier.transport.value(), is_written)
+
+    def test_waiting_attempt_is_not_written_if_its_key_may_be_a_forgotten_one(self):
+        network = Network(
+            endpoint_entry("s-1"),
+            endpoint_entry("s-2", build=42),
+            version=42,
+            step=2,
+            status="trial",
+            maxWeight=1.0,
+        )
+        network.ask("01")
+        network.proxy.engine.pinned_keys.update(f"other-{n}" for n in range(MAX_REMEMBERED_KEYS))
+        earlier = network.connect(network.initial_dials)
+        self.assertEqual(earlier.transport.value(), b"")
+
     def test_update_for_an_earlier_build_withdraws_attempts_at_the_later_one(self):
         update = ReleaseUpdate(41, 0, ReleasePhase.RELEASED, False, Outcome.DONE, 1.0, 0)
         self.assertEqual(
--- a/thymeknot/decision_log/explanations.py
+++ b/thymeknot/decision_log/explanations.py
@@ -147,7 +147,7 @@
     Reason.ENDED: _explain_ended,
     Reason.EXPOSURE: _explain_exposure,
     Reason.STAYS: lambda keys: Explanation(
-        f"the newest build has served its key ({keys} such keys): the key stays there"
+        f"the newest build has served its key, or may have ({keys} such keys): the key stays there"
     ),
     Reason.GUARDED: lambda stage, guarded: Explanation(
         f"stage {stage} of the trial is guarded: it accepts only retriable lanes",
--- a/thymeknot/interface/reasons.py
+++ b/thymeknot/interface/reasons.py
@@ -14,7 +14,7 @@
     POSITION = 1
     """The key's position chose the side of the traffic split: position, ramp, cap."""
     STAYS = 2
-    """The key is sticky, as the newest build has served it: number of sticky keys."""
+    """The key is sticky, as the newest build has served it or may have: number of sticky keys."""
     ASTRAY = 3
     """Kept off the build on trial: earlier attempts, whether the key failed there, whether hot."""
     GUARDED = 4
--- a/thymeknot/policy/engine.py
+++ b/thymeknot/policy/engine.py
@@ -131,6 +131,10 @@
         """The sticky keys: those that stay with the newest build."""
         return self.sticky_keys.pinned_keys
 
+    def key_must_stay(self, key: str) -> bool:
+        """Returns whether a request with this key may go to no earlier build."""
+        return self.sticky_keys.must_stay(key)
+
     def vote_evidence(self) -> VoteEvidence:
         """Returns the current evidence on the newest build, for the log."""
         test, evidence = self.sequential_test, self.evidence
--- a/thymeknot/policy/request_lifecycle.py
+++ b/thymeknot/policy/request_lifecycle.py
@@ -135,6 +135,7 @@
         attempt.in_flight = False
         attempt.may_have_run = not not_run
         attempt.endpoint_state.in_flight -= 1
+        self.sticky_keys.count_ended(request.key, attempt.endpoint.build)
         self.context.explain(
             Reason.ENDED,
             attempt.endpoint.address,
@@ -224,6 +225,7 @@
         context, now = self.context, self.context.now
         self.exposure.count_sent(request.request_class, newest)
         endpoint.in_flight += 1
+        self.sticky_keys.count_sent(request.key, endpoint.listed.build)
         endpoint.recent_attempts.add(now)
         request.attempts.append(AttemptState(endpoint, now))
         attempt_deadline = request.deadline
--- a/thymeknot/policy/sticky_keys.py
+++ b/thymeknot/policy/sticky_keys.py
@@ -1,4 +1,4 @@
-"""Keys that stay with the newest build, as it has answered them."""
+"""Keys that stay with the newest build, as it has answered them or may have."""
 
 from ..interface.events import LateResponseSeen
 from .context import DecisionContext
@@ -11,11 +11,14 @@
 
     Attributes:
         pinned_keys: Keys that the newest build has answered and therefore keeps.
+        attempts_in_flight: Number of attempts in flight by the build and the key; empty without
+            sticky keys.
     """
 
     def __init__(self, context: DecisionContext) -> None:
         self.context = context
         self.pinned_keys: set[str] = set()
+        self.attempts_in_flight: dict[tuple[int, str], int] = {}
 
     def reset(self) -> None:
         """Discards the pinned keys, for another newest build."""
@@ -30,9 +33,30 @@
         if event.build == release.build and len(self.pinned_keys) < MAX_REMEMBERED_KEYS:
             self.pinned_keys.add(event.key)
 
+    def count_sent(self, key: str, build: int) -> None:
+        """Counts an attempt that was sent to an endpoint of a build."""
+        if self.context.settings.sticky_keys:
+            attempt = build, key
+            self.attempts_in_flight[attempt] = self.attempts_in_flight.get(attempt, 0) + 1
+
+    def count_ended(self, key: str, build: int) -> None:
+        """Counts the end of an attempt that was counted as sent to an endpoint of a build."""
+        if self.context.settings.sticky_keys:
+            attempt = build, key
+            self.attempts_in_flight[attempt] -= 1
+            if not self.attempts_in_flight[attempt]:
+                del self.attempts_in_flight[attempt]
+
     def must_stay(self, key: str) -> bool:
         """Returns whether a request with this key may go to no earlier build.
 
-        Once the set of pinned keys is full, any key may be one that the newest build answered.
+        An attempt in flight at the newest build may have been answered already: the answer may be
+        on its way, or lost. Once the set of pinned keys is full, any key may be one that the newest
+        build answered.
         """
-        return key in self.pinned_keys or len(self.pinned_keys) >= MAX_REMEMBERED_KEYS
+        release = self.context.release
+        return (
+            key in self.pinned_keys
+            or len(self.pinned_keys) >= MAX_REMEMBERED_KEYS
+            or (release is not None and (release.build, key) in self.attempts_in_flight)
+        )
--- a/thymeknot/proxy/attempt.py
+++ b/thymeknot/proxy/attempt.py
@@ -115,13 +115,13 @@
         )
 
     def _key_is_sticky(self, update: ReleaseUpdate | None, endpoint: Endpoint) -> bool:
-        """Returns whether the newest build has answered the key meanwhile, making it sticky."""
+        """Returns whether the newest build has answered the key meanwhile, or may have."""
         command = self.request.command
         return (
             update is not None
             and endpoint.build < update.build
             and update.phase in (ReleasePhase.ON_TRIAL, ReleasePhase.RELEASED)
-            and (command.key or command.id).decode() in self.proxy.engine.pinned_keys
+            and self.proxy.engine.key_must_stay((command.key or command.id).decode())
         )
 
     def written(self) -> bool:
