Soak: lost responses, false lengths and hedged requests

Plans draw, after all else, whether second copies are allowed, and for each endpoint a share of responses that are lost and of ones that declare a false length; responses carry a load report or null. A served value must be one that an endpoint sent for the request, byte for byte; a lost response counts as an answer of its key. Earlier draws are unchanged.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -31,6 +31,8 @@
 DEDUPLICATION_WINDOW_SECONDS = 5.0  # as in the settings
 # The timeout that an attempt sends to its endpoint may exceed the time left by this much.
 TIMEOUT_SLACK_SECONDS = 0.15
+# Outcomes by which an endpoint has answered, whether or not its response can be read.
+ANSWERED_OUTCOMES = ("good", "duplicate", "lost")
 TIMING_INDEPENDENT_KINDS = frozenset(
     (
         "lost response",
@@ -134,12 +136,12 @@
             if value.split(":")[0] != request.request_id:
                 text = f"answered with {value}, {self._describe_duplicate(value)}"
                 self.add_violation("wrong response", text, request.request_id)
-            successful = [
-                attempt
+            values = [
+                attempt.value
                 for attempt in self.attempts_by_request.get(request.request_id, ())
-                if attempt.outcome in ("good", "duplicate")
+                if attempt.value is not None
             ]
-            if not successful:
+            if response not in [b"$%d\r\n%s\r\n" % (len(sent), sent) for sent in values]:
                 self.add_violation(
                     "wrong response",
                     "answered with a response that no endpoint sent",
@@ -347,7 +349,7 @@
                 ):
                     text = f"build {NEWEST_BUILD} answered its key {attempt.first_byte_at - answered_at:.3f} s ago"
                     self.add_violation("sticky key", text, attempt.request_id)
-                if attempt.build == NEWEST_BUILD and attempt.outcome in ("good", "duplicate"):
+                if attempt.build == NEWEST_BUILD and attempt.outcome in ANSWERED_OUTCOMES:
                     answered_at_by_key.setdefault(attempt.key, attempt.responded_at)
 
     # Invalid commands are rejected in time, and processes start and end as they should.
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -77,6 +77,7 @@
         last_byte_at: When its last byte arrived.
         outcome: How the endpoint responded; "silent" if it did not.
         duplicate_sent_at: When a duplicate of the response was written.
+        value: The value of its response; None if it sent none, or declared a false length.
     """
 
     endpoint: str
@@ -93,6 +94,7 @@
     outcome: str = "silent"
     responded_at: float | None = None
     duplicate_sent_at: float | None = None
+    value: bytes | None = None
 
 
 @dataclass
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -80,6 +80,8 @@
         drain_at: When it begins to drain; None if it does not.
         restart_at: When a new process, which is cold, takes its place; None if none does.
         starts_cold: Whether its first process is listed as just started, and so is cold.
+        lost_share: Share of attempts that are answered, but whose response never arrives.
+        false_length_share: Share of attempts whose response declares a false length.
     """
 
     name: str
@@ -94,6 +96,8 @@
     drain_at: float | None
     restart_at: float | None
     starts_cold: bool
+    lost_share: float = 0.0
+    false_length_share: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -138,6 +142,7 @@
         shutdown: How one of the instances is shut down; the others get a SIGTERM.
         racing_clients: Clients that connect to it again and again from SIGTERM on.
         half_command_times: Seconds after its SIGTERM at which a client sends half a command.
+        second_copies: Whether the settings allow hedged requests.
     """
 
     seed: int
@@ -155,6 +160,7 @@
     shutdown_at: float
     racing_clients: int
     half_command_times: tuple[float, ...]
+    second_copies: bool = False
     notes: tuple[str, ...] = field(default=())
 
     def summary(self):
@@ -174,6 +180,9 @@
             f"shutdown {self.shutdown}",
             f"{self.racing_clients} racing connects",
             "half commands at " + ", ".join(f"{at:.1f}" for at in self.half_command_times),
+            f"second copies {self.second_copies}",
+            f"{sum(bool(endpoint.lost_share) for endpoint in self.endpoints)} pods lose responses",
+            f"{sum(bool(endpoint.false_length_share) for endpoint in self.endpoints)} pods spoil lengths",
         ]
         return "; ".join(parts)
 
@@ -271,6 +280,22 @@
     return instance_count, Feature.GOSSIP if rng.random() < 0.7 else Feature.NONE
 
 
+def _with_faulty_responses(plan, rng):
+    """Returns the plan with lost responses, false lengths and hedged requests, drawn last."""
+    return replace(
+        plan,
+        second_copies=bool(rng.random() < 0.5),
+        endpoints=tuple(
+            replace(
+                endpoint,
+                lost_share=_draw_share(rng, 0.3, 0.2),
+                false_length_share=_draw_share(rng, 0.3, 0.2),
+            )
+            for endpoint in plan.endpoints
+        ),
+    )
+
+
 def draw_plan(seed):
     """Returns the plan of this seed.
 
@@ -284,7 +309,7 @@
     has_burst = seed % BURST_SEED_INTERVAL == 0
     early_signals = list(EarlySignal)
     shutdowns = list(Shutdown)
-    return Plan(
+    plan = Plan(
         seed=seed,
         instance_count=instance_count,
         feature=feature,
@@ -303,3 +328,4 @@
             sorted(rng.uniform(0.0, MAX_HALF_COMMAND_SECONDS, rng.integers(1, 4)).tolist())
         ),
     )
+    return _with_faulty_responses(plan, rng)
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -125,6 +125,17 @@
         """
 from thymeknot.policy.sticky_keys import StickyKeys
 StickyKeys.pin = lambda self, event: None
+""",
+    ),
+    "first string served as the value": InjectedFault(
+        "wrong response",
+        (5, 2, 4, 1, 3),
+        """
+from thymeknot.protocol import pod_response
+from thymeknot.protocol.pod_response import PodResponse
+def first_string(elements, length):
+    return PodResponse(elements[0], None, None) if elements else None
+pod_response.read_response_before_error = first_string
 """,
     ),
     "shutdown that never ends": InjectedFault(
--- a/tests/soak/player.py
+++ b/tests/soak/player.py
@@ -230,6 +230,7 @@
                 self.endpoints,
                 self.plan.trial.changes[0][2],
                 operator_file=self.operator_files.write_file(instance),
+                second_copies=self.plan.second_copies,
                 code=self.code,
             )
             self.sidecars.append(sidecar)
--- a/tests/soak/sidecar.py
+++ b/tests/soak/sidecar.py
@@ -18,6 +18,8 @@
 # The earliest time after SIGTERM at which the specification allows SIGKILL.
 KILL_AFTER_SECONDS = MAX_TIMEOUT_SECONDS + 0.7
 STARTUP_TIMEOUT_SECONDS = 30.0
+# The latency objective where hedged requests are allowed; they are sent after a part of it.
+HEDGED_OBJECTIVE_NANOSECONDS = 1_000_000_000
 
 
 class Sidecar:
@@ -34,6 +36,7 @@
         instance: Number of the instance.
         instance_count: How many instances there are.
         operator_file: Path of its operator file, if it has one.
+        second_copies: Whether its settings allow hedged requests.
         code: Python code to run in place of the program, with a fault injected.
     """
 
@@ -46,6 +49,7 @@
         initial_cap,
         *,
         operator_file=None,
+        second_copies=False,
         code=None,
     ):
         self.instance, self.instance_count, self.observations, self.endpoints = (
@@ -55,6 +59,7 @@
             endpoints,
         )
         self.operator_file, self.code = operator_file, code
+        self.second_copies = second_copies
         self.discovery = AsyncDiscovery(instance, observations, endpoints)
         self.platform = AsyncPlatform(instance, observations, initial_cap)
         self.former_discoveries = []
@@ -83,6 +88,10 @@
         """Writes the configuration file with the present endpoints and release state."""
         settings = copy.deepcopy(SETTINGS)
         settings["balancers"] = self.instance_count
+        if self.second_copies:
+            settings["permissions"]["second_copies"] = True
+            for request_class in settings["categories"]:
+                request_class["promise"] = HEDGED_OBJECTIVE_NANOSECONDS
         config = {
             "name": f"n{self.instance}",
             "listen": f"127.0.0.1:{self.port}",
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -23,6 +23,8 @@
 STALL_SECONDS = 0.7
 HANGING_BODY = b"hang"  # of a request that is never answered
 HEARTBEAT_INTERVAL_SECONDS = 0.5
+LENGTH_ERRORS = tuple(error for error in range(-5, 21) if error)  # bytes that a length is off by
+REPORTS = None, b"q=1", b"q=3,busy=0.52,rate=41"  # load reports of endpoints
 
 
 def instance_host(instance):
@@ -113,6 +115,7 @@
     def __init__(self, plan, observations, seed):
         self.plan, self.observations, self.clock = plan, observations, observations.clock
         self.rng = random.Random(f"{seed} {plan.name}")
+        self.form_rng = random.Random(f"{seed} {plan.name} forms")  # draws what responses look like
         self.connections, self.servers, self.ports = set(), {}, {}
         self.state, self.generation, self.response_count = "Ready", 0, 0
         self.started_ms = int(time.time() * 1000) if plan.starts_cold else 0
@@ -186,6 +189,8 @@
             (plan.error_share, "error"),
             (plan.reject_share, "busy"),
             (plan.duplicate_share, "duplicate"),
+            (plan.lost_share, "lost"),
+            (plan.false_length_share, "false length"),
         )
         for share, outcome in shares:
             if draw < share:
@@ -204,10 +209,13 @@
             connection.write(b"-ERR failed\r\n")
         elif outcome == "busy":
             connection.write(b"-BUSY\r\n")
-        else:
+        elif outcome != "lost":
             self.response_count += 1
             value = f"{attempt.request_id}:{self.plan.name}:{self.response_count}".encode()
-            response = b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
+            length_error = self.form_rng.choice(LENGTH_ERRORS) if outcome == "false length" else 0
+            response = self._serialize(value, len(value) + length_error)
+            if not length_error:
+                attempt.value = value
             connection.write(response)
             if outcome == "duplicate":
                 loop = asyncio.get_running_loop()
@@ -215,6 +223,12 @@
                     DUPLICATE_DELAY_SECONDS, self._send_duplicate, connection, attempt, response
                 )
 
+    def _serialize(self, value, length):
+        """Returns a response that declares this length of its value, with a load report or null."""
+        report = self.form_rng.choice(REPORTS)
+        tail = b"$-1\r\n" if report is None else b"$%d\r\n%s\r\n" % (len(report), report)
+        return b"*3\r\n$%d\r\n%s\r\n$-1\r\n%s" % (length, value, tail)
+
     def _send_duplicate(self, connection, attempt, response):
         if self.clock() > attempt.responded_at + MAX_DUPLICATE_DELAY_SECONDS:
             return
