--- a/tests/unit/proxy/test_attempts.py
+++ b/tests/unit/proxy/test_attempts.py
@@ -1204,6 +1204,7 @@
             0,
         )
         self.pools.max_connections = 9
+        self.request_count = 0
 
     def pending_dials(self):
         """Registers new dials, ends stopped ones, and returns the pending ones."""
@@ -1225,7 +1226,8 @@
         return [candidate for candidate in self.connections if not candidate.transport.disconnected]
 
     def send_request(self, class_name, timeout_ms):
-        request_id = f"{class_name}-{len(self.clients)}"
+        self.request_count += 1
+        request_id = f"{class_name}-{self.request_count}"  # an id is never used again
         self.clients[request_id] = self.network.ask(
             request_id, request_class=class_name, timeout_ms=timeout_ms
         )
