Ask an agent for the next watch within the grace of a drain

Cause: the watch of the agent, which serves one sidecar alone, waited as long before the next request (0.2 to 0.8 s) as calls to a shared service do, while what the agent has counts as notified whether or not a watch is open.

Change: limits of their own for a dedicated service: 25 to 50 ms, doubled with each refusal in a row up to a second as before.

--- a/tests/unit/protocol/test_watch_streams.py
+++ b/tests/unit/protocol/test_watch_streams.py
@@ -486,6 +486,56 @@
                 self.assertLess(self.connect_count(port), limit, (port, polled, received))
 
 
+class DedicatedWatchEndTest(NetworkTestCase):
+    """What the agent has counts as notified whether or not a watch is open.
+
+    An endpoint's drain has a grace of 0.25 s in the settings of most deployments.
+    """
+
+    GRACE_SECONDS = 0.25
+
+    def end_watch(self, ending):
+        """Ends the watch, which has delivered a list, in this way."""
+        watch = self.network.proxy.endpoints.watch.current
+        if ending == "reset":
+            watch.connectionLost(Failure(ConnectionLost()))
+        elif ending == "closed":
+            watch.connectionLost(Failure(ConnectionDone()))
+        elif ending == "response ended":
+            watch.dataReceived(b"0\r\n\r\n")
+        else:
+            watch.dataReceived(encode_chunk(b"noise\n"))
+
+    # Guards against requests to an endpoint that drained while no watch was open.
+    def test_drain_after_the_end_of_a_watch_is_noticed_within_the_grace(self):
+        for ending, seconds_open in itertools.product(
+            ("reset", "closed", "response ended", "malformed"), (0.05, 0.3, 1.0, 3.0)
+        ):
+            with self.subTest(ending, seconds_open=seconds_open):
+                self.network = Network(endpoint_entry("s-1"))
+                self.advance(0.1)
+                self.connect(2, list_message(8, "s-1"))
+                self.advance(seconds_open)
+                self.end_watch(ending)
+                self.advance_until_requested(2, self.GRACE_SECONDS / 2)
+                draining = endpoint_entry("s-1", state="Terminating")
+                message = {"version": 9, "full": True, "servers": [draining]}
+                self.connect(2, json.dumps(message).encode() + b"\n")
+                self.assertRegex(self.network.ask().transport.value(), b"^-BUSY")
+
+    def test_watch_is_requested_again_soon_after_several_ends(self):
+        for _ in range(4):
+            self.connect(2, list_message(8, "s-1"))
+            self.advance(0.6)
+            self.end_watch("reset")
+            self.advance_until_requested(2, self.GRACE_SECONDS / 2)
+
+    def test_agent_that_refuses_connections_is_asked_again_soon(self):
+        for _ in range(20):
+            self.network.refuse(self.last_connect(2))
+            self.advance_until_requested(2, self.GRACE_SECONDS / 2)
+
+
 class InvalidInputTest(NetworkTestCase):
     def assert_input_ends_stream(self, port, *received):
         """Checks that this input ends its stream and nothing else; returns the logged reason.
--- a/thymeknot/polling/adaptive_interval.py
+++ b/thymeknot/polling/adaptive_interval.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from enum import StrEnum
+from typing import NamedTuple
 
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 
@@ -14,8 +15,6 @@
 MAX_REGULAR_INTERVAL: Ticks = 8_000
 # Longest wait between calls to a shared service, so that updates still arrive.
 MAX_INTERVAL: Ticks = 8 * TICKS_PER_SECOND
-# The same for a service that serves this caller alone, so that a call delays no other caller.
-MAX_DEDICATED_INTERVAL: Ticks = TICKS_PER_SECOND
 # A stream that is refused or malformed this long after its call, or later, was established.
 ESTABLISHED_AFTER: Ticks = 2 * TICKS_PER_SECOND
 # The first calls are spread over this time per caller: a shared service accepts one call from each
@@ -23,10 +22,44 @@
 INITIAL_SPREAD_PER_CALLER: Ticks = 1_000
 # All first calls are made within this time: the service sends its counts after 6 s.
 MAX_INITIAL_SPREAD: Ticks = 6 * TICKS_PER_SECOND
-# Maximum doublings of the regular interval. It bounds the shift; MAX_INTERVAL is reached before.
+# Maximum doublings of the regular interval. It bounds the shift; the longest wait comes before it.
 MAX_DOUBLINGS = 10
 
 
+class IntervalLimits(NamedTuple):
+    """The limits of the waits between the calls of one caller to one service, in ticks."""
+
+    min_regular: Ticks
+    """The shortest regular interval."""
+    max_regular: Ticks
+    """The longest regular interval."""
+    max_backoff: Ticks
+    """The longest wait after refusals; the shortest of those waits is half of it."""
+    established_after: Ticks
+    """The age from which a stream that has delivered data counts as established."""
+    first_refusal_doublings: int
+    """How often the regular interval is doubled after the first refusal."""
+
+
+SHARED_SERVICE = IntervalLimits(
+    min_regular=MIN_REGULAR_INTERVAL,
+    max_regular=MAX_REGULAR_INTERVAL,
+    max_backoff=MAX_INTERVAL,
+    established_after=ESTABLISHED_AFTER,
+    first_refusal_doublings=2,
+)
+# A call to a service that serves this caller alone delays no other caller. What such a service has
+# counts as notified whether or not a stream is open, so the next stream must deliver it within the
+# grace for a drain, which is a quarter of a second.
+DEDICATED_SERVICE = IntervalLimits(
+    min_regular=TICKS_PER_SECOND // 40,
+    max_regular=TICKS_PER_SECOND // 20,
+    max_backoff=TICKS_PER_SECOND,
+    established_after=TICKS_PER_SECOND // 2,
+    first_refusal_doublings=0,
+)
+
+
 class IntervalState(StrEnum):
     """The state of the service, as inferred from the last calls."""
 
@@ -73,14 +106,14 @@
 
     Attributes:
         draw: Returns a random number between 0 and 1; seeded by the caller.
-        max_interval: The longest interval while backing off, in ticks.
+        limits: The limits of the waits.
         state: The state of the service, as inferred from the last calls.
         refusals: The number of consecutive refused calls.
     """
 
-    def __init__(self, draw: Callable[[], float], max_interval: Ticks = MAX_INTERVAL) -> None:
+    def __init__(self, draw: Callable[[], float], limits: IntervalLimits = SHARED_SERVICE) -> None:
         self.draw = draw
-        self.max_interval = max_interval
+        self.limits = limits
         self.state = IntervalState.REGULAR
         self.refusals = 0
 
@@ -93,13 +126,14 @@
 
         Args:
             result: How it ended.
-            age: Ticks since the call. A refusal or malformed data after ESTABLISHED_AFTER is
+            age: Ticks since the call. A refusal or malformed data of an established stream is
                 not a sign of overload.
 
         Returns:
             The wait in ticks before the next call.
         """
-        if result in (CallResult.REFUSED, CallResult.MALFORMED) and age >= ESTABLISHED_AFTER:
+        is_established = age >= self.limits.established_after
+        if result in (CallResult.REFUSED, CallResult.MALFORMED) and is_established:
             result = CallResult.ESTABLISHED
         self.state, increment = TRANSITIONS[self.state, result]
         self.refusals = 0 if increment is None else self.refusals + increment
@@ -108,15 +142,14 @@
     def next_wait(self) -> Ticks:
         """Returns the wait in ticks before the next call: exponential backoff with jitter.
 
-        It is four times the regular interval after the first refusal and doubles with each further
-        one, up to `max_interval`.
+        The regular interval is doubled as often as the limits say after the first refusal, and once
+        more with each further one, up to the longest wait.
         """
-        wait = MIN_REGULAR_INTERVAL + int(
-            self.draw() * (MAX_REGULAR_INTERVAL - MIN_REGULAR_INTERVAL)
-        )
+        limits = self.limits
+        wait = limits.min_regular + int(self.draw() * (limits.max_regular - limits.min_regular))
         if self.state != IntervalState.BACKING_OFF:
             return wait
         return min(
-            wait << min(self.refusals + 1, MAX_DOUBLINGS),
-            int(self.max_interval * (0.5 + self.draw() / 2)),
+            wait << min(self.refusals - 1 + limits.first_refusal_doublings, MAX_DOUBLINGS),
+            int(limits.max_backoff * (0.5 + self.draw() / 2)),
         )
--- a/thymeknot/protocol/watch_stream.py
+++ b/thymeknot/protocol/watch_stream.py
@@ -7,8 +7,8 @@
 
 from ..interface.clock import Ticks
 from ..polling.adaptive_interval import (
-    MAX_DEDICATED_INTERVAL,
-    MAX_INTERVAL,
+    DEDICATED_SERVICE,
+    SHARED_SERVICE,
     AdaptiveInterval,
     CallResult,
 )
@@ -184,8 +184,9 @@
         self.make_request = make_request
         self.make_reader = make_reader
         self.log = log
-        max_interval = MAX_DEDICATED_INTERVAL if dedicated else MAX_INTERVAL
-        self.interval = AdaptiveInterval(random_source.draw, max_interval)
+        self.interval = AdaptiveInterval(
+            random_source.draw, DEDICATED_SERVICE if dedicated else SHARED_SERVICE
+        )
         self.silent_attempts = 0
         self.current: Stream | None = None
         self.pending: Stream | None = None
@@ -218,7 +219,7 @@
 
     def move(self, caller: HttpCaller) -> None:
         """Switches to another address, and forgets refusals of the former one."""
-        self.interval = AdaptiveInterval(self.interval.draw, self.interval.max_interval)
+        self.interval = AdaptiveInterval(self.interval.draw, self.interval.limits)
         self.caller = caller
         self.silent_attempts = 0
         pending = self.pending
