Bound the memory of open requests, and free ended ones at once

What callers saw: with 24 clients that send 300 commands of 64 KiB at once the process went over 192 MB and was killed; usual clients were never answered.

Cause: open requests were bounded by number alone, and an ended request and its attempts referred to each other, so that both waited, with the command's body, for a full garbage collection.

Change: a released request lets go of its attempts. policy/memory_budget.py bounds the commands of open requests to an eighth of limits.memory_mb, shared by dynamic thresholds: a connection may hold as much as is free, so a part always stays free for the others. What is over gets -BUSY.

Tests: OpenRequestMemoryTest, test_memory_budget. Without the first change the former fails for each of its four ends.

--- a/tests/unit/proxy/test_proxy.py
+++ b/tests/unit/proxy/test_proxy.py
@@ -1,6 +1,7 @@
 """The proxy on an in-memory network: pending attempts, limits, exceptions and deadlines."""
 
 import copy
+import gc
 import socket
 import time
 import unittest
@@ -17,6 +18,7 @@
 from thymeknot.interface.enums import Outcome, ReleasePhase, Verdict
 from thymeknot.interface.events import ReleaseUpdate
 from thymeknot.protocol.client import ClientConnection
+from thymeknot.proxy.in_flight import InFlightRequest
 from thymeknot.proxy.proxy import Proxy
 from thymeknot.service import configuration, structured_log
 from thymeknot.service import lifecycle as life
@@ -283,6 +285,79 @@
             self.assertEqual(connection.transport.disconnected, answer != VALUE_RESPONSE[:9])
 
 
+class OpenRequestMemoryTest(unittest.TestCase):
+    """Ended requests are freed at once, and open ones take a bounded part of the memory."""
+
+    BODY = b"x" * 60_000
+
+    def submit(self, network, name, connection=None, body=BODY):
+        connection = connection or network.client()
+        words = ("SVC.SUBMIT", "key", name, "c=pay,d=5000", body)
+        connection.dataReceived(encode_command(*words))
+        return connection
+
+    def count_requests(self, network):
+        """Returns how many requests of this network exist, whether or not they have ended."""
+        requests = [found for found in gc.get_objects() if type(found) is InFlightRequest]
+        return sum(request.connection.owner is network.proxy.listener for request in requests)
+
+    # Guards against ended requests that were kept until the next full garbage collection.
+    def test_ended_request_is_freed_without_garbage_collection(self):
+        for end in ("response", "rejection", "client gone", "time-out"):
+            with self.subTest(end):
+                network = Network(endpoint_entry("s-1"))
+                client = self.submit(network, "01")
+                gc.disable()
+                self.addCleanup(gc.enable)
+                self.assertEqual(self.count_requests(network), 1)
+                connection = network.connect()
+                connection.resumeProducing()
+                if end == "response":
+                    connection.dataReceived(VALUE_RESPONSE)
+                elif end == "rejection":
+                    connection.dataReceived(b"-BUSY\r\n")
+                elif end == "client gone":
+                    client.connectionLost(Failure(ConnectionRefusedError()))
+                else:
+                    network.reactor.advance(5)
+                    network.reactor.advance(0)
+                for _ in range(60):  # until the connection is closed, or idle
+                    network.reactor.advance(0.1)
+                    network.reactor.advance(0)
+                self.assertEqual(self.count_requests(network), 0)
+                memory = network.proxy.requests.memory
+                self.assertEqual((memory.used, memory.held), (0, {}))
+                gc.enable()
+
+    # Guards against a process over its memory limit because of few clients with large requests.
+    def test_requests_over_the_budget_are_rejected_and_those_of_other_clients_are_not(self):
+        network = Network(endpoint_entry("s-1"))
+        network.proxy.requests.memory.set_memory_limit(64)
+        limit = network.proxy.requests.memory.limit
+        heavy_clients = [network.client() for _ in range(24)]
+        for number in range(40):
+            for index, client in enumerate(heavy_clients):
+                self.submit(network, f"{index}-{number}", client)
+        used = network.proxy.requests.memory.used
+        self.assertTrue(limit / 2 < used <= limit, used)
+        for client in heavy_clients:
+            held = network.proxy.requests.memory.held[client]
+            self.assertTrue(0 < held < 2 * limit / len(heavy_clients), held)
+        usual = self.submit(network, "usual", body=b"BODY")
+        self.assertIsNotNone(network.proxy.requests.find("usual"))
+        self.assertEqual(usual.transport.value(), b"")
+        heavy_clients[0].connectionLost(Failure(ConnectionRefusedError()))
+        self.assertNotIn(heavy_clients[0], network.proxy.requests.memory.held)
+        self.assertLess(network.proxy.requests.memory.used, used)
+
+    def test_request_over_the_budget_gets_the_usual_rejection(self):
+        network = Network(endpoint_entry("s-1"))
+        network.proxy.requests.memory.set_memory_limit(0.25)
+        client = self.submit(network, "01")
+        self.assertEqual(client.transport.value(), b"-BUSY\r\n")
+        self.assertEqual(network.dialled_ports(), [])
+
+
 class UnexpectedBytesTest(unittest.TestCase):
     def network_with_response(self, response, stale=False):
         """Returns a network whose first request got this response, and the connection."""
--- a/thymeknot/protocol/command.py
+++ b/thymeknot/protocol/command.py
@@ -32,6 +32,11 @@
     is_retry: bool
     """Whether the client says that it has sent this request before."""
 
+    def size(self) -> int:
+        """Returns the size of the command's words in bytes."""
+        pair_bytes = sum(len(name) + len(value) for name, value in self.pairs)
+        return len(self.key) + len(self.id) + pair_bytes + sum(map(len, self.body))
+
     def forwarded_words(self, timeout_ms: int) -> list[bytes]:
         """Returns the command's words for an endpoint, with the timeout that the sidecar grants."""
         forwarded = [
--- a/thymeknot/proxy/client_requests.py
+++ b/thymeknot/proxy/client_requests.py
@@ -55,15 +55,16 @@
         for request in self.table.by_slot if connection.pending_responses else ():
             if request.connection is connection and not request.closed:
                 request.closed = True
+                attempts = request.attempts
                 if proxy.why is not None:
                     proxy.why.request_answered(request.id, proxy.why.left_reason)
                 proxy.handle_events(ClientDisconnected(request.id))
                 # Also without permission to cancel, since these were not completely written.
-                for attempt in request.attempts:
+                for attempt in attempts:
                     if attempt.in_flight and not attempt.written():
                         attempt.withdraw()
                 request_class = proxy.settings.request_classes[request.command.request_class]
-                self.table.block_id(request, request_class.idempotency)
+                self.table.block_id(request, attempts, request_class.idempotency)
                 self.table.release(request)
 
     def accept(self, connection: ClientConnection, sequence: int, command: Command) -> None:
@@ -80,7 +81,8 @@
             self._accept_repeat(request_id, connection, sequence, command)
             return
         time_left = self._time_left(command, request_class)
-        if self._is_full() or time_left <= 0:
+        has_room = self.table.memory.allows(connection, command.size())
+        if self._is_full() or not has_room or time_left <= 0:
             connection.answer(sequence, resp.failure(BUSY))
             return
         self._begin(request_id, connection, sequence, command, time_left)
@@ -114,7 +116,7 @@
         proxy = self.proxy
         now = connection.last_used_at = self.clock()
         request = InFlightRequest(request_id, command, connection, sequence, now + time_left)
-        request.slot = self.table.by_id[request_id] = self.table.by_slot.add(request)
+        self.table.add(request)
         request.overdue_timer = self.timers.add(
             request.expires_at + OVERDUE_MARGIN, self._overdue, request
         )
--- a/thymeknot/proxy/in_flight.py
+++ b/thymeknot/proxy/in_flight.py
@@ -1,9 +1,11 @@
 """Requests in flight: from their arrival until the response is sent and all attempts ended."""
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from ..interface.clock import Ticks
 from ..interface.enums import Idempotency
+from ..policy.memory_budget import MemoryBudget
 from ..protocol.client import ClientConnection
 from ..protocol.command import Command
 from ..state.slot_table import SlotTable
@@ -25,6 +27,8 @@
         command: The request as received from the client.
         connection: The client's connection, to which the response is sent.
         sequence: The position of its response among those of the connection.
+        size: The size of the command in bytes.
+        opened_by: The connection on which it was first received, to which its memory is charged.
         expires_at: When the client stops waiting, in ticks.
         attempts: All attempts so far, by number.
         attempts_in_flight: How many attempts have not ended.
@@ -41,9 +45,11 @@
         "connection",
         "expires_at",
         "id",
+        "opened_by",
         "overdue_timer",
         "repeated",
         "sequence",
+        "size",
         "slot",
     )
 
@@ -58,6 +64,8 @@
         self.id = name
         self.command = command
         self.connection = connection
+        self.opened_by = connection
+        self.size = command.size()
         self.sequence = sequence
         self.expires_at = expires_at
         self.slot: int | None = None
@@ -75,11 +83,13 @@
         timers: All timers of the program.
         by_slot: The requests by slot.
         by_id: The slot of each request by its id.
+        memory: The memory that the requests take.
         may_have_run: Ids of requests that may have run and were released without a response.
     """
 
-    def __init__(self, timers: TimerQueue) -> None:
+    def __init__(self, timers: TimerQueue, memory: MemoryBudget) -> None:
         self.timers = timers
+        self.memory = memory
         self.by_slot: SlotTable[InFlightRequest] = SlotTable()
         self.by_id: dict[str, int] = {}
         self.may_have_run: set[str] = set()
@@ -89,8 +99,17 @@
         slot = self.by_id.get(name)
         return None if slot is None else self.by_slot.get(slot)
 
+    def add(self, request: InFlightRequest) -> None:
+        """Adds a request."""
+        request.slot = self.by_id[request.id] = self.by_slot.add(request)
+        self.memory.charge(request.opened_by, request.size)
+
     def release(self, request: InFlightRequest) -> None:
-        """Removes a request if it is closed and has no attempt in flight."""
+        """Removes a request if it is closed and has no attempt in flight.
+
+        It lets go of its attempts, which refer to it: otherwise both would be kept until the next
+        full garbage collection.
+        """
         if (
             request.closed
             and not request.attempts_in_flight
@@ -100,16 +119,25 @@
             del self.by_id[request.id]
             self.by_slot.remove(request.slot)
             self.timers.cancel(request.overdue_timer)
+            self.memory.release(request.opened_by, request.size)
+            request.attempts = []
 
-    def block_id(self, request: InFlightRequest, idempotency: Idempotency) -> None:
+    def block_id(
+        self, request: InFlightRequest, attempts: Iterable["Attempt"], idempotency: Idempotency
+    ) -> None:
         """Blocks the id of a request that may have run, until the client would have timed out.
 
         Called if the client disconnected before the response; idempotent requests may run again.
+
+        Args:
+            request: The request, which may have been released.
+            attempts: Its attempts.
+            idempotency: That of its class.
         """
         if (
             idempotency != Idempotency.IDEMPOTENT
             and request.id not in self.may_have_run
-            and any(attempt.may_have_run for attempt in request.attempts)
+            and any(attempt.may_have_run for attempt in attempts)
         ):
             self.may_have_run.add(request.id)
             self.timers.add(request.expires_at, self.may_have_run.discard, request.id)
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -35,6 +35,7 @@
     TimerFired,
 )
 from ..policy.engine import INPUT_BY_OUTCOME, DecisionEngine
+from ..policy.memory_budget import MemoryBudget
 from ..protocol import resp
 from ..protocol.http_calls import HttpCaller
 from ..protocol.pod_response import PodResponse
@@ -110,7 +111,7 @@
         self.pools = ConnectionPools(
             reactor, timers, self.connection_limits, budget.endpoints, structured_log.log_exception
         )
-        self.requests = RequestTable(timers)
+        self.requests = RequestTable(timers, MemoryBudget(start.memory_mb))
         self.requests_in_flight = self.requests.by_slot
         self.client_requests = ClientRequests(self, self.requests)
         self.listener = ClientListener(
@@ -161,7 +162,7 @@
         )
 
     def reconfigure(self, start: StartConfiguration) -> list[str]:
-        """Applies the addresses of a new configuration.
+        """Applies the addresses and the memory limit of a new configuration.
 
         Calls in progress finish at the previous addresses. The endpoints and the release state of
         the configuration are ignored, since the streams have reported newer ones.
@@ -172,6 +173,7 @@
         """
         self.endpoints.change_address(start.discovery)
         self.releases.change_address(start.platform)
+        self.requests.memory.set_memory_limit(start.memory_mb)
         return sorted(
             {
                 key
--- a/thymeknot/service/configuration.py
+++ b/thymeknot/service/configuration.py
@@ -27,6 +27,7 @@
     platform: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: float
     news: ReleaseUpdate
     known: discovery.EndpointListing
     settings: Settings
@@ -36,6 +37,8 @@
 DEFAULT_SOCKETS: Final = 1024
 """Default limit of file descriptors."""
 MIN_SOCKETS: Final = 64
+DEFAULT_MEMORY_MB: Final = 64
+"""Default limit of memory, in megabytes."""
 MIN_PORT: Final = 1
 MAX_PORT: Final = 65_535
 MAX_PORT_DIGITS: Final = 5
@@ -146,6 +149,7 @@
         news=_read_release(document),
         known=_read_known(document, epoch),
         sockets=_read_sockets(document),
+        memory_mb=_read_memory(document),
         name=_value_at(document, "name", str, "sidecar"),
         listen=_address(document, "listen"),
         discovery=_address(document, "discovery"),
@@ -191,6 +195,13 @@
     return sockets
 
 
+def _read_memory(document: Any) -> float:
+    memory: float = _value_at(document, "limits.memory_mb", (int, float), DEFAULT_MEMORY_MB)
+    if memory <= 0:
+        raise ConfigurationError(f"limits.memory_mb: {memory} is not positive")
+    return memory
+
+
 def load(environment: Mapping[str, str], epoch: Ticks) -> StartConfiguration:
     """Loads the configuration file that NODE_CONFIG names; raises ConfigurationError."""
     path = environment.get("NODE_CONFIG")
