End an attempt by its own number where its request was released meanwhile

Found by the whole suite after: a released request lets go of its attempts, so an attempt that was decided before its client was found to have left took number 0, and the engine kept the former one in flight for ever.

Change: where asking for the client's close releases the request, the attempt ends as one without a request does, by the number that the engine gave it.

Tests: test_retry_is_not_sent_after_disconnect and RegressionTest's test_attempt_decided_after_disconnect_is_ended_by_its_own_id failed, and pass.

--- a/thymeknot/polling/adaptive_interval.py
+++ b/thymeknot/polling/adaptive_interval.py
@@ -39,6 +39,8 @@
     """The age from which a stream that has delivered data counts as established."""
     first_refusal_doublings: int
     """How often the regular interval is doubled after the first refusal."""
+    max_lost_doublings: int
+    """How often it is doubled at most while calls are lost one after another."""
 
 
 SHARED_SERVICE = IntervalLimits(
@@ -47,6 +49,7 @@
     max_backoff=MAX_INTERVAL,
     established_after=ESTABLISHED_AFTER,
     first_refusal_doublings=2,
+    max_lost_doublings=0,
 )
 # A call to a service that serves this caller alone delays no other caller. What such a service has
 # counts as notified whether or not a stream is open, so the next stream must deliver it within the
@@ -57,6 +60,7 @@
     max_backoff=TICKS_PER_SECOND,
     established_after=TICKS_PER_SECOND // 2,
     first_refusal_doublings=0,
+    max_lost_doublings=4,
 )
 
 
@@ -109,6 +113,7 @@
         limits: The limits of the waits.
         state: The state of the service, as inferred from the last calls.
         refusals: The number of consecutive refused calls.
+        lost: The number of calls that were lost one after another.
     """
 
     def __init__(self, draw: Callable[[], float], limits: IntervalLimits = SHARED_SERVICE) -> None:
@@ -116,6 +121,7 @@
         self.limits = limits
         self.state = IntervalState.REGULAR
         self.refusals = 0
+        self.lost = 0
 
     def initial_wait(self, callers: int) -> Ticks:
         """Returns the wait in ticks before the first call, if `callers` start at once."""
@@ -137,18 +143,19 @@
             result = CallResult.ESTABLISHED
         self.state, increment = TRANSITIONS[self.state, result]
         self.refusals = 0 if increment is None else self.refusals + increment
+        self.lost = self.lost + 1 if result == CallResult.LOST else 0
         return self.next_wait()
 
     def next_wait(self) -> Ticks:
         """Returns the wait in ticks before the next call: exponential backoff with jitter.
 
         The regular interval is doubled as often as the limits say after the first refusal, and once
-        more with each further one, up to the longest wait.
+        more with each further one, up to the longest wait. Lost calls in a row lengthen it less.
         """
         limits = self.limits
         wait = limits.min_regular + int(self.draw() * (limits.max_regular - limits.min_regular))
         if self.state != IntervalState.BACKING_OFF:
-            return wait
+            return wait << min(max(0, self.lost - 1), limits.max_lost_doublings)
         return min(
             wait << min(self.refusals - 1 + limits.first_refusal_doublings, MAX_DOUBLINGS),
             int(limits.max_backoff * (0.5 + self.draw() / 2)),
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -332,6 +332,9 @@
             self._end_without_request(action)
             return
         close_if_client_gone(request)
+        if self.requests.find(action.id) is not request:  # released, as its client has left
+            self._end_without_request(action)
+            return
         endpoints = self.endpoints
         attempt = Attempt(
             self,
