--- a/tests/unit/protocol/test_pod_responses.py
+++ b/tests/unit/protocol/test_pod_responses.py
@@ -42,6 +42,18 @@
     ("its null in the value, status", b"*3\r\n$6\r\nv\r\n$-1\r\n$-1\r\n+OK\r\n", False, None),
 )
 
+FAILURE_FORMS = (
+    # Bytes, and the text of the error that they are; None if they are none.
+    (b"-BUSY\r\n", "BUSY"),
+    (b"-BUSY\r\n" * 2, "BUSY"),
+    (b"-BUSY\r\nnoise", "BUSY"),
+    (b"-ERR failed\r\n-BUSY\r\n", "ERR failed"),
+    (b"-BUSYnoise\r\n", "BUSYnoise"),
+    (b"-BUS", None),
+    (b"-BUSY\r", None),
+    (b"*3\r\n-BUSY\r\n$-1\r\n$-1\r\n", None),
+)
+
 
 class IgnoringOwner:
     """Connection pools that ignore whatever a connection tells them."""
@@ -116,6 +128,14 @@
                             (bytes(response.value), response.report), (expected, report)
                         )
 
+    # Guards against a rejection, by which the request counts as not run, that is only a part.
+    def test_only_a_whole_line_is_an_error(self):
+        for content, failure in FAILURE_FORMS:
+            for chunks in ([content], [content[at : at + 1] for at in range(len(content))]):
+                with self.subTest(content, chunks=len(chunks)):
+                    response = response_to(chunks, reset=True)
+                    self.assertEqual(response and response.failure, failure)
+
     def test_whole_response_is_served_however_it_arrives(self):
         for report in REPORTS:
             for chunks, reset in endings(serialized(len(VALUE), report)):
