--- a/measure/hostile.py
+++ b/measure/hostile.py
@@ -30,7 +30,6 @@
             0,
             spoil,
         )
-        self.stale = None
 
     def record_datagram(self, datagram):
         """Keeps a datagram to replay it later, up to `MAX_RECORDED_DATAGRAMS`."""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,8 +21,6 @@
 # From the newest build's first response to a key until the key must stay with that build.
 STICKY_KEY_DELAY_SECONDS = 0.15
 INVALID_COMMAND_LIMIT_SECONDS = 3.0  # until an invalid command gets an error or is cut off
-# A request sent up to this long before its client saw the connection close may have crossed it.
-CLOSE_RACE_SECONDS = 0.1
 EXPOSURE_WINDOW_SECONDS = 3.0  # as in the settings
 EXPOSURE_ALLOWANCE = 3.0  # in attempts, as in the settings
 # 2 attempts and 4% above the cap are allowed.
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -34,7 +34,6 @@
     timeout: float
     sent_at: float
     process_number: int
-    repeated_key: str | None = None
     responses: list = field(default_factory=list)
     connection_closed_at: float | None = None
     disconnected_at: float | None = None
@@ -170,7 +169,6 @@
     ended_at: float | None = None
     exit_status: int | None = None
     fault_lines: list = field(default_factory=list)
-    open_descriptors: int | None = None
 
 
 class Observations:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -3,7 +3,7 @@
 Times are seconds after the start of traffic unless noted otherwise.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 import numpy
@@ -161,7 +161,6 @@
     racing_clients: int
     half_command_times: tuple[float, ...]
     second_copies: bool = False
-    notes: tuple[str, ...] = field(default=())
 
     def summary(self):
         """Returns the plan in one line."""
--- a/tests/unit/proxy/test_attempts.py
+++ b/tests/unit/proxy/test_attempts.py
@@ -685,16 +685,20 @@
             len(network.proxy.pools), 2
         )  # the previous one is closed, but the reactor has not reported it yet
 
+    def network_with_trial(self, stage, cap):
+        """Returns a network with s-1 of build 41, and s-2 of build 42, which is on trial."""
+        return Network(
+            endpoint_entry("s-1"),
+            endpoint_entry("s-2", build=42),
+            version=42,
+            step=stage,
+            status="trial",
+            maxWeight=cap,
+        )
+
     def test_key_answered_by_the_newest_build_meanwhile_goes_to_no_earlier_build(self):
         for sticky, expected_port in ((True, 7002), (False, 7001)):
-            network = Network(
-                endpoint_entry("s-1"),
-                endpoint_entry("s-2", build=42),
-                version=42,
-                step=0,
-                status="trial",
-                maxWeight=0.5,
-            )
+            network = self.network_with_trial(stage=0, cap=0.5)
             network.proxy.engine.context.settings = network.proxy.settings._replace(
                 sticky_keys=sticky
             )
@@ -712,14 +716,7 @@
     # may have answered its key for another request.
     def test_waiting_attempt_is_not_written_while_the_newest_build_may_have_answered(self):
         for response, is_written in ((None, False), (b"-BUSY\r\n", True)):
-            network = Network(
-                endpoint_entry("s-1"),
-                endpoint_entry("s-2", build=42),
-                version=42,
-                step=2,
-                status="trial",
-                maxWeight=1.0,
-            )
+            network = self.network_with_trial(stage=2, cap=1.0)
             network.ask("01")
             network.proxy.engine.split.fraction = 1.0
             network.ask("02", request_class="pay")
@@ -732,14 +729,7 @@
             self.assertEqual(b"$2\r\n01\r\n" in earlier.transport.value(), is_written)
 
     def test_waiting_attempt_is_not_written_if_its_key_may_be_a_forgotten_one(self):
-        network = Network(
-            endpoint_entry("s-1"),
-            endpoint_entry("s-2", build=42),
-            version=42,
-            step=2,
-            status="trial",
-            maxWeight=1.0,
-        )
+        network = self.network_with_trial(stage=2, cap=1.0)
         network.ask("01")
         network.proxy.engine.pinned_keys.update(f"other-{n}" for n in range(MAX_REMEMBERED_KEYS))
         earlier = network.connect(network.initial_dials)
--- a/thymeknot/simulation/experiments.py
+++ b/thymeknot/simulation/experiments.py
@@ -21,9 +21,6 @@
 from .earlier_versions import UnknownRevisionError, load_version
 from .simulator import Simulator, current_engine
 
-REPOSITORY_ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-
-
 Result = dict[str, Any]
 """The figures of one day simulated with one policy, by name."""
 ResultPair = tuple[Result, Result]
