Lengthen the wait for a refused agent also after it has refused a call

Cause: the doubling with lost calls in a row was not used while backing off.

Change: the longer of the two waits. A test of the intervals fails without it.

--- a/tests/unit/polling/test_adaptive_interval.py
+++ b/tests/unit/polling/test_adaptive_interval.py
@@ -13,6 +13,7 @@
 from thymeknot.interface import actions
 from thymeknot.interface.actions import SubscribeToEndpoints
 from thymeknot.polling.adaptive_interval import (
+    DEDICATED_SERVICE,
     ESTABLISHED_AFTER,
     MAX_INITIAL_SPREAD,
     MAX_INTERVAL,
@@ -66,6 +67,16 @@
         ):
             self.assertEqual((interval.record(result, age), interval.state), (wait, state))
 
+    # Guards against an agent that is dialled again and again while it refuses connections.
+    def test_lost_calls_to_a_dedicated_service_lengthen_the_wait_in_any_state(self):
+        for first, refused in ((CallResult.LOST, False), (CallResult.REFUSED, True)):
+            interval = AdaptiveInterval(lambda: 0.5, DEDICATED_SERVICE)
+            self.assertEqual(interval.record(first), 375)
+            waits = [interval.record(CallResult.LOST) for _ in range(9)]
+            doubled = [750, 1_500, 3_000, *[6_000] * 6]
+            self.assertEqual(waits, [375, *doubled[:-1]] if refused else doubled)
+            self.assertEqual(interval.record(CallResult.ESTABLISHED), 375)
+
     @given(
         st.lists(
             st.tuples(
--- a/thymeknot/polling/adaptive_interval.py
+++ b/thymeknot/polling/adaptive_interval.py
@@ -154,9 +154,11 @@
         """
         limits = self.limits
         wait = limits.min_regular + int(self.draw() * (limits.max_regular - limits.min_regular))
+        lost_doublings = min(max(0, self.lost - 1), limits.max_lost_doublings)
         if self.state != IntervalState.BACKING_OFF:
-            return wait << min(max(0, self.lost - 1), limits.max_lost_doublings)
+            return wait << lost_doublings
+        refusal_doublings = min(self.refusals - 1 + limits.first_refusal_doublings, MAX_DOUBLINGS)
         return min(
-            wait << min(self.refusals - 1 + limits.first_refusal_doublings, MAX_DOUBLINGS),
+            wait << max(lost_doublings, refusal_doublings),
             int(limits.max_backoff * (0.5 + self.draw() / 2)),
         )
