--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -124,7 +124,7 @@
         (1, 4, 5, 7, 8),
         """
 from thymeknot.policy.sticky_keys import StickyKeys
-StickyKeys.pin = lambda self, event: None
+StickyKeys.must_stay = lambda self, key: False
 """,
     ),
     "first string served as the value": InjectedFault(
