Keep a command's fields as the client's bytes, not as an object for each field

Cause: a command of 65 kB with 65,000 empty fields was kept as as many tuples, 4.16 MB, counted as 27 bytes. The fields are searched and forwarded as bytes now; a field without a value is forwarded as it came (it got a '=').

--- a/tests/unit/protocol/test_parsers.py
+++ b/tests/unit/protocol/test_parsers.py
@@ -3,6 +3,7 @@
 import gc
 import random
 import time
+import tracemalloc
 import unittest
 
 from tests.support.programs import encode_command
@@ -128,6 +129,35 @@
             [b"SVC.SUBMIT", b"k1", b"id1", b"c=pay,t=acme,d=77,k=5c,r=1", b"BODY"],
         )
 
+    def test_fields_are_forwarded_as_they_came_and_the_last_of_a_name_counts(self):
+        for fields, expected in (
+            (b"c=a,x,,=,d=5", ("a", None, 5, b"c=a,x,,=,d=77")),
+            (
+                b"c=a,c=b,d=1,d=5,t=x,t,dd=5,ad=5",
+                ("b", None, 5, b"c=a,c=b,d=77,d=77,t=x,t,dd=5,ad=5"),
+            ),
+            (b"d=5,t=a=b,c=q=1", ("q=1", "a=b", 5, b"d=77,t=a=b,c=q=1")),
+            (b",c=a,d=5,", ("a", None, 5, b",c=a,d=77,")),
+        ):
+            parsed = commands.read_command([b"SVC.QUERY", b"k", b"i", fields])
+            found = parsed.request_class, parsed.tenant, parsed.timeout_ms
+            self.assertEqual((*found, parsed.forwarded_words(77)[3]), expected)
+        self.assertIn("lane", commands.read_command([b"Q", b"k", b"i", b"c=a,c,d=5"]).reason)
+
+    # Guards against a parsed form hundreds of times larger than the size that is counted.
+    def test_command_of_many_short_fields_takes_the_memory_that_it_counts(self):
+        for fields in (b"," * 65_000, b"ab," * 10_000, b"a=," * 20_000, b"d=1," * 16_000):
+            words = [b"SVC.QUERY", b"k", b"i", fields + b"c=a,d=5"]
+            gc.collect()
+            tracemalloc.start()
+            started_at = time.process_time()
+            parsed = commands.read_command(words)
+            cpu_seconds = time.process_time() - started_at
+            held_bytes, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            self.assertLess(held_bytes, parsed.size() + 2_048, fields[:8])
+            self.assertLess(cpu_seconds, 0.02, fields[:8])
+
     def test_invalid_command_has_a_reason(self):
         for words, reason in (
             ([b"Q", b"k", b"i"], "takes a key"),
--- a/thymeknot/protocol/command.py
+++ b/thymeknot/protocol/command.py
@@ -1,5 +1,6 @@
 """Parses and validates client commands. Pure functions without input or output."""
 
+import re
 from collections.abc import Iterator, Sequence
 from typing import Any, Final, NamedTuple
 
@@ -13,18 +14,20 @@
 """Command name, key, id, and the list of name=value pairs."""
 MAX_TIMEOUT_DIGITS: Final = 9
 """Maximum number of digits of a client's timeout in milliseconds."""
+_TIMEOUT_FIELD: Final = re.compile(rb",d(?:=[^,]*)?(?=,)")
+"""A field with the client's timeout, and the comma before it."""
 
 
 class Command(NamedTuple):
-    """A client's request. Its fields are copies, independent of the receive buffer."""
+    """A client's request. Its words are copies, independent of the receive buffer."""
 
     name: bytes
     key: bytes
     id: bytes
-    pairs: tuple[tuple[bytes, bytes], ...]
-    """The name=value pairs, in the client's order."""
+    fields: bytes
+    """The list of name=value fields, as the client sent it."""
     body: tuple[bytes, ...]
-    """The words after the name=value pairs."""
+    """The words after the fields."""
     request_class: str
     tenant: str | None
     timeout_ms: int
@@ -33,22 +36,15 @@
     """Whether the client says that it has sent this request before."""
 
     def size(self) -> int:
-        """Returns the size of the command's words in bytes."""
-        pair_bytes = sum(len(name) + len(value) for name, value in self.pairs)
-        return len(self.key) + len(self.id) + pair_bytes + sum(map(len, self.body))
+        """Returns the memory in bytes of the command's words and of the texts made from them."""
+        texts = len(self.key) + len(self.id) + len(self.tenant or "")
+        return 2 * texts + len(self.fields) + sum(map(len, self.body))
 
     def forwarded_words(self, timeout_ms: int) -> list[bytes]:
         """Returns the command's words for an endpoint, with the timeout that the sidecar grants."""
-        forwarded = [
-            (name, b"%d" % timeout_ms if name == b"d" else value) for name, value in self.pairs
-        ]
-        return [
-            self.name,
-            self.key,
-            self.id,
-            b",".join(b"%s=%s" % pair for pair in forwarded),
-            *self.body,
-        ]
+        timeout_field = b",d=%d" % timeout_ms
+        fields = _TIMEOUT_FIELD.sub(timeout_field, b",%b," % self.fields)[1:-1]
+        return [self.name, self.key, self.id, fields, *self.body]
 
 
 class InvalidCommand(NamedTuple):
@@ -62,19 +58,19 @@
     words = [bytes(part) for part in parts]
     if len(words) < MIN_WORDS:
         return InvalidCommand("a command takes a key, an id and a list of names and values")
-    name, key, identifier, pairs_word, *body = words
-    pairs = tuple(_pair(word) for word in pairs_word.split(b","))
-    values = dict(pairs)
+    name, key, identifier, fields, *body = words
+    delimited = b",%b," % fields
+    class_name = _last_value(delimited, b"c")
     if not identifier:
         return InvalidCommand("the id is missing")
-    if not values.get(b"c"):
+    if not class_name:
         return InvalidCommand("c, the lane, is missing")
-    timeout = values.get(b"d", b"")
+    timeout = _last_value(delimited, b"d")
     if not timeout.isdigit() or len(timeout) > MAX_TIMEOUT_DIGITS or int(timeout) <= 0:
         return InvalidCommand("d, the time in milliseconds, is missing or no number")
     try:
-        request_class = values[b"c"].decode()
-        tenant = values.get(b"t", b"").decode() or None
+        request_class = class_name.decode()
+        tenant = _last_value(delimited, b"t").decode() or None
         key.decode()
         identifier.decode()
     except UnicodeDecodeError:
@@ -83,18 +79,29 @@
         name,
         key,
         identifier,
-        pairs,
+        fields,
         tuple(body),
         request_class,
         tenant,
         int(timeout),
-        values.get(b"r") == b"1",
+        _last_value(delimited, b"r") == b"1",
     )
 
 
-def _pair(word: bytes) -> tuple[bytes, bytes]:
-    name, _, value = word.partition(b"=")
-    return name, value
+def _last_value(delimited_fields: bytes, name: bytes) -> bytes:
+    """Returns the value of the last field with this name; empty if there is none.
+
+    Searches the bytes, since tens of thousands of short fields would make as many objects.
+
+    Args:
+        delimited_fields: The fields, with a comma before the first and behind the last one.
+        name: The name of the field.
+    """
+    start = delimited_fields.rfind(b",%b=" % name)
+    if start < 0 or start < delimited_fields.rfind(b",%b," % name):
+        return b""
+    value_start = start + len(name) + len(b",=")
+    return delimited_fields[value_start : delimited_fields.index(b",", value_start)]
 
 
 class CommandParser(resp.Parser):
