Count partial commands and waiting responses, and bound them by the memory limit

Callers saw processes over their memory limit beside hundreds of clients that write slowly, stop half way or do not read. Cause: only open requests were counted; up to 128 KiB of input a connection, and any responses behind a slow one, were not. Each kind has a budget by dynamic thresholds now (1/32 of limits.memory_mb each). A command over it is read to its end and dropped, and answered -BUSY, so nothing is kept and its connection stays in step; a response over it is replaced by -ERR abandoned. A connection reads 2 to 16 KiB at once, by the limit, where it read 64 KiB; one that sends at full speed no longer starves the others.

--- a/thymeknot/policy/memory_budget.py
+++ b/thymeknot/policy/memory_budget.py
@@ -1,4 +1,4 @@
-"""How much memory the open requests may take, and how clients' connections share it.
+"""How much memory clients' connections may make the process hold, and how they share it.
 
 Source: dynamic thresholds for shared buffers (Choudhury and Hahne, 1998).
 """
@@ -6,6 +6,13 @@
 from collections.abc import Hashable
 
 BYTES_PER_MEGABYTE = 1 << 20
+# Fractions of the memory limit for commands that have not arrived completely, for responses that
+# wait for an earlier one or for a client that does not read, and for all receive buffers.
+PARTIAL_COMMANDS_FRACTION = 1 / 32
+RESPONSES_FRACTION = 1 / 32
+RECEIVE_BUFFERS_FRACTION = 1 / 32
+MIN_RECEIVE_BUFFER_BYTES = 2 << 10
+MAX_RECEIVE_BUFFER_BYTES = 16 << 10
 # Fraction of the memory limit for what clients have sent of open requests. Each of these bytes may
 # be held twice more, by the parser and in an attempt's write buffer.
 OPEN_REQUESTS_FRACTION = 1 / 8
@@ -13,32 +20,34 @@
 
 
 class MemoryBudget:
-    """Bounds the memory of the open requests.
+    """Bounds the memory of one kind, shared by dynamic thresholds.
 
     A connection may hold as much as is free. Few connections can thus use most of the budget, and
     with n connections that send all they can, each gets 1/(n + 1) of it: a part always stays free
     for the others.
 
     Attributes:
-        limit: The maximum size of all open requests, in bytes.
-        used: Their size, in bytes.
-        held: The size of the open requests of each owner, in bytes; owners without one are absent.
+        limit: The maximum size of all that is held, in bytes.
+        used: The size of what is held, in bytes.
+        held: What each owner holds, in bytes; owners that hold nothing are absent.
     """
 
-    def __init__(self, memory_limit: float) -> None:
+    def __init__(self, memory_limit: float, fraction: float = OPEN_REQUESTS_FRACTION) -> None:
         """Creates an empty budget.
 
         Args:
             memory_limit: The memory that the process may take, in megabytes.
+            fraction: The part of it that this budget is.
         """
         self.limit = 0.0
         self.used = 0
         self.held: dict[Hashable, int] = {}
+        self._fraction = fraction
         self.set_memory_limit(memory_limit)
 
     def set_memory_limit(self, megabytes: float) -> None:
-        """Changes the memory that the process may take; open requests are kept."""
-        self.limit = megabytes * BYTES_PER_MEGABYTE * OPEN_REQUESTS_FRACTION
+        """Changes the memory that the process may take; what is held is kept."""
+        self.limit = megabytes * BYTES_PER_MEGABYTE * self._fraction
 
     def allows(self, owner: Hashable, size: int) -> bool:
         """Returns whether a request of this size in bytes may be opened for an owner."""
@@ -47,14 +56,60 @@
 
     def charge(self, owner: Hashable, size: int) -> None:
         """Counts a request that was opened for an owner."""
-        charged = size + REQUEST_OVERHEAD_BYTES
-        self.used += charged
-        self.held[owner] = self.held.get(owner, 0) + charged
+        self._set_held(owner, self.held.get(owner, 0) + size + REQUEST_OVERHEAD_BYTES)
 
     def release(self, owner: Hashable, size: int) -> None:
         """Counts the end of a request that was charged to an owner."""
-        charged = size + REQUEST_OVERHEAD_BYTES
-        self.used -= charged
-        self.held[owner] -= charged
-        if not self.held[owner]:
-            del self.held[owner]
+        self._set_held(owner, self.held[owner] - size - REQUEST_OVERHEAD_BYTES)
+
+    def resize(self, owner: Hashable, size: int) -> bool:
+        """Changes what an owner holds to this size in bytes.
+
+        Returns:
+            Whether it was changed; a larger size that is not allowed leaves it as it was.
+        """
+        if size > self.held.get(owner, 0) and size > self.limit - self.used:
+            return False
+        self._set_held(owner, size)
+        return True
+
+    def _set_held(self, owner: Hashable, size: int) -> None:
+        self.used += size - self.held.get(owner, 0)
+        if size:
+            self.held[owner] = size
+        else:
+            self.held.pop(owner, None)
+
+
+class ClientMemory:
+    """The memory that clients' connections may make the process hold, by kind.
+
+    Attributes:
+        open_requests: Requests from their arrival to their end.
+        partial_commands: Commands that have not arrived completely.
+        responses: Responses that wait for an earlier one, or for a client that does not read.
+        receive_buffer_bytes: How much is read from a connection at once.
+    """
+
+    def __init__(self, memory_limit: float, max_clients: int) -> None:
+        """Creates an empty account.
+
+        Args:
+            memory_limit: The memory that the process may take, in megabytes.
+            max_clients: The maximum number of clients' connections.
+        """
+        self.open_requests = MemoryBudget(memory_limit)
+        self.partial_commands = MemoryBudget(memory_limit, PARTIAL_COMMANDS_FRACTION)
+        self.responses = MemoryBudget(memory_limit, RESPONSES_FRACTION)
+        self.receive_buffer_bytes = 0
+        self._max_clients = max_clients
+        self.set_memory_limit(memory_limit)
+
+    def set_memory_limit(self, megabytes: float) -> None:
+        """Changes the memory that the process may take; what is held is kept."""
+        for budget in (self.open_requests, self.partial_commands, self.responses):
+            budget.set_memory_limit(megabytes)
+        share = megabytes * BYTES_PER_MEGABYTE * RECEIVE_BUFFERS_FRACTION / self._max_clients
+        self.receive_buffer_bytes = int(
+            min(max(share, MIN_RECEIVE_BUFFER_BYTES), MAX_RECEIVE_BUFFER_BYTES)
+        )
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -9,8 +9,17 @@
 from zope.interface import implementer
 
 from ..interface.clock import TICKS_PER_SECOND, Ticks
+from ..policy.memory_budget import ClientMemory
 from . import resp
-from .command import QUERY, SUBMIT, Command, CommandParser, InvalidCommand, read_command
+from .command import (
+    DISCARDED,
+    QUERY,
+    SUBMIT,
+    Command,
+    CommandParser,
+    InvalidCommand,
+    read_command,
+)
 from .write_progress import is_receive_buffer_empty, peer_has_closed
 
 MAX_PIPELINED_COMMANDS: Final = 64
@@ -37,6 +46,10 @@
 No attempt may begin more than 0.1 s after its client has disconnected. The other half of that time
 is left for the check itself, which runs after the input and output of its event loop turn.
 """
+NO_MEMORY_RESPONSE: Final = resp.failure("BUSY")
+"""Response to a command that was not kept, as all memory for partial commands was in use."""
+RESPONSE_DROPPED: Final = resp.failure("ERR abandoned")
+"""Response in place of one that could not be kept until the earlier ones were sent."""
 
 
 class ConnectionOwner(Protocol):
@@ -45,10 +58,12 @@
     Attributes:
         timers: The timer queue.
         accepting_paused: Whether new connections have to wait for one that is idle or closed.
+        memory: The memory that connections may make the process hold.
     """
 
     timers: Any
     accepting_paused: bool
+    memory: ClientMemory
 
     def connection_opened(self, connection: "ClientConnection") -> None:
         """Called when a connection has been accepted."""
@@ -91,6 +106,8 @@
         first_sequence: The sequence number of the first command without a written response.
         pending_responses: Responses that are not written, in command order; None where the response
             is not known yet.
+        held_response_bytes: The size of the responses in `pending_responses`.
+        unflushed_bytes: The size of the responses that were written while the client did not read.
         input_valid: Whether further input can be parsed as commands.
         command_received: Whether a complete command has arrived.
         reading: Whether the transport reads from the client.
@@ -117,6 +134,8 @@
         self.slot: int | None = None
         self.first_sequence = 0
         self.pending_responses: deque[bytes | None] = deque()
+        self.held_response_bytes = 0
+        self.unflushed_bytes = 0
         self.input_valid = True
         self.command_received = False
         self.reading = True
@@ -137,14 +156,18 @@
         """Called by Twisted."""
         self.opened_at = self.timers.clock()
         self.transport.setTcpNoDelay(True)
+        # Both how much is read at once, and how much is written before the client has to read.
+        self.transport.bufferSize = self.owner.memory.receive_buffer_bytes
         self.transport.registerProducer(self, True)
         self._expect_command(COMMAND_TIMEOUT)
         self.owner.connection_opened(self)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802 (Twisted's name)
         """Called by Twisted."""
-        self.input_valid = False
+        self._stop_parsing()
         self.client_gone = True
+        self.held_response_bytes = self.unflushed_bytes = 0
+        self.owner.memory.responses.resize(self, 0)
         for timer in (
             self.command_timer,
             self.close_timer,
@@ -162,11 +185,13 @@
         """
         if self.client_gone:
             return
-        self.input_valid = False
+        self._stop_parsing()
         self.client_gone = True
         self.owner.client_gone(self)
         self.first_sequence += len(self.pending_responses)
         self.pending_responses.clear()
+        self.held_response_bytes = 0
+        self._count_response_bytes()
         self.finish()
 
     def writeConnectionLost(self) -> None:  # noqa: N802 (Twisted's name)
@@ -186,7 +211,9 @@
             allow_grace: Whether unread data extends the timeout once.
         """
         self.command_timer = None
-        if not self.input_valid or (self.command_received and not self.parser.buffered_bytes):
+        if not self.input_valid or (
+            self.command_received and not self.parser.has_partial_command()
+        ):
             return
         if not self.reading:  # the rest may have arrived: it is this side that has paused reading
             self._expect_command(COMMAND_TIMEOUT)
@@ -194,13 +221,19 @@
             self.command_timer = self.timers.add(
                 self.timers.clock() + LATE_READ_GRACE, self._command_overdue, False
             )
-        elif self.parser.buffered_bytes:
+        elif self.parser.has_partial_command():
             self._fail_incomplete_command()
         else:
             self.finish()
 
-    def _fail_incomplete_command(self) -> None:
+    def _stop_parsing(self) -> None:
+        """Frees the partial command; no further input is parsed."""
         self.input_valid = False
+        self.parser = CommandParser()
+        self.owner.memory.partial_commands.resize(self, 0)
+
+    def _fail_incomplete_command(self) -> None:
+        self._stop_parsing()
         self.answer(self._reserve_response(), resp.failure("ERR no whole command in time"))
         self.finish()
 
@@ -212,6 +245,8 @@
 
     def resumeProducing(self) -> None:  # noqa: N802 (Twisted's name)
         """Called by the transport when the client reads again, or its write buffer is empty."""
+        self.unflushed_bytes = 0
+        self._count_response_bytes()
         if self.ended:
             if self.flushing:
                 self._shut_down_sending()
@@ -258,7 +293,7 @@
 
     def is_idle(self) -> bool:
         """Returns whether no request is in flight and none has begun to arrive."""
-        return not self.pending_responses and not self.parser.buffered_bytes
+        return not self.pending_responses and not self.parser.has_partial_command()
 
     def awaits_first_command(self, now: Ticks) -> bool:
         """Returns whether the connection is new, and its first command probably in transit."""
@@ -275,20 +310,28 @@
                 if self.client_gone:
                     return
                 self._handle_command(message)
+            self._count_partial_command()
         except resp.MalformedRespError as error:
             # The start of the next command is unknown: answer the pending requests, then close.
-            self.input_valid = False
+            self._stop_parsing()
             self.answer(self._reserve_response(), resp.failure(f"ERR syntax: {error}"))
             self.finish()
         except Exception as error:  # a bug here must only cost this connection
             self.owner.fault("client connection", error)
             self.transport.abortConnection()
-        if self.parser.buffered_bytes and self.input_valid and self.command_timer is None:
+        if self.parser.has_partial_command() and self.input_valid and self.command_timer is None:
             self._expect_command(COMMAND_TIMEOUT)
         if self.closing:
             self.finish()
         self._update_reading()
 
+    def _count_partial_command(self) -> None:
+        """Counts the partial command; over the budget it is discarded and will be rejected."""
+        budget = self.owner.memory.partial_commands
+        if not budget.resize(self, self.parser.held_bytes()):
+            self.parser.discard_partial_command()
+            budget.resize(self, 0)
+
     def _reserve_response(self) -> int:
         self.pending_responses.append(None)
         return self.first_sequence + len(self.pending_responses) - 1
@@ -298,6 +341,9 @@
         self.command_received = True
         self.timers.cancel(self.command_timer)
         self.command_timer = None
+        if parts is DISCARDED:
+            self.answer(sequence, NO_MEMORY_RESPONSE)
+            return
         if not _is_array_of_strings(parts):
             self.answer(sequence, resp.failure("ERR a command is an array of strings"))
             return
@@ -321,10 +367,12 @@
         index = sequence - self.first_sequence
         if not self.connected or index < 0 or self.pending_responses[index] is not None:
             return
+        if (index or self.write_blocked) and not self._may_hold(content):
+            content = min(content, RESPONSE_DROPPED, key=len)
         self.pending_responses[index] = content
-        while self.pending_responses and self.pending_responses[0] is not None:
-            self.transport.write(self.pending_responses.popleft())
-            self.first_sequence += 1
+        self.held_response_bytes += len(content)
+        self._write_responses()
+        self._count_response_bytes()
         self.last_used_at = self.timers.clock()
         self._update_reading()
         if self.closing:
@@ -332,6 +380,26 @@
         elif self.owner.accepting_paused and not self.pending_responses:
             self.owner.connection_became_idle()
 
+    def _write_responses(self) -> None:
+        """Writes all responses that are next in order."""
+        while self.pending_responses and (content := self.pending_responses[0]) is not None:
+            self.pending_responses.popleft()
+            self.first_sequence += 1
+            self.held_response_bytes -= len(content)
+            self.transport.write(content)
+            if self.write_blocked:
+                self.unflushed_bytes += len(content)
+
+    def _may_hold(self, content: bytes) -> bool:
+        """Returns whether the budget allows another response that cannot be sent at once."""
+        held_bytes = self.held_response_bytes + self.unflushed_bytes + len(content)
+        return self.owner.memory.responses.resize(self, held_bytes)
+
+    def _count_response_bytes(self) -> None:
+        """Counts the responses that are not sent."""
+        held_bytes = self.held_response_bytes + self.unflushed_bytes
+        self.owner.memory.responses.resize(self, held_bytes)
+
     def evict(self) -> None:
         """Closes at once to free its descriptor; an incomplete first command is not awaited."""
         self.linger = 0
@@ -349,7 +417,7 @@
         are still to be sent.
         """
         self.linger = 0
-        if self.input_valid and self.parser.buffered_bytes:
+        if self.input_valid and self.parser.has_partial_command():
             self._fail_incomplete_command()
         elif self.ended and not self.flushing:
             self.transport.loseConnection()
--- a/thymeknot/protocol/command.py
+++ b/thymeknot/protocol/command.py
@@ -14,6 +14,12 @@
 """Command name, key, id, and the list of name=value pairs."""
 MAX_TIMEOUT_DIGITS: Final = 9
 """Maximum number of digits of a client's timeout in milliseconds."""
+MAX_LENGTH_LINE_BYTES: Final = 32
+"""Maximum size of a line with a length, in a command that is not kept."""
+MAX_CHUNKS: Final = 64
+"""Received chunks of a partial command above which they are joined."""
+CHUNK_OVERHEAD_BYTES: Final = 64
+"""Memory that a chunk takes beside its content."""
 _TIMEOUT_FIELD: Final = re.compile(rb",d(?:=[^,]*)?(?=,)")
 """A field with the client's timeout, and the comma before it."""
 
@@ -104,22 +110,123 @@
     return delimited_fields[value_start : delimited_fields.index(b",", value_start)]
 
 
+class DiscardedCommand:
+    """A command that arrives but is not kept: finds its end.
+
+    Attributes:
+        ended: Whether its last byte has arrived.
+    """
+
+    def __init__(self) -> None:
+        self.ended = False
+        self._line = b""  # the beginning of a line whose end has not arrived
+        self._size = 0
+        self._bytes_to_skip = 0
+        self._words_left: int | None = None  # None before the command's first line
+
+    def feed(self, data: bytes) -> int:
+        """Reads the command's next bytes; returns how many belong to it.
+
+        Raises:
+            MalformedRespError: Not a command, or larger than the maximum.
+        """
+        at = 0
+        while at < len(data) and not self.ended:
+            if self._bytes_to_skip:
+                skipped = min(self._bytes_to_skip, len(data) - at)
+                self._bytes_to_skip -= skipped
+                at += skipped
+                self.ended = not self._bytes_to_skip and not self._words_left
+            else:
+                at = self._read_line(data, at)
+        self._size += at
+        if self._size > MAX_COMMAND_BYTES:
+            raise resp.MalformedRespError(f"a command of over {MAX_COMMAND_BYTES} bytes")
+        return at
+
+    def _read_line(self, data: bytes, at: int) -> int:
+        """Reads up to the end of a line, and that line if its end has arrived."""
+        line_end = data.find(b"\n", at) + 1 or len(data)
+        self._line += data[at:line_end]
+        if len(self._line) > MAX_LENGTH_LINE_BYTES:
+            raise resp.MalformedRespError("a line without an end")
+        if self._line.endswith(b"\n"):
+            line, self._line = self._line, b""
+            self._read_length(line[:1], line[1:].strip())
+        return line_end
+
+    def _read_length(self, kind: bytes, digits: bytes) -> None:
+        if not digits.isdigit():
+            raise resp.MalformedRespError("a length that is no number")
+        length = int(digits)
+        if self._words_left is None and kind == b"*" and length <= resp.MAX_ARRAY_LENGTH:
+            self._words_left = length
+            self.ended = not length
+        elif self._words_left and kind == b"$" and length <= resp.MAX_BULK_BYTES:
+            self._words_left -= 1
+            self._bytes_to_skip = length + len(b"\r\n")
+        else:
+            raise resp.MalformedRespError("neither a command nor a string begins here")
+
+
+DISCARDED: Final = object()
+"""Stands for a command that was not kept."""
+
+
 class CommandParser(resp.Parser):
     """Parser of client commands: rejects nested arrays and commands above the maximum size.
 
     Without these limits a few kilobytes of nested arrays would make the parser visit a million
     elements again for each chunk received, and incomplete strings would fill the memory.
+
+    Attributes:
+        discarded: The command that arrives and is not kept; None if there is none.
     """
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.discarded: DiscardedCommand | None = None
+
     def feed(self, data: bytes) -> Iterator[Any]:
-        """Yields the messages that this chunk completes.
+        """Yields the messages that this chunk completes; DISCARDED for one that was not kept.
 
         Raises:
             MalformedRespError: Not RESP2, a nested array, or larger than the maximum.
         """
+        if self.discarded is not None:
+            discarded_bytes = self.discarded.feed(data)
+            if not self.discarded.ended:
+                return
+            self.discarded = None
+            yield DISCARDED
+            data = data[discarded_bytes:]
+        if not data:
+            return
         yield from super().feed(data)
         if self.buffered_bytes > MAX_COMMAND_BYTES:
             raise resp.MalformedRespError(f"a command of over {MAX_COMMAND_BYTES} bytes")
+        if len(self.chunks) > MAX_CHUNKS:
+            self.chunks = [b"".join(self.chunks)]
+
+    def has_partial_command(self) -> bool:
+        """Returns whether a command has arrived in part."""
+        return self.discarded is not None or self.buffered_bytes > 0
+
+    def held_bytes(self) -> int:
+        """Returns the memory that a partial command takes, in bytes."""
+        return self.buffered_bytes + CHUNK_OVERHEAD_BYTES * len(self.chunks)
+
+    def discard_partial_command(self) -> None:
+        """Frees what has arrived of a partial command; the rest of it is read and not kept.
+
+        Raises:
+            MalformedRespError: What has arrived is not the beginning of a command.
+        """
+        content = b"".join(self.chunks)
+        self.chunks = []
+        self.buffered_bytes = self.needed = 0
+        self.discarded = DiscardedCommand()
+        self.discarded.feed(content)
 
     def _array(self, buffer: bytes, at: int, length: int, depth: int) -> tuple[Any, int]:
         if depth:
--- a/thymeknot/proxy/client_listener.py
+++ b/thymeknot/proxy/client_listener.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import Factory
 
 from ..interface.clock import Ticks
+from ..policy.memory_budget import ClientMemory
 from ..protocol.client import ClientConnection
 from ..protocol.command import Command
 from ..protocol.write_progress import is_receive_buffer_empty
@@ -57,6 +58,7 @@
         sockets: The configured limit of descriptors; also the maximum number of accept calls in a
             row.
         max_clients: The maximum number of client connections.
+        memory: The memory that connections may make the process hold.
         request_received: Called with each request: its connection, response position and command.
         client_gone: Called with each connection whose client has disconnected.
         clients: The open connections.
@@ -76,6 +78,7 @@
         *,
         sockets: int,
         max_clients: int,
+        memory: ClientMemory,
         request_received: Callable[[ClientConnection, int, Command], None],
         client_gone: Callable[[ClientConnection], None],
     ) -> None:
@@ -85,6 +88,7 @@
         self.address = address
         self.sockets = sockets
         self.max_clients = max_clients
+        self.memory = memory
         self.request_received = request_received
         self.client_gone = client_gone
         self.clients: SlotTable[ClientConnection] = SlotTable()
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -35,7 +35,7 @@
     TimerFired,
 )
 from ..policy.engine import INPUT_BY_OUTCOME, DecisionEngine
-from ..policy.memory_budget import MemoryBudget
+from ..policy.memory_budget import ClientMemory
 from ..protocol import resp
 from ..protocol.http_calls import HttpCaller
 from ..protocol.pod_response import PodResponse
@@ -81,6 +81,7 @@
         pools: The connections to endpoints.
         listener: The listening port and the clients' connections.
         shutdown: Drains the listener.
+        memory: The memory that clients' connections may make the process hold.
         requests: The requests in flight.
         requests_in_flight: The requests in flight by slot, `requests.by_slot`.
         client_requests: Accepts and answers requests.
@@ -111,7 +112,8 @@
         self.pools = ConnectionPools(
             reactor, timers, self.connection_limits, budget.endpoints, structured_log.log_exception
         )
-        self.requests = RequestTable(timers, MemoryBudget(start.memory_mb))
+        self.memory = ClientMemory(start.memory_mb, budget.clients)
+        self.requests = RequestTable(timers, self.memory.open_requests)
         self.requests_in_flight = self.requests.by_slot
         self.client_requests = ClientRequests(self, self.requests)
         self.listener = ClientListener(
@@ -120,6 +122,7 @@
             start.listen,
             sockets=start.sockets,
             max_clients=budget.clients,
+            memory=self.memory,
             request_received=self.client_requests.accept,
             client_gone=self.client_requests.client_disconnected,
         )
@@ -173,7 +176,7 @@
         """
         self.endpoints.change_address(start.discovery)
         self.releases.change_address(start.platform)
-        self.requests.memory.set_memory_limit(start.memory_mb)
+        self.memory.set_memory_limit(start.memory_mb)
         return sorted(
             {
                 key
