--- a/thymeknot/__main__.py
+++ b/thymeknot/__main__.py
@@ -14,14 +14,15 @@
     if not arguments:
         # Ignored while modules load: the file that a SIGHUP announces is read afterwards anyway.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from .service import required_libraries  # noqa: PLC0415 (imported where it is needed)
+    from .service import lean_imports, required_libraries  # noqa: PLC0415 (imported where it is needed)
 
     try:
         if arguments:
             with required_libraries.libraries_from(required_libraries.COMMANDS):
                 from .cli.main import thymeknot  # noqa: PLC0415 (imported where it is needed)
             thymeknot(prog_name="thymeknot")  # ends the process with its own exit code
-        from .service import lifecycle  # noqa: PLC0415 (imported where it is needed)
+        with lean_imports.unused_modules_left_out():
+            from .service import lifecycle  # noqa: PLC0415 (imported where it is needed)
 
         return lifecycle.main(os.environ)
     except required_libraries.MissingLibraryError as error:
--- a/thymeknot/service/lifecycle.py
+++ b/thymeknot/service/lifecycle.py
@@ -9,7 +9,7 @@
 from typing import Any, Final
 
 from ..interface.clock import TICKS_PER_SECOND, Ticks
-from . import configuration, features, structured_log
+from . import configuration, features, lean_imports, structured_log
 
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 ACCEPT_AFTER_SIGTERM_SECONDS: Final = 0.5
@@ -48,7 +48,8 @@
 
     The default clock is Unix time: if it is set back, all timers are delayed.
     """
-    from twisted.internet import reactor  # noqa: PLC0415 (imported where it is needed)
+    with lean_imports.unused_modules_left_out():
+        from twisted.internet import reactor  # noqa: PLC0415 (imported where it is needed)
 
     installed: Any = reactor
     installed.seconds = time.monotonic
@@ -103,10 +104,11 @@
             print(f"thymeknot: {error}", file=sys.stderr)
             return EXIT_UNUSABLE
         # Imported after the files are checked, so that an invalid file is reported at once.
+        # The reactor comes first: what it leaves out must not be imported by the others.
+        self.reactor = monotonic_reactor()
         from ..proxy.proxy import Proxy  # noqa: PLC0415 (imported where it is needed)
         from ..state.timer_queue import TimerQueue  # noqa: PLC0415 (imported where it is needed)
 
-        self.reactor = monotonic_reactor()
         for number in STOP_SIGNALS:
             signal.signal(number, self._on_stop_signal)
         structured_log.capture_twisted_errors()
