Bound the tables of keys and ids in bytes and in number

Memory could grow without end under ever new names: the tables of pinned and failing keys, of recent keys and of ids that may have run hold what clients choose, up to 64 KiB each, 10,000 or 20,000 of them, and the recent keys of two half-lives without a bound. Positions are still those of the whole key (FNV-1a).

--- a/thymeknot/policy/sticky_keys.py
+++ b/thymeknot/policy/sticky_keys.py
@@ -1,6 +1,7 @@
 """Keys that stay with the newest build, as it has answered them or may have."""
 
 from ..interface.events import LateResponseSeen
+from ..state.key_hash import table_key
 from .context import DecisionContext
 
 MAX_REMEMBERED_KEYS = 10_000  # maximum number of pinned keys, and of failing keys
@@ -31,18 +32,18 @@
         release = self.context.release
         assert release is not None  # nothing is sent before the first update
         if event.build == release.build and len(self.pinned_keys) < MAX_REMEMBERED_KEYS:
-            self.pinned_keys.add(event.key)
+            self.pinned_keys.add(table_key(event.key))
 
     def count_sent(self, key: str, build: int) -> None:
         """Counts an attempt that was sent to an endpoint of a build."""
         if self.context.settings.sticky_keys:
-            attempt = build, key
+            attempt = build, table_key(key)
             self.attempts_in_flight[attempt] = self.attempts_in_flight.get(attempt, 0) + 1
 
     def count_ended(self, key: str, build: int) -> None:
         """Counts the end of an attempt that was counted as sent to an endpoint of a build."""
         if self.context.settings.sticky_keys:
-            attempt = build, key
+            attempt = build, table_key(key)
             self.attempts_in_flight[attempt] -= 1
             if not self.attempts_in_flight[attempt]:
                 del self.attempts_in_flight[attempt]
@@ -55,6 +56,7 @@
         build answered.
         """
         release = self.context.release
+        key = table_key(key)
         return (
             key in self.pinned_keys
             or len(self.pinned_keys) >= MAX_REMEMBERED_KEYS
--- a/thymeknot/policy/traffic_split.py
+++ b/thymeknot/policy/traffic_split.py
@@ -3,7 +3,7 @@
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 from ..interface.enums import ReleasePhase
 from ..interface.reasons import Reason
-from ..state.key_hash import key_position
+from ..state.key_hash import key_position, table_key
 from ..state.request_state import RequestState
 from .context import BuildState, DecisionContext
 from .slow_start import SlowStart
@@ -15,6 +15,7 @@
 HOT_KEY_FRACTION = 0.03  # minimum fraction of the recent requests with keys for a hot key
 HOT_KEY_MIN_REQUESTS = 8  # minimum number of recent requests for a hot key
 RECENT_KEYS_HALF_LIFE = 2 * TICKS_PER_SECOND  # ticks after which the counts of keys are halved
+MAX_RECENT_KEYS = 10_000  # maximum number of keys whose recent requests are counted
 MIN_RECENT_KEY_COUNT = 0.5  # counts up to this value are discarded when the counts are halved
 
 
@@ -52,6 +53,11 @@
 
     def count_key(self, key: str) -> None:
         """Counts a request with a key."""
+        key = table_key(key)
+        if len(self.recent_keys) >= MAX_RECENT_KEYS and key not in self.recent_keys:
+            self._halve_counts()
+            if len(self.recent_keys) >= MAX_RECENT_KEYS:
+                return
         self.recent_keys[key] = self.recent_keys.get(key, 0) + 1
 
     def raise_fraction(self, all_slow: bool) -> None:
@@ -82,11 +88,14 @@
         now = self.context.now
         if now >= self._keys_halved_at + RECENT_KEYS_HALF_LIFE:
             self._keys_halved_at = now
-            self.recent_keys = {
-                key: count / 2
-                for key, count in self.recent_keys.items()
-                if count > MIN_RECENT_KEY_COUNT
-            }
+            self._halve_counts()
+
+    def _halve_counts(self) -> None:
+        self.recent_keys = {
+            key: count / 2
+            for key, count in self.recent_keys.items()
+            if count > MIN_RECENT_KEY_COUNT
+        }
 
     def builds_for(self, request: RequestState) -> tuple[bool, ...]:
         """Returns where the request may go, in order: the newest build (True), an earlier one."""
@@ -99,6 +108,7 @@
             context.explain(Reason.STAYS, len(self.sticky_keys.pinned_keys))
             return (True,)
         position = key_position(key)
+        key = table_key(key)
         below_fraction = position < self.fraction
         context.explain(Reason.POSITION, position, self.fraction, release.cap)
         if not below_fraction or release.phase != ReleasePhase.ON_TRIAL:
--- a/thymeknot/policy/trial_evidence.py
+++ b/thymeknot/policy/trial_evidence.py
@@ -7,6 +7,7 @@
 from ..interface.enums import Outcome, ReleasePhase
 from ..interface.events import ComplaintReceived
 from ..state.endpoint_state import EndpointState
+from ..state.key_hash import table_key
 from ..state.request_state import RequestState
 from .baseline import (
     HIGH_TRAFFIC_RATIO,
@@ -139,7 +140,7 @@
             return Exclusion.COLD_TIMEOUT
         if is_network_loss(outcome) and not (comparable and self.baseline.network_is_reliable()):
             return Exclusion.NETWORK_LOSS
-        if outcome != Outcome.DONE and key in self.split.failing_keys:
+        if outcome != Outcome.DONE and table_key(key) in self.split.failing_keys:
             return Exclusion.FAILING_KEY
         return None
 
@@ -147,7 +148,7 @@
         """Adds the success or failure of an attempt to the sequential test."""
         context, failed = self.context, outcome != Outcome.DONE
         if failed and len(self.split.failing_keys) < MAX_REMEMBERED_KEYS:
-            self.split.failing_keys.add(key)
+            self.split.failing_keys.add(table_key(key))
         self.test.outcomes += 1
         self.failed += failed
         uncapped = (
--- a/thymeknot/proxy/client_requests.py
+++ b/thymeknot/proxy/client_requests.py
@@ -77,7 +77,7 @@
         self._release_if_first_client_gone(request_id)
         if connection.client_gone:  # the earlier request had arrived on this connection
             return
-        if request_id in self.table.by_id or request_id in self.table.may_have_run:
+        if request_id in self.table.by_id or self.table.id_may_have_run(request_id):
             self._accept_repeat(request_id, connection, sequence, command)
             return
         time_left = self._time_left(command, request_class)
--- a/thymeknot/proxy/in_flight.py
+++ b/thymeknot/proxy/in_flight.py
@@ -8,6 +8,7 @@
 from ..policy.memory_budget import MemoryBudget
 from ..protocol.client import ClientConnection
 from ..protocol.command import Command
+from ..state.key_hash import table_key
 from ..state.slot_table import SlotTable
 from ..state.timer_queue import TimerQueue
 
@@ -84,7 +85,8 @@
         by_slot: The requests by slot.
         by_id: The slot of each request by its id.
         memory: The memory that the requests take.
-        may_have_run: Ids of requests that may have run and were released without a response.
+        may_have_run: Ids, as `table_key` gives them, of requests that may have run and were released
+            without a response.
     """
 
     def __init__(self, timers: TimerQueue, memory: MemoryBudget) -> None:
@@ -99,6 +101,10 @@
         slot = self.by_id.get(name)
         return None if slot is None else self.by_slot.get(slot)
 
+    def id_may_have_run(self, name: str) -> bool:
+        """Returns whether a request with this id may have run and was released unanswered."""
+        return table_key(name) in self.may_have_run
+
     def add(self, request: InFlightRequest) -> None:
         """Adds a request."""
         request.slot = self.by_id[request.id] = self.by_slot.add(request)
@@ -136,8 +142,9 @@
         """
         if (
             idempotency != Idempotency.IDEMPOTENT
-            and request.id not in self.may_have_run
+            and not self.id_may_have_run(request.id)
             and any(attempt.may_have_run for attempt in attempts)
         ):
-            self.may_have_run.add(request.id)
-            self.timers.add(request.expires_at, self.may_have_run.discard, request.id)
+            blocked = table_key(request.id)
+            self.may_have_run.add(blocked)
+            self.timers.add(request.expires_at, self.may_have_run.discard, blocked)
