--- a/thymeknot/proxy/in_flight.py
+++ b/thymeknot/proxy/in_flight.py
@@ -85,8 +85,8 @@
         by_slot: The requests by slot.
         by_id: The slot of each request by its id.
         memory: The memory that the requests take.
-        may_have_run: Ids, as `table_key` gives them, of requests that may have run and were released
-            without a response.
+        may_have_run: Ids, as `table_key` gives them, of requests that may have run and were
+            released without a response.
     """
 
     def __init__(self, timers: TimerQueue, memory: MemoryBudget) -> None:
