Free ended connections to endpoints at once, not at the next full garbage collection

With clients that leave, a process among them grew past its limit though little was held: each ended connection to an endpoint stayed in two reference cycles (Twisted's connector and transport; the connector's factory and the callbacks of its failure), some 5 KB, until a full collection (934 of them after 2 s without one, by the collector's own list). Both are broken as the connection comes up and ends. The new test failed before.

--- a/tests/unit/proxy/test_client_memory.py
+++ b/tests/unit/proxy/test_client_memory.py
@@ -1,12 +1,19 @@
 """Partial commands and responses that wait take a bounded part of the memory."""
 
+import gc
+import time
 import unittest
+import weakref
+from unittest import mock
 
+from twisted.internet.epollreactor import EPollReactor
 from twisted.python.failure import Failure
 
+from tests.support.peers import FakeEndpoint
 from tests.support.programs import encode_command
 from tests.unit.proxy.test_proxy import Network, endpoint_entry
 from thymeknot.protocol.command import DISCARDED, MAX_COMMAND_BYTES, CommandParser
+from thymeknot.protocol.pod import PodConnector
 from thymeknot.protocol.resp import MalformedRespError
 
 MEMORY_MB = 32
@@ -148,5 +155,39 @@
         self.assertEqual((budget.used, budget.held), (0, {}))
 
 
+class EndedConnectionTest(unittest.TestCase):
+    # Guards against ended connections to endpoints that were kept until a full garbage collection.
+    def test_ended_connection_is_freed_without_garbage_collection(self):
+        server = FakeEndpoint(answer=lambda _: None)
+        self.addCleanup(server.close)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        loop = EPollReactor()
+        lost = []
+        owner = mock.Mock(connection_lost=lambda connection: lost.append(True))
+        factory = PodConnector(owner, None)
+        factory.failed.addCallback(lambda _, connector: None, factory)
+        port = int(server.address.rpartition(":")[2])
+        connector = loop.connectTCP("127.0.0.1", port, factory, timeout=None)
+        deadline = time.monotonic() + 10
+        transport = None
+        while not lost and time.monotonic() < deadline:
+            loop.iterate(0.01)
+            if owner.connection_opened.called and transport is None:
+                protocol = owner.connection_opened.call_args[0][0]
+                transport = weakref.ref(protocol.transport)
+                protocol.transport.write(encode_command("PING"))
+                owner.reset_mock()
+                protocol = None
+        factory_reference = weakref.ref(factory)
+        connector = factory = owner = None
+        for reader in [*loop.removeAll(), loop.waker]:
+            reader.connectionLost(None)
+        loop._poller.close()
+        self.assertEqual(lost, [True])
+        self.assertEqual((transport(), factory_reference(), connector), (None, None, None))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -226,8 +226,17 @@
 
     def buildProtocol(self, address: Any) -> PodConnection:  # noqa: N802 (Twisted's name)
         """Called by Twisted."""
+        self.failed = Deferred()  # the callbacks of the former one refer to this factory
         return PodConnection(self.owner, self)
 
+    def clientConnectionLost(self, connector: Any, reason: Any) -> None:  # noqa: N802 (Twisted's name)
+        """Called by Twisted.
+
+        Its connector and the transport refer to each other, and would both be kept until the next
+        full garbage collection.
+        """
+        connector.transport = None
+
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802 (Twisted's name)
         """Called by Twisted."""
         self.failed.callback(BrokenConnection(NOT_CONNECTED, reason.getErrorMessage()))
