Give each connection a turn of four commands in each round of the event loop

Other clients got their answers late or never while one, or some, sent small requests without a pause: the loop handled all commands that it had read of a connection before it went on. Four are handled in a turn now and the rest waits, unread input with it; a client that has left meanwhile has its waiting commands dropped, a stop answers them, and such a connection is not evicted. Two tests read 73 commands in one turn of the loop; they set the receive buffer so that all is read at once, as before, and run the loop until all have had their turn. Their checks are unchanged.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -23,6 +23,7 @@
 from thymeknot.interface.events import ClientDisconnected
 from thymeknot.protocol.client import (
     COMMAND_TIMEOUT,
+    COMMANDS_PER_TURN,
     DISCONNECT_CHECK_INTERVAL,
     EVICTION_FLUSH_TIMEOUT,
     LINGER_TIME,
@@ -35,6 +36,7 @@
 from thymeknot.proxy.graceful_shutdown import BACKLOG_ACCEPT_TIMEOUT
 from thymeknot.proxy.listener_closer import MAX_HANDSHAKE_TIME
 
+READ_AT_ONCE_BYTES = 65_536
 PING, PONG = encode_command("PING"), b"+PONG\r\n"
 
 
@@ -60,6 +62,12 @@
             self.reactor.advance(0)
         self.step()
 
+    def handle_all_commands(self, connection):
+        """Runs the loop until the commands that it reads at once have had their turns."""
+        self.step()
+        while connection.waiting_messages is not None:
+            self.advance_time(1)
+
     def open_connection(self):
         """Returns the client's socket and the sidecar's connection."""
         client_socket = socket.create_connection(self.listener.getsockname(), timeout=5)
@@ -192,11 +200,12 @@
             lambda client_socket: client_socket.shutdown(socket.SHUT_WR),
         ):
             network = self.network(*(endpoint_entry(f"s-{at}") for at in range(9)))
+            network.proxy.memory.receive_buffer_bytes = READ_AT_ONCE_BYTES
             client_socket, connection = self.open_connection(network)
             client_socket.sendall(
                 b"".join(query(f"{at}") for at in range(MAX_PIPELINED_COMMANDS + 9))
             )
-            network.step()
+            network.handle_all_commands(connection)
             client_socket.sendall(PING)  # unread, ahead of the end of stream
             disconnect(client_socket)
             network.step()
@@ -210,13 +219,55 @@
                 [b""] * dialled,
             )
 
+    # Guards against one connection at full speed that delays the requests of all others.
+    def test_commands_of_one_connection_leave_turns_to_the_others(self):
+        network = self.network()
+        network.proxy.memory.receive_buffer_bytes = READ_AT_ONCE_BYTES
+        flood, connection = self.open_connection(network)
+        usual, _ = self.open_connection(network)
+        flood.sendall(PING * 300)
+        usual.sendall(PING)
+        network.step()
+        self.assertEqual(usual.recv(99), PONG)
+        self.assertEqual(connection.first_sequence, COMMANDS_PER_TURN)
+        self.assertFalse(connection.reading)
+        network.handle_all_commands(connection)
+        self.assertTrue(connection.reading)
+        flood.shutdown(socket.SHUT_WR)
+        network.advance_time(10)
+        self.assertEqual(read_to_end(flood), PONG * 300)
+
+    def test_waiting_commands_are_answered_when_the_process_ends_and_dropped_with_their_client(
+        self,
+    ):
+        for end in ("stop", "close", "evict"):
+            network = self.network(endpoint_entry("s-1"))
+            network.proxy.memory.receive_buffer_bytes = READ_AT_ONCE_BYTES
+            client_socket, connection = self.open_connection(network)
+            client_socket.sendall(b"".join(query(f"{at}") for at in range(20)))
+            network.step()
+            self.assertEqual(len(network.proxy.requests_in_flight), COMMANDS_PER_TURN)
+            if end == "stop":
+                connection.stop_waiting()
+                self.assertEqual(len(network.proxy.requests_in_flight), 20)
+            elif end == "close":
+                client_socket.close()
+                network.advance_time(1)
+                self.assertEqual(len(network.proxy.requests_in_flight), 0)
+                self.assertIsNone(connection.waiting_messages)
+            else:
+                connection.pending_responses.clear()  # as if all had been answered at once
+                candidates = network.proxy.listener._eviction_candidates(None, 0)
+                self.assertNotIn(connection, candidates)
+
     def test_partial_command_does_not_time_out_while_reading_is_paused(self):
         network = self.network(*(endpoint_entry(f"s-{at}") for at in range(9)))
+        network.proxy.memory.receive_buffer_bytes = READ_AT_ONCE_BYTES
         client_socket, connection = self.open_connection(network)
         client_socket.sendall(
             b"".join(query(f"{at}") for at in range(MAX_PIPELINED_COMMANDS + 9)) + PING[:5]
         )
-        network.step()
+        network.handle_all_commands(connection)
         client_socket.sendall(PING[5:])
         network.advance_time(COMMAND_TIMEOUT + 10)
         self.assertEqual(
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -1,7 +1,9 @@
 """A client's connection: reads pipelined commands and writes responses in the same order."""
 
 import socket
+import sys
 from collections import deque
+from collections.abc import Iterator
 from typing import Any, Final, Protocol
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
@@ -24,6 +26,8 @@
 
 MAX_PIPELINED_COMMANDS: Final = 64
 """Maximum commands in flight on one connection; above it, reading is paused."""
+COMMANDS_PER_TURN: Final = 4
+"""Maximum commands of one connection that are handled in a turn of the event loop."""
 COMMAND_TIMEOUT: Final[Ticks] = 5 * TICKS_PER_SECOND // 2
 """Timeout for a first command, or one that has begun to arrive, to be complete."""
 WRITE_STALL_TIMEOUT: Final[Ticks] = 10 * TICKS_PER_SECOND
@@ -108,6 +112,8 @@
             is not known yet.
         held_response_bytes: The size of the responses in `pending_responses`.
         unflushed_bytes: The size of the responses that were written while the client did not read.
+        waiting_messages: The rest of the input, whose commands are handled in the next turn of the
+            event loop; None if there is none.
         input_valid: Whether further input can be parsed as commands.
         command_received: Whether a complete command has arrived.
         reading: Whether the transport reads from the client.
@@ -136,6 +142,7 @@
         self.pending_responses: deque[bytes | None] = deque()
         self.held_response_bytes = 0
         self.unflushed_bytes = 0
+        self.waiting_messages: Iterator[Any] | None = None
         self.input_valid = True
         self.command_received = False
         self.reading = True
@@ -229,6 +236,7 @@
     def _stop_parsing(self) -> None:
         """Frees the partial command; no further input is parsed."""
         self.input_valid = False
+        self.waiting_messages = None
         self.parser = CommandParser()
         self.owner.memory.partial_commands.resize(self, 0)
 
@@ -270,7 +278,8 @@
         """Pauses or resumes reading by the requests in flight and the unread responses."""
         if self.ended or self.client_gone:
             return
-        reading = not self.write_blocked and len(self.pending_responses) <= (
+        reading = not self.write_blocked and self.waiting_messages is None
+        reading = reading and len(self.pending_responses) <= (
             MAX_PIPELINED_COMMANDS if self.reading else MAX_PIPELINED_COMMANDS // 2
         )
         if reading != self.reading:
@@ -305,12 +314,38 @@
             return
         if self.flushing:  # read in the same event loop turn as the last response
             self._cancel_close()
+        self._handle_messages(self.parser.feed(data))
+
+    def _handle_next_messages(self) -> None:
+        """Handles commands that were read in an earlier turn of the event loop."""
+        messages = self.waiting_messages
+        self.waiting_messages = None
+        if messages is None or not self.input_valid:
+            return
+        if peer_has_closed(self.transport):
+            self.readConnectionLost()
+            return
+        self._handle_messages(messages)
+
+    def _handle_messages(
+        self, messages: Iterator[Any], max_commands: int = COMMANDS_PER_TURN
+    ) -> None:
+        """Handles the commands of the input; those beyond the maximum wait for the next turn.
+
+        A connection that sends at full speed thus leaves the others their turns.
+        """
         try:
-            for message in self.parser.feed(data):
+            for message in messages:
                 if self.client_gone:
                     return
                 self._handle_command(message)
-            self._count_partial_command()
+                max_commands -= 1
+                if not max_commands:
+                    self.waiting_messages = messages
+                    self.timers.add(self.timers.clock(), self._handle_next_messages)
+                    break
+            else:
+                self._count_partial_command()
         except resp.MalformedRespError as error:
             # The start of the next command is unknown: answer the pending requests, then close.
             self._stop_parsing()
@@ -417,6 +452,9 @@
         are still to be sent.
         """
         self.linger = 0
+        if self.waiting_messages is not None:
+            messages, self.waiting_messages = self.waiting_messages, None
+            self._handle_messages(messages, sys.maxsize)
         if self.input_valid and self.parser.has_partial_command():
             self._fail_incomplete_command()
         elif self.ended and not self.flushing:
--- a/thymeknot/proxy/client_listener.py
+++ b/thymeknot/proxy/client_listener.py
@@ -165,7 +165,10 @@
             (
                 client
                 for client in self.clients
-                if client is not new and not client.closing and not client.pending_responses
+                if client is not new
+                and not client.closing
+                and not client.pending_responses
+                and client.waiting_messages is None
             ),
             key=lambda client: (
                 client.awaits_first_command(now),
