--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -13,6 +13,7 @@
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 from ..policy.memory_budget import ClientMemory
 from . import resp
+from .close_reason import CloseReason
 from .command import (
     DISCARDED,
     QUERY,
@@ -86,6 +87,9 @@
     def connection_became_idle(self) -> None:
         """Called when all requests of a connection are answered while accepting is paused."""
 
+    def count_event(self, event: str) -> None:
+        """Called when something happened that reports count."""
+
     def fault(self, where: str, error: Exception) -> None:
         """Called when an unexpected exception was caught."""
 
@@ -114,6 +118,7 @@
         unflushed_bytes: The size of the responses that were written while the client did not read.
         waiting_messages: The rest of the input, whose commands are handled in the next turn of the
             event loop; None if there is none.
+        close_reason: Why it closes, or has closed.
         input_valid: Whether further input can be parsed as commands.
         command_received: Whether a complete command has arrived.
         reading: Whether the transport reads from the client.
@@ -143,6 +148,7 @@
         self.held_response_bytes = 0
         self.unflushed_bytes = 0
         self.waiting_messages: Iterator[Any] | None = None
+        self.close_reason = CloseReason.CLIENT
         self.input_valid = True
         self.command_received = False
         self.reading = True
@@ -231,6 +237,7 @@
         elif self.parser.has_partial_command():
             self._fail_incomplete_command()
         else:
+            self.close_reason = CloseReason.NO_COMMAND
             self.finish()
 
     def _stop_parsing(self) -> None:
@@ -242,6 +249,7 @@
 
     def _fail_incomplete_command(self) -> None:
         self._stop_parsing()
+        self.close_reason = CloseReason.INCOMPLETE_COMMAND
         self.answer(self._reserve_response(), resp.failure("ERR no whole command in time"))
         self.finish()
 
@@ -270,9 +278,13 @@
 
     def _abort_after(self, delay: Ticks) -> None:
         if self.close_timer is None:
-            self.close_timer = self.timers.add(
-                self.timers.clock() + delay, self.transport.abortConnection
-            )
+            self.close_timer = self.timers.add(self.timers.clock() + delay, self._abort_unread)
+
+    def _abort_unread(self) -> None:
+        """Aborts a connection whose client does not read its responses."""
+        if self.close_reason == CloseReason.CLIENT:
+            self.close_reason = CloseReason.CLIENT_NOT_READING
+        self.transport.abortConnection()
 
     def _update_reading(self) -> None:
         """Pauses or resumes reading by the requests in flight and the unread responses."""
@@ -349,10 +361,12 @@
         except resp.MalformedRespError as error:
             # The start of the next command is unknown: answer the pending requests, then close.
             self._stop_parsing()
+            self.close_reason = CloseReason.MALFORMED_INPUT
             self.answer(self._reserve_response(), resp.failure(f"ERR syntax: {error}"))
             self.finish()
         except Exception as error:  # a bug here must only cost this connection
             self.owner.fault("client connection", error)
+            self.close_reason = CloseReason.FAULT
             self.transport.abortConnection()
         if self.parser.has_partial_command() and self.input_valid and self.command_timer is None:
             self._expect_command(COMMAND_TIMEOUT)
@@ -377,6 +391,7 @@
         self.timers.cancel(self.command_timer)
         self.command_timer = None
         if parts is DISCARDED:
+            self.owner.count_event("command discarded")
             self.answer(sequence, NO_MEMORY_RESPONSE)
             return
         if not _is_array_of_strings(parts):
@@ -404,6 +419,7 @@
             return
         if (index or self.write_blocked) and not self._may_hold(content):
             content = min(content, RESPONSE_DROPPED, key=len)
+            self.owner.count_event("response dropped")
         self.pending_responses[index] = content
         self.held_response_bytes += len(content)
         self._write_responses()
@@ -438,6 +454,7 @@
     def evict(self) -> None:
         """Closes at once to free its descriptor; an incomplete first command is not awaited."""
         self.linger = 0
+        self.close_reason = CloseReason.EVICTED
         self.timers.cancel(self.close_timer)
         self.close_timer = None
         self.finish()
@@ -452,6 +469,7 @@
         are still to be sent.
         """
         self.linger = 0
+        self.close_reason = CloseReason.SHUTDOWN
         if self.waiting_messages is not None:
             messages, self.waiting_messages = self.waiting_messages, None
             self._handle_messages(messages, sys.maxsize)
--- a/thymeknot/proxy/client_listener.py
+++ b/thymeknot/proxy/client_listener.py
@@ -14,6 +14,7 @@
 from ..service import structured_log
 from ..state.slot_table import SlotTable
 from ..state.timer_queue import TimerQueue
+from .resource_report import ConnectionCounters
 
 if TYPE_CHECKING:
     from .graceful_shutdown import GracefulShutdown
@@ -59,6 +60,7 @@
             row.
         max_clients: The maximum number of client connections.
         memory: The memory that connections may make the process hold.
+        counters: Counts what happens to the connections.
         request_received: Called with each request: its connection, response position and command.
         client_gone: Called with each connection whose client has disconnected.
         clients: The open connections.
@@ -79,6 +81,7 @@
         sockets: int,
         max_clients: int,
         memory: ClientMemory,
+        counters: ConnectionCounters,
         request_received: Callable[[ClientConnection, int, Command], None],
         client_gone: Callable[[ClientConnection], None],
     ) -> None:
@@ -89,6 +92,7 @@
         self.sockets = sockets
         self.max_clients = max_clients
         self.memory = memory
+        self.counters = counters
         self.request_received = request_received
         self.client_gone = client_gone
         self.clients: SlotTable[ClientConnection] = SlotTable()
@@ -127,6 +131,10 @@
 
     # Callbacks of the connections.
 
+    def count_event(self, event: str) -> None:
+        """Counts an event for the next report."""
+        self.counters.events[event] += 1
+
     def fault(self, where: str, error: Exception) -> None:
         """Logs an exception that closed a connection."""
         structured_log.log_exception(where, error)
@@ -154,6 +162,7 @@
             and (not idle or len(self.clients) >= self.max_clients + CLOSING_ALLOWANCE)
             and not self.accepting_paused
         ):
+            self.count_event("accepting paused")
             self.accepting_paused = True  # at least until the evicted connections have closed
             self.port.stopReading()
             if not idle:
@@ -208,6 +217,7 @@
         """Removes a closed connection."""
         if connection.slot is not None:  # it was registered
             self.clients.remove(connection.slot)
+            self.counters.closed[connection.close_reason] += 1
         self.client_gone(connection)
         self.connection_became_idle()
         self.shutdown.notify_if_drained()
--- a/thymeknot/proxy/client_requests.py
+++ b/thymeknot/proxy/client_requests.py
@@ -83,6 +83,8 @@
         time_left = self._time_left(command, request_class)
         has_room = self.table.memory.allows(connection, command.size())
         if self._is_full() or not has_room or time_left <= 0:
+            reason = "memory" if not has_room else "time over" if time_left <= 0 else "max_open"
+            self.proxy.listener.count_event(f"request refused: {reason}")
             connection.answer(sequence, resp.failure(BUSY))
             return
         self._begin(request_id, connection, sequence, command, time_left)
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -55,6 +55,7 @@
 from .graceful_shutdown import GracefulShutdown
 from .in_flight import RequestTable
 from .release_channel import ReleaseChannel
+from .resource_report import ResourceReport
 
 KEYS_READ_AT_START = {
     "name": "name",
@@ -82,6 +83,7 @@
         listener: The listening port and the clients' connections.
         shutdown: Drains the listener.
         memory: The memory that clients' connections may make the process hold.
+        resources: Reports memory and connections.
         requests: The requests in flight.
         requests_in_flight: The requests in flight by slot, `requests.by_slot`.
         client_requests: Accepts and answers requests.
@@ -113,6 +115,7 @@
             reactor, timers, self.connection_limits, budget.endpoints, structured_log.log_exception
         )
         self.memory = ClientMemory(start.memory_mb, budget.clients)
+        self.resources = ResourceReport(structured_log.log, self.memory)
         self.requests = RequestTable(timers, self.memory.open_requests)
         self.requests_in_flight = self.requests.by_slot
         self.client_requests = ClientRequests(self, self.requests)
@@ -123,6 +126,7 @@
             sockets=start.sockets,
             max_clients=budget.clients,
             memory=self.memory,
+            counters=self.resources.counters,
             request_received=self.client_requests.accept,
             client_gone=self.client_requests.client_disconnected,
         )
@@ -200,6 +204,7 @@
         self._log_rejections()
 
     def _log_rejections(self) -> None:
+        self.resources.flush(self.clients, len(self.pools))
         pressure = round(self.engine.admission.pressure(self.clock(), ()), 2)
         self.timers.add(
             self.rejections.flush(self.clock(), pressure=pressure), self._log_rejections
--- a/thymeknot/service/log_events.py
+++ b/thymeknot/service/log_events.py
@@ -21,6 +21,7 @@
     "fault": ERROR,
     "action not supported": WARNING,
     "requests rejected": INFO,
+    "resource usage": INFO,
     # The network.
     "accepting paused": WARNING,
     "no descriptor for an endpoint": WARNING,
