Remember the ids of answered requests that may have run, and do not run their copies

An id of a class that may not be repeated ran twice: its client sent it behind other commands, closed while reading was paused, so that neither the command nor the end was read, and sent it again on a new connection, where it was answered; the first copy was then read and forwarded. One that certainly did not run may be sent again.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -33,6 +33,7 @@
 from thymeknot.protocol.listening_socket import count_unfinished_handshakes
 from thymeknot.proxy import listener_closer
 from thymeknot.proxy.client_listener import CLOSING_ALLOWANCE
+from thymeknot.proxy.ended_ids import MAX_ENDED_IDS
 from thymeknot.proxy.graceful_shutdown import BACKLOG_ACCEPT_TIMEOUT
 from thymeknot.proxy.listener_closer import MAX_HANDSHAKE_TIME
 
@@ -839,6 +840,48 @@
                     (0, {}),
                 )
 
+    # Guards against an id that runs twice: its other copy was read late, behind other commands.
+    def test_copy_that_is_read_after_the_answer_of_another_one_does_not_run(self):
+        for request_class, response, runs in (
+            ("read", VALUE_RESPONSE, 2),
+            ("mark", VALUE_RESPONSE, 1),
+            ("pay", VALUE_RESPONSE, 1),
+            ("pay", b"-ERR failed\r\n", 1),
+            ("pay", b"-BUSY\r\n", 2),
+        ):
+            with self.subTest(request_class=request_class, response=response):
+                network = Network(endpoint_entry("s-1"))
+                first = network.client()
+                second = network.ask("01", request_class=request_class)
+                pod = network.connect(network.initial_dials)
+                pod.resumeProducing()
+                pod.dataReceived(response)
+                while not second.transport.value():
+                    network.reactor.advance(0.1)
+                    network.reactor.advance(0)
+                dials = len(network.dialled_ports())
+                network.ask("01", request_class=request_class, connection=first)
+                sent = len(network.proxy.requests_in_flight)
+                self.assertEqual(sent, runs - 1)
+                if runs == 1:
+                    self.assertEqual(
+                        first.transport.value(), b"-ERR this id may have run already\r\n"
+                    )
+                    self.assertEqual(len(network.dialled_ports()), dials)
+
+    def test_ids_of_ended_requests_are_forgotten_in_time_and_bounded_in_number(self):
+        network = Network(endpoint_entry("s-1"))
+        ended = network.proxy.requests.ended_ids
+        for number in range(MAX_ENDED_IDS + 50):
+            ended.add(f"{number}", now=0, until=100)
+        self.assertEqual(len(ended), MAX_ENDED_IDS)
+        self.assertFalse(ended.contains("0", now=50))
+        self.assertTrue(ended.contains("60", now=50))
+        self.assertFalse(ended.contains("60", now=100))
+        ended.add("x" * 60_000, now=101, until=200)
+        self.assertEqual(len(ended), 1)
+        self.assertTrue(ended.contains("x" * 60_000, now=150))
+
     def test_repeat_receives_failure_of_first_request(self):
         network, connection, second = self.repeat_after_disconnect("pay", True, False)
         connection.connectionLost(Failure(ConnectionLost()))
--- a/thymeknot/proxy/in_flight.py
+++ b/thymeknot/proxy/in_flight.py
@@ -1,16 +1,18 @@
 """Requests in flight: from their arrival until the response is sent and all attempts ended."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
 from ..interface.clock import Ticks
 from ..interface.enums import Idempotency
+from ..interface.settings import RequestClass
 from ..policy.memory_budget import MemoryBudget
 from ..protocol.client import ClientConnection
 from ..protocol.command import Command
 from ..state.key_hash import table_key
 from ..state.slot_table import SlotTable
 from ..state.timer_queue import TimerQueue
+from .ended_ids import EndedIds
 
 if TYPE_CHECKING:
     from .attempt import Attempt
@@ -87,14 +89,22 @@
         memory: The memory that the requests take.
         may_have_run: Ids, as `table_key` gives them, of requests that may have run and were
             released without a response.
+        ended_ids: Ids of requests that may have run and were answered.
     """
 
-    def __init__(self, timers: TimerQueue, memory: MemoryBudget) -> None:
+    def __init__(
+        self,
+        timers: TimerQueue,
+        memory: MemoryBudget,
+        request_classes: Mapping[str, RequestClass],
+    ) -> None:
+        self._request_classes = request_classes
         self.timers = timers
         self.memory = memory
         self.by_slot: SlotTable[InFlightRequest] = SlotTable()
         self.by_id: dict[str, int] = {}
         self.may_have_run: set[str] = set()
+        self.ended_ids = EndedIds()
 
     def find(self, name: str) -> InFlightRequest | None:
         """Returns the request in flight with this id, if any."""
@@ -102,8 +112,10 @@
         return None if slot is None else self.by_slot.get(slot)
 
     def id_may_have_run(self, name: str) -> bool:
-        """Returns whether a request with this id may have run and was released unanswered."""
-        return table_key(name) in self.may_have_run
+        """Returns whether a request with this id may have run and was released."""
+        return table_key(name) in self.may_have_run or self.ended_ids.contains(
+            name, self.timers.clock()
+        )
 
     def add(self, request: InFlightRequest) -> None:
         """Adds a request."""
@@ -126,8 +138,24 @@
             self.by_slot.remove(request.slot)
             self.timers.cancel(request.overdue_timer)
             self.memory.release(request.opened_by, request.size)
+            self._remember_id(request)
             request.attempts = []
 
+    def _remember_id(self, request: InFlightRequest) -> None:
+        """Remembers the id of an answered request that may have run and must not run again.
+
+        Another copy of it may wait to be read, for as long as its client would wait at most.
+        `block_id` does this for a request whose client has left.
+        """
+        request_class = self._request_classes[request.command.request_class]
+        if (
+            not request.connection.client_gone
+            and request_class.idempotency != Idempotency.IDEMPOTENT
+            and any(attempt.may_have_run for attempt in request.attempts)
+        ):
+            until = request.expires_at + request_class.outer_limit
+            self.ended_ids.add(request.id, self.timers.clock(), until)
+
     def block_id(
         self, request: InFlightRequest, attempts: Iterable["Attempt"], idempotency: Idempotency
     ) -> None:
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -116,7 +116,9 @@
         )
         self.memory = ClientMemory(start.memory_mb, budget.clients)
         self.resources = ResourceReport(structured_log.log, self.memory)
-        self.requests = RequestTable(timers, self.memory.open_requests)
+        self.requests = RequestTable(
+            timers, self.memory.open_requests, start.settings.request_classes
+        )
         self.requests_in_flight = self.requests.by_slot
         self.client_requests = ClientRequests(self, self.requests)
         self.listener = ClientListener(
