Answer the requests of a connection on which an unexpected exception was raised

By reading: an exception in the handling of one command aborted its connection, and with it all requests on it that had been read, unanswered (lost). The command gets '-ERR internal error' now, no further input is parsed, and the connection closes once the earlier requests have their answers. The new test, with exceptions injected in the handling and in the parser, failed before.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -220,6 +220,34 @@
                 [b""] * dialled,
             )
 
+    # Guards against requests that were read and lost with their connection, by a fault of one.
+    def test_fault_in_one_command_frees_no_other_request_of_its_answer(self):
+        for faulty_part in ("command", "parser"):
+            network = Network(endpoint_entry("s-1"))
+            accept = network.proxy.listener.request_received
+
+            def fail_some(connection, sequence, command, accept=accept):
+                if command.id == b"bad":
+                    raise RuntimeError("injected")
+                accept(connection, sequence, command)
+
+            network.proxy.listener.request_received = fail_some
+            client = network.ask("01")
+            if faulty_part == "parser":
+                client.parser.feed = lambda data: (1 // 0 for _ in data)
+                client.dataReceived(PING)
+            else:
+                client.dataReceived(query("bad") + query("02"))
+            self.assertEqual(client.transport.value(), b"")
+            self.assertFalse(client.transport.disconnected)
+            pod = network.connect(network.initial_dials)
+            pod.resumeProducing()
+            pod.dataReceived(VALUE_RESPONSE)
+            answers = client.transport.value().split(b"\r\n")
+            self.assertEqual((answers[:2], len(answers)), ([b"$1", b"v"], 4))
+            self.assertEqual(answers[2][:4], b"-ERR")
+            self.assertEqual(network.close_states(client), [(True, True)])
+
     # Guards against one connection at full speed that delays the requests of all others.
     def test_commands_of_one_connection_leave_turns_to_the_others(self):
         network = self.network()
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -53,6 +53,8 @@
 """
 NO_MEMORY_RESPONSE: Final = resp.failure("BUSY")
 """Response to a command that was not kept, as all memory for partial commands was in use."""
+FAULT_RESPONSE: Final = resp.failure("ERR internal error")
+"""Response to a command whose handling failed."""
 RESPONSE_DROPPED: Final = resp.failure("ERR abandoned")
 """Response in place of one that could not be kept until the earlier ones were sent."""
 
@@ -118,6 +120,7 @@
         unflushed_bytes: The size of the responses that were written while the client did not read.
         waiting_messages: The rest of the input, whose commands are handled in the next turn of the
             event loop; None if there is none.
+        handled_sequence: The sequence number of the command that is being handled; None if none is.
         close_reason: Why it closes, or has closed.
         input_valid: Whether further input can be parsed as commands.
         command_received: Whether a complete command has arrived.
@@ -148,6 +151,7 @@
         self.held_response_bytes = 0
         self.unflushed_bytes = 0
         self.waiting_messages: Iterator[Any] | None = None
+        self.handled_sequence: int | None = None
         self.close_reason = CloseReason.CLIENT
         self.input_valid = True
         self.command_received = False
@@ -366,14 +370,25 @@
             self.finish()
         except Exception as error:  # a bug here must only cost this connection
             self.owner.fault("client connection", error)
-            self.close_reason = CloseReason.FAULT
-            self.transport.abortConnection()
+            self._close_after_fault()
         if self.parser.has_partial_command() and self.input_valid and self.command_timer is None:
             self._expect_command(COMMAND_TIMEOUT)
         if self.closing:
             self.finish()
         self._update_reading()
 
+    def _close_after_fault(self) -> None:
+        """Fails the command whose handling raised, and closes once the others are answered."""
+        self.close_reason = CloseReason.FAULT
+        sequence = self.handled_sequence
+        try:
+            self._stop_parsing()
+            self.answer(self._reserve_response() if sequence is None else sequence, FAULT_RESPONSE)
+            self.finish()
+        except Exception as error:  # the connection itself cannot be used
+            self.owner.fault("client connection", error)
+            self.transport.abortConnection()
+
     def _count_partial_command(self) -> None:
         """Counts the partial command; over the budget it is discarded and will be rejected."""
         budget = self.owner.memory.partial_commands
@@ -386,7 +401,11 @@
         return self.first_sequence + len(self.pending_responses) - 1
 
     def _handle_command(self, parts: Any) -> None:
-        sequence = self._reserve_response()
+        sequence = self.handled_sequence = self._reserve_response()
+        self._answer_or_forward(sequence, parts)
+        self.handled_sequence = None
+
+    def _answer_or_forward(self, sequence: int, parts: Any) -> None:
         self.command_received = True
         self.timers.cancel(self.command_timer)
         self.command_timer = None
