Count responses that arrive in part from endpoints, and bound them by the memory limit

By arithmetic up to 576 KiB on each of 393 connections to endpoints were held uncounted while a response arrived: 226 MB. They have a budget by dynamic thresholds now, an eighth of limits.memory_mb; a connection over it is dropped, which ends its attempt as one that may have run. One response of 400,000 bytes is served with 32 MB granted (test).

--- a/tests/unit/proxy/test_client_memory.py
+++ b/tests/unit/proxy/test_client_memory.py
@@ -155,6 +155,45 @@
         self.assertEqual((budget.used, budget.held), (0, {}))
 
 
+class PartialResponseMemoryTest(unittest.TestCase):
+    # Guards against a process over its memory limit because of many large responses at once.
+    def test_partial_responses_stay_within_their_budget(self):
+        network = Network(endpoint_entry("s-1"))
+        network.proxy.memory.set_memory_limit(MEMORY_MB)
+        budget = network.proxy.memory.partial_responses
+        clients = [network.ask(f"{number}", "pay") for number in range(100)]
+        dialled = len(network.dialled_ports())
+        self.assertGreater(dialled, 50)
+        pods = [network.connect(at - dialled) for at in range(dialled)]
+        for pod in pods:
+            pod.resumeProducing()
+        for at in range(0, 400_000, 50_000):
+            for pod in pods:
+                if not pod.transport.disconnected:
+                    pod.dataReceived(b"*3\r\n$400000\r\n" * (not at) + BODY[:50_000])
+            held = sum(len(chunk) for pod in pods for chunk in pod.parser.chunks)
+            self.assertLessEqual(held, budget.limit)
+            self.assertLessEqual(held, budget.used)
+        failed = [client for client in clients if client.transport.value() == b"-ERR abandoned\r\n"]
+        self.assertGreater(len(failed), 0)
+        for pod in pods:
+            pod.connectionLost(Failure(ConnectionResetError()))
+        self.assertEqual((budget.used, budget.held), (0, {}))
+
+    def test_large_response_of_one_endpoint_is_served(self):
+        network = Network(endpoint_entry("s-1"))
+        network.proxy.memory.set_memory_limit(MEMORY_MB)
+        client = network.ask("01")
+        pod = network.connect(network.initial_dials)
+        pod.resumeProducing()
+        response = b"*3\r\n$400000\r\n" + b"v" * 400_000 + b"\r\n$-1\r\n$-1\r\n"
+        for at in range(0, len(response), 65_536):
+            pod.dataReceived(response[at : at + 65_536])
+        self.assertEqual(len(client.transport.value()), len(b"$400000\r\n") + 400_002)
+        budget = network.proxy.memory.partial_responses
+        self.assertEqual((budget.used, budget.held), (0, {}))
+
+
 class EndedConnectionTest(unittest.TestCase):
     # Guards against ended connections to endpoints that were kept until a full garbage collection.
     def test_ended_connection_is_freed_without_garbage_collection(self):
--- a/thymeknot/policy/memory_budget.py
+++ b/thymeknot/policy/memory_budget.py
@@ -10,6 +10,8 @@
 # wait for an earlier one or for a client that does not read, and for all receive buffers.
 PARTIAL_COMMANDS_FRACTION = 1 / 32
 RESPONSES_FRACTION = 1 / 32
+# Fraction for responses that have not arrived completely from endpoints.
+PARTIAL_RESPONSES_FRACTION = 1 / 8
 RECEIVE_BUFFERS_FRACTION = 1 / 32
 MIN_RECEIVE_BUFFER_BYTES = 2 << 10
 MAX_RECEIVE_BUFFER_BYTES = 16 << 10
@@ -82,12 +84,13 @@
 
 
 class ClientMemory:
-    """The memory that clients' connections may make the process hold, by kind.
+    """The memory that peers may make the process hold, by kind.
 
     Attributes:
         open_requests: Requests from their arrival to their end.
         partial_commands: Commands that have not arrived completely.
         responses: Responses that wait for an earlier one, or for a client that does not read.
+        partial_responses: Responses that have not arrived completely from endpoints.
         receive_buffer_bytes: How much is read from a connection at once.
     """
 
@@ -101,13 +104,19 @@
         self.open_requests = MemoryBudget(memory_limit)
         self.partial_commands = MemoryBudget(memory_limit, PARTIAL_COMMANDS_FRACTION)
         self.responses = MemoryBudget(memory_limit, RESPONSES_FRACTION)
+        self.partial_responses = MemoryBudget(memory_limit, PARTIAL_RESPONSES_FRACTION)
         self.receive_buffer_bytes = 0
         self._max_clients = max_clients
         self.set_memory_limit(memory_limit)
 
     def set_memory_limit(self, megabytes: float) -> None:
         """Changes the memory that the process may take; what is held is kept."""
-        for budget in (self.open_requests, self.partial_commands, self.responses):
+        for budget in (
+            self.open_requests,
+            self.partial_commands,
+            self.responses,
+            self.partial_responses,
+        ):
             budget.set_memory_limit(megabytes)
         share = megabytes * BYTES_PER_MEGABYTE * RECEIVE_BUFFERS_FRACTION / self._max_clients
         self.receive_buffer_bytes = int(
--- a/thymeknot/protocol/pod.py
+++ b/thymeknot/protocol/pod.py
@@ -29,7 +29,8 @@
 
     It calls its owner with connection_opened(connection), response_received(connection) after a
     response that leaves it reusable, connection_closing(connection), connection_lost(connection),
-    and fault(where, error) for an unexpected exception.
+    exceeds_memory(connection, size) with the size of a partial response, and fault(where, error)
+    for an unexpected exception.
 
     Attributes:
         owner: The connection pools, which are notified as described above.
@@ -119,6 +120,8 @@
             on_response_started()
         if error or messages:
             self.drop(error or "unreadable response")
+        elif self.owner.exceeds_memory(self, self.parser.buffered_bytes):
+            self.drop("no memory for the rest of the response")
 
     def _first_response(self, messages: list[Any], error: str | None) -> PodResponse | None:
         """Returns the response that has arrived; None if it is incomplete or invalid.
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -111,10 +111,15 @@
         self.settings = start.settings
         self.connection_limits = start.connection_limits
         budget = descriptor_budget(start.sockets)
+        self.memory = ClientMemory(start.memory_mb, budget.clients)
         self.pools = ConnectionPools(
-            reactor, timers, self.connection_limits, budget.endpoints, structured_log.log_exception
+            reactor,
+            timers,
+            self.connection_limits,
+            budget.endpoints,
+            partial_responses=self.memory.partial_responses,
+            fault=structured_log.log_exception,
         )
-        self.memory = ClientMemory(start.memory_mb, budget.clients)
         self.resources = ResourceReport(structured_log.log, self.memory)
         self.requests = RequestTable(
             timers, self.memory.open_requests, start.settings.request_classes
--- a/thymeknot/proxy/resource_report.py
+++ b/thymeknot/proxy/resource_report.py
@@ -70,11 +70,12 @@
 
 
 def describe_held_memory(memory: ClientMemory) -> dict[str, dict[str, Any]]:
-    """Returns what clients' connections hold, by kind."""
+    """Returns what peers make the process hold, by kind."""
     return {
         "open_requests": _describe_budget(memory.open_requests),
         "partial_commands": _describe_budget(memory.partial_commands),
         "responses": _describe_budget(memory.responses),
+        "partial_responses": _describe_budget(memory.partial_responses),
     }
 
 
--- a/thymeknot/state/connection_pool.py
+++ b/thymeknot/state/connection_pool.py
@@ -6,6 +6,7 @@
 
 from ..interface.clock import Ticks
 from ..interface.settings import ConnectionLimits
+from ..policy.memory_budget import MemoryBudget
 from ..protocol.pod import PodConnector
 from ..protocol.write_progress import NOT_CONNECTED, BrokenConnection
 from .slot_table import SlotTable
@@ -140,6 +141,7 @@
         timers: The timers of the process.
         connection_limits: Timeouts and limits for connections.
         max_connections: Maximum number of connections open or being dialled.
+        partial_responses: The memory that partial responses may take.
         fault: Called as fault(where, error) on an internal error.
         by_pod: Connection pools by pod identifier.
         connections: All open connections.
@@ -152,11 +154,14 @@
         timers: TimerQueue,
         connection_limits: ConnectionLimits,
         max_connections: int,
+        *,
+        partial_responses: MemoryBudget,
         fault: Callable[[str, Exception], object],
     ) -> None:
         self.timers = timers
         self.connection_limits = connection_limits
         self.max_connections = max_connections
+        self.partial_responses = partial_responses
         self.fault = fault
         self.by_pod: dict[str, ConnectionPool] = {}
         self.connections: SlotTable[PooledConnection] = SlotTable()
@@ -271,8 +276,13 @@
             BrokenConnection(NOT_CONNECTED, "no usable connection was established"),
         )
 
+    def exceeds_memory(self, connection: PooledConnection, size: int) -> bool:
+        """Counts a partial response of this size; returns whether there is no memory for it."""
+        return not self.partial_responses.resize(connection.slot, size)
+
     def response_received(self, connection: PooledConnection) -> None:
         """Handles a complete response: the connection rests, and any data meanwhile closes it."""
+        self.partial_responses.resize(connection.slot, 0)
         self._set_idle(connection, REST_AFTER_RESPONSE)
 
     def _set_idle(self, connection: PooledConnection, rest_duration: Ticks) -> None:
@@ -289,6 +299,7 @@
 
     def connection_closing(self, connection: PooledConnection) -> None:
         """Handles a connection that is being closed: no further attempt is written to it."""
+        self.partial_responses.resize(connection.slot, 0)
         if connection in connection.connector.pool.idle:
             connection.connector.pool.idle.remove(connection)
 
