Soak: crowds of bad clients, memory limits of 32 to 192 MB, and kills in series

Each play may have a crowd beside its clients (half requests, slow ones that never end, one flood of unknown classes), draws its limits.memory_mb, and checks each process's anonymous memory against it; a process that starts after a kill may be killed once more 0.7 s later.

--- a/tests/crowd/__main__.py
+++ b/tests/crowd/__main__.py
@@ -22,6 +22,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--kills", type=float, nargs="*", default=[])
     parser.add_argument("--quiet", type=float, default=0.0)
+    parser.add_argument("--work", type=float, default=0.0, help="seconds that endpoints work")
     parser.add_argument("--logs", action="store_true", help="print the process's log")
     options = parser.parse_args()
     print(HEADER, flush=True)
@@ -38,6 +39,7 @@
                     options.seed,
                     tuple(options.kills),
                     options.quiet,
+                    options.work,
                 )
                 result = run_trial(plan)
                 print(result.row(), *result.exits, *result.faults[:3], flush=True)
--- a/tests/crowd/behaviours.py
+++ b/tests/crowd/behaviours.py
@@ -99,6 +99,15 @@
             await asyncio.sleep(SLOW_PAUSE_SECONDS)
         await self.await_reply(reader, time.monotonic())
 
+    async def incomplete_slow_request(self, reader, writer, since):
+        """Sends a large request slowly and never its last part."""
+        command = self.command("c=pay,t=x,d=2000", b"v" * BULK_BYTES)
+        for at in range(0, len(command) - SLOW_CHUNK_BYTES, SLOW_CHUNK_BYTES):
+            writer.write(command[at : at + SLOW_CHUNK_BYTES])
+            await writer.drain()
+            await asyncio.sleep(SLOW_PAUSE_SECONDS)
+        await self.await_reply(reader, since)
+
     async def many_fields(self, reader, writer, since):
         """Sends a request with 10,000 fields of two letters."""
         await self._send_fields(reader, writer, b"ab," * 10_000)
@@ -179,6 +188,7 @@
 KINDS = {
     "half requests": Crowd.half_request,
     "slow large requests": Crowd.slow_request,
+    "incomplete slow requests": Crowd.incomplete_slow_request,
     "many fields": Crowd.many_fields,
     "empty fields": Crowd.empty_fields,
     "one byte at a time": Crowd.one_byte_at_a_time,
--- a/tests/crowd/trial.py
+++ b/tests/crowd/trial.py
@@ -37,6 +37,7 @@
         memory_mb: The process's `limits.memory_mb`.
         sockets: Its `limits.sockets`.
         kills: Seconds after the crowd's start at which the process is killed and started again.
+        work_seconds: How long each endpoint works on a request, one after another; 0 for at once.
         quiet_seconds: How long the process is watched after the crowd has left.
     """
 
@@ -48,6 +49,7 @@
     seed: int = 1
     kills: tuple[float, ...] = ()
     quiet_seconds: float = 0.0
+    work_seconds: float = 0.0
 
 
 @dataclass
@@ -103,16 +105,24 @@
     return {"anonymous": int(values["RssAnon"]) / 1024, "resident": int(values["VmRSS"]) / 1024}
 
 
-async def serve_endpoint(reader, writer):
-    """Answers each command at once with its id."""
-    with contextlib.suppress(OSError, ValueError, asyncio.IncompleteReadError):
-        while line := await reader.readline():
-            words = []
-            for _ in range(int(line[1:])):
-                length = int((await reader.readline())[1:])
-                words.append((await reader.readexactly(length + 2))[:-2])
-            writer.write(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(words[2]), words[2]))
-    writer.close()
+class Endpoint:
+    """Answers each command with its id, after the work on it and on those before it."""
+
+    def __init__(self, work_seconds):
+        self.work_seconds, self.worker = work_seconds, asyncio.Lock()
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(OSError, ValueError, asyncio.IncompleteReadError):
+            while line := await reader.readline():
+                words = []
+                for _ in range(int(line[1:])):
+                    length = int((await reader.readline())[1:])
+                    words.append((await reader.readexactly(length + 2))[:-2])
+                if self.work_seconds:
+                    async with self.worker:
+                        await asyncio.sleep(self.work_seconds)
+                writer.write(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(words[2]), words[2]))
+        writer.close()
 
 
 class Trial:
@@ -131,7 +141,9 @@
     async def run(self):
         """Plays the plan and returns its result."""
         endpoints = [
-            await asyncio.start_server(serve_endpoint, "127.0.0.1", 0, limit=1 << 18)
+            await asyncio.start_server(
+                Endpoint(self.plan.work_seconds).serve, "127.0.0.1", 0, limit=1 << 18
+            )
             for _ in range(ENDPOINT_COUNT)
         ]
         self._write_configuration([server.sockets[0].getsockname()[1] for server in endpoints])
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -12,6 +12,8 @@
 from tests.soak.ledger import Observations, Request
 from tests.soak.plan import (
     BURST_SEED_INTERVAL,
+    CROWD_KINDS,
+    MEMORY_LIMITS_MB,
     ClientBehaviour,
     EarlySignal,
     Feature,
@@ -86,6 +88,10 @@
         self.assertEqual({plan.early_signal for plan in plans}, set(EarlySignal))
         self.assertEqual({plan.shutdown for plan in plans}, set(Shutdown))
         self.assertEqual({plan.instance_count for plan in plans}, {1, 2, 3})
+        self.assertEqual({plan.crowd_kind for plan in plans}, {None, *CROWD_KINDS})
+        self.assertEqual({plan.memory_mb for plan in plans}, set(MEMORY_LIMITS_MB))
+        killed = [plan for plan in plans if plan.shutdown == Shutdown.KILL_AND_RESTART]
+        self.assertEqual({plan.second_kill for plan in killed}, {True, False})
         self.assertTrue(all(plan.racing_clients for plan in plans))
         half_command_times = [at for plan in plans for at in plan.half_command_times]
         self.assertTrue(min(half_command_times) < 0.3 and max(half_command_times) > 2.3)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -39,6 +39,7 @@
         "duplicate execution",
         "logged fault",
         "exit status",
+        "memory",
     )
 )
 """Kinds of violations that count even if the machine was too busy for the time limits."""
@@ -388,6 +389,11 @@
     def _check_processes(self):
         for process in self.observations.processes:
             label = f"process {process.number}"
+            if process.peak_memory_mb > self.plan.memory_mb:
+                self.add_violation(
+                    "memory",
+                    f"{label} took {process.peak_memory_mb:.1f} MB of {self.plan.memory_mb}",
+                )
             for line in process.fault_lines[:3]:
                 self.add_violation("logged fault", f"{label}: {line[:200]}")
             if process.killed and process.sigterm_at is not None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -156,6 +156,7 @@
         ready_at: When it logged that it is ready; None if it did not.
         sigterm_at: When the first SIGTERM was sent.
         sigkill_at: When SIGKILL was sent.
+        peak_memory_mb: The most anonymous memory that it was seen with.
         fault_lines: Lines of its log that report an unexpected exception.
     """
 
@@ -168,6 +169,7 @@
     killed: bool = False
     ended_at: float | None = None
     exit_status: int | None = None
+    peak_memory_mb: float = 0.0
     fault_lines: list = field(default_factory=list)
 
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -15,6 +15,11 @@
 BURST_SEED_INTERVAL = 3  # plans of every third seed have a burst of clients
 MAX_HALF_COMMAND_SECONDS = 2.6  # after SIGTERM; the request in front of it ends at 3 s at most
 MAX_REQUESTS_PER_SECOND = 300.0  # approximate limit for one instance
+MEMORY_LIMITS_MB = (32, 64, 192)
+CROWD_PROBABILITY = 0.4
+FLOOD_KIND = "unknown class"
+# Of tests.crowd.behaviours; none of these requests reaches an endpoint, whose attempts are checked.
+CROWD_KINDS = ("half requests", "incomplete slow requests", FLOOD_KIND)
 TYPICAL_RESPONSE_SECONDS = 0.03  # assumed response time when request rates are estimated
 
 
@@ -143,6 +148,10 @@
         racing_clients: Clients that connect to it again and again from SIGTERM on.
         half_command_times: Seconds after its SIGTERM at which a client sends half a command.
         second_copies: Whether the settings allow hedged requests.
+        crowd_kind: What a crowd of bad clients does to one of the instances; None without a crowd.
+        crowd_size: How many they are.
+        memory_mb: The memory that each process may take.
+        second_kill: Whether a process that starts after a kill is killed once more.
     """
 
     seed: int
@@ -161,6 +170,10 @@
     racing_clients: int
     half_command_times: tuple[float, ...]
     second_copies: bool = False
+    crowd_kind: str | None = None
+    crowd_size: int = 0
+    memory_mb: int = MEMORY_LIMITS_MB[-1]
+    second_kill: bool = False
 
     def summary(self):
         """Returns the plan in one line."""
@@ -180,6 +193,9 @@
             f"{self.racing_clients} racing connects",
             "half commands at " + ", ".join(f"{at:.1f}" for at in self.half_command_times),
             f"second copies {self.second_copies}",
+            f"crowd {self.crowd_size} {self.crowd_kind}",
+            f"memory {self.memory_mb}",
+            f"second kill {self.second_kill}",
             f"{sum(bool(endpoint.lost_share) for endpoint in self.endpoints)} pods lose responses",
             f"{sum(bool(endpoint.false_length_share) for endpoint in self.endpoints)} pods spoil lengths",
         ]
@@ -295,6 +311,24 @@
     )
 
 
+def _with_crowd(plan, rng):
+    """Returns the plan with a crowd, a memory limit and a second kill, drawn last.
+
+    The libraries of a feature alone take more than the smallest limit.
+    """
+    has_crowd = bool(rng.random() < CROWD_PROBABILITY)
+    kind = str(rng.choice(CROWD_KINDS))
+    size = int(rng.integers(20, 100)) if kind != FLOOD_KIND else 1
+    memory_mb = int(rng.choice(MEMORY_LIMITS_MB))
+    return replace(
+        plan,
+        crowd_kind=kind if has_crowd else None,
+        crowd_size=size if has_crowd else 0,
+        memory_mb=memory_mb if plan.feature == Feature.NONE else MEMORY_LIMITS_MB[-1],
+        second_kill=bool(rng.random() < 0.5),
+    )
+
+
 def draw_plan(seed):
     """Returns the plan of this seed.
 
@@ -327,4 +361,4 @@
             sorted(rng.uniform(0.0, MAX_HALF_COMMAND_SECONDS, rng.integers(1, 4)).tolist())
         ),
     )
-    return _with_faulty_responses(plan, rng)
+    return _with_crowd(_with_faulty_responses(plan, rng), rng)
--- a/tests/soak/player.py
+++ b/tests/soak/player.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+import sys
 import tempfile
 import time
 from collections import deque
@@ -36,6 +37,7 @@
 CPU_WAIT_SAMPLES = 20
 RUN_TIMEOUT_SECONDS = 90.0
 SECOND_SIGNAL_DELAY_SECONDS = 0.1
+SECOND_KILL_DELAY_SECONDS = 0.7  # after the start that followed the first kill
 SERVING_AFTER_RESTART_SECONDS = 1.0
 CLIENT_SHUTDOWN_TIMEOUT_SECONDS = 6.0
 CONNECT_BEFORE_STOP_SECONDS = 0.05  # for clients whose connections are open at SIGTERM
@@ -217,6 +219,7 @@
                         sidecar.child.pid, deque(maxlen=CPU_WAIT_SAMPLES)
                     )
                     samples.append(sidecar.cpu_wait_seconds())
+                    sidecar.sample_memory()
                     self.max_cpu_wait = max(self.max_cpu_wait, samples[-1] - samples[0])
 
     async def _open_peers(self):
@@ -231,6 +234,7 @@
                 self.plan.trial.changes[0][2],
                 operator_file=self.operator_files.write_file(instance),
                 second_copies=self.plan.second_copies,
+                memory_mb=self.plan.memory_mb,
                 code=self.code,
             )
             self.sidecars.append(sidecar)
@@ -303,6 +307,8 @@
                 self._run_at(endpoint.plan.drain_at, self._drain_endpoint, endpoint)
             if endpoint.plan.restart_at is not None:
                 self._run_at(endpoint.plan.restart_at, self._restart_endpoint, endpoint)
+        if plan.crowd_kind:
+            self.tasks.append(asyncio.create_task(self._run_crowd()))
         if plan.burst_size:
             client_plan = ClientPlan(0, 0.0, ClientBehaviour.STEADY, 0.01, 1, plan.seed)
             self._run_at(
@@ -342,6 +348,28 @@
         for sidecar in self.sidecars:
             sidecar.discovery.update_endpoint(endpoint)
 
+    async def _run_crowd(self):
+        """Plays the crowd against one of the instances until the end of the traffic."""
+        plan = self.plan
+        self.observations.add_event(f"{plan.crowd_size} clients: {plan.crowd_kind}")
+        sidecar = self.sidecars[plan.seed % plan.instance_count]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.crowd.behaviours",
+            plan.crowd_kind,
+            str(sidecar.port),
+            str(plan.crowd_size),
+            str(plan.shutdown_at),
+            str(plan.seed),
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        try:
+            await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+
     async def _shut_down(self):
         """Shuts one instance down as planned, and the others by SIGTERM."""
         chosen = self.sidecars[self.plan.seed % self.plan.instance_count]
@@ -359,6 +387,10 @@
         if shutdown == Shutdown.KILL_AND_RESTART:
             await sidecar.kill()
             await sidecar.start()
+            if self.plan.second_kill:
+                await asyncio.sleep(SECOND_KILL_DELAY_SECONDS)
+                await sidecar.kill()
+                await sidecar.start()
             await asyncio.wait_for(sidecar.ready.wait(), STARTUP_TIMEOUT_SECONDS)
             await asyncio.sleep(SERVING_AFTER_RESTART_SECONDS)
         if shutdown == Shutdown.RELOADS_AND_STOP:
--- a/tests/soak/sidecar.py
+++ b/tests/soak/sidecar.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 
+from tests.crowd.trial import memory_of
 from tests.soak.ledger import SidecarProcess
 from tests.soak.stand_ins import AsyncDiscovery, AsyncPlatform, instance_host
 from tests.support.peers import SETTINGS, reserve_port
@@ -36,6 +37,7 @@
         instance: Number of the instance.
         instance_count: How many instances there are.
         operator_file: Path of its operator file, if it has one.
+        memory_mb: The memory that it may take.
         second_copies: Whether its settings allow hedged requests.
         code: Python code to run in place of the program, with a fault injected.
     """
@@ -50,6 +52,7 @@
         *,
         operator_file=None,
         second_copies=False,
+        memory_mb=192,
         code=None,
     ):
         self.instance, self.instance_count, self.observations, self.endpoints = (
@@ -60,6 +63,7 @@
         )
         self.operator_file, self.code = operator_file, code
         self.second_copies = second_copies
+        self.memory_mb = memory_mb
         self.discovery = AsyncDiscovery(instance, observations, endpoints)
         self.platform = AsyncPlatform(instance, observations, initial_cap)
         self.former_discoveries = []
@@ -97,7 +101,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": self.discovery.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKET_LIMIT},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": SOCKET_LIMIT},
             "deployer": {"address": self.platform.address, "news": self.platform.current_state()},
             "known": self.discovery.full_list(),
             "settings": settings,
@@ -200,6 +204,12 @@
         self.send_signal(signal.SIGKILL)
         await self.child.wait()
 
+    def sample_memory(self):
+        """Records the anonymous memory of the process, unless it has ended."""
+        memory = memory_of(self.child.pid) if self.child.returncode is None else None
+        if memory:
+            self.process.peak_memory_mb = max(self.process.peak_memory_mb, memory["anonymous"])
+
     def cpu_wait_seconds(self):
         """Returns how long the process was runnable without a processor; 0 once it has ended."""
         try:
