Keep the ages of endpoints through steps of the wall clock

By reading: starts of endpoints are told as wall time and were converted with the difference of the two clocks at the process's own start. The start of an endpoint that appears is now the later of a time before and one after the step that is not in the future; one that is known keeps its start and stays the same process.

--- a/thymeknot/proxy/endpoint_updates.py
+++ b/thymeknot/proxy/endpoint_updates.py
@@ -13,6 +13,7 @@
 from ..protocol.write_progress import BrokenConnection
 from ..service import structured_log
 from ..state.random_source import LinearCongruentialGenerator
+from ..state.start_times import StartTimes
 
 if TYPE_CHECKING:
     from .proxy import Proxy
@@ -41,6 +42,7 @@
 
     Attributes:
         proxy: Receives the updates, and closes connections that they make obsolete.
+        start_times: Converts the start times of endpoints.
         listed_endpoints: Each listed endpoint by its name.
         addresses: The address of each listed endpoint, by its name.
         version: The version of the list.
@@ -48,9 +50,15 @@
         watch: The stream of updates, pushed by the agent on the same machine or polled.
     """
 
-    def __init__(self, proxy: "Proxy", random_source: LinearCongruentialGenerator) -> None:
+    def __init__(
+        self,
+        proxy: "Proxy",
+        random_source: LinearCongruentialGenerator,
+        start_times: StartTimes,
+    ) -> None:
         lists_polled = proxy.settings.lists_polled
         self.proxy = proxy
+        self.start_times = start_times
         self.listed_endpoints: dict[str, Endpoint] = {}
         self.addresses: dict[str, str] = {}
         self.version: int = proxy.start.known.version
@@ -99,7 +107,9 @@
         Raises:
             StaleSnapshotError: The list was rejected; the known list is kept.
         """
-        update = listing.update
+        update = listing.update._replace(
+            endpoints=self.start_times.correct(listing.update.endpoints)
+        )
         is_snapshot = update.kind != UpdateKind.DELTA
         rejection = self._validator.validate(
             source, listing.version, is_snapshot, len(update.endpoints), len(self.listed_endpoints)
@@ -114,6 +124,7 @@
             for name, address in {**self.addresses, **listing.addresses}.items()
             if name in self.listed_endpoints
         }
+        self.start_times.forget_except(self.listed_endpoints)
         self._propagate(update, replaced)
 
     def _propagate(self, update: EndpointUpdate, replaced: set[str]) -> None:
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -45,6 +45,7 @@
 from ..state.connection_pool import ConnectionPools
 from ..state.random_source import LinearCongruentialGenerator
 from ..state.slot_table import SlotTable
+from ..state.start_times import StartTimes
 from ..state.timer_queue import TimerQueue
 from ..state.trial_exposure import TrialExposure
 from .attempt import Attempt
@@ -101,8 +102,22 @@
     """
 
     def __init__(
-        self, start: StartConfiguration, reactor: Any, timers: TimerQueue, epoch: Ticks
+        self,
+        start: StartConfiguration,
+        reactor: Any,
+        timers: TimerQueue,
+        epoch: Ticks,
+        current_epoch: Callable[[], Ticks] | None = None,
     ) -> None:
+        """Creates an instance that does not serve yet.
+
+        Args:
+            start: The configuration.
+            reactor: Twisted's reactor.
+            timers: All timers of the program.
+            epoch: Unix time minus the monotonic clock, in ticks, when the process started.
+            current_epoch: Returns that difference as it is now; None if it does not change.
+        """
         self.start = start
         self.reactor = reactor
         self.timers = timers
@@ -149,7 +164,8 @@
             self.settings, start.seed, self.clock(), self.rejections.record
         )
         random_source = LinearCongruentialGenerator(~start.seed)
-        self.endpoints = EndpointUpdates(self, random_source)
+        start_times = StartTimes(epoch, current_epoch or (lambda: epoch), self.clock)
+        self.endpoints = EndpointUpdates(self, random_source, start_times)
         self.releases = ReleaseChannel(self, random_source)
         self._action_handlers = self._handlers_by_action_type()
 
--- a/thymeknot/service/lifecycle.py
+++ b/thymeknot/service/lifecycle.py
@@ -43,6 +43,11 @@
     return time.monotonic_ns() // TICK_NANOSECONDS
 
 
+def current_epoch() -> Ticks:
+    """Returns Unix time minus monotonic time, in ticks; a step of the wall clock changes it."""
+    return time.time_ns() // TICK_NANOSECONDS - clock()
+
+
 def monotonic_reactor() -> Any:
     """Returns the reactor, switched to the monotonic clock.
 
@@ -85,7 +90,7 @@
         """Whether a SIGHUP came before the configuration could be read again."""
         self.serving = False
         self.stopping = False
-        self.epoch: Ticks = time.time_ns() // TICK_NANOSECONDS - clock()
+        self.epoch = current_epoch()
         self.features: Any = None
         self.reactor: Any = None
         self.proxy: Any = None
@@ -117,6 +122,7 @@
             self.reactor,
             TimerQueue(clock, self.reactor.callLater, structured_log.log_exception),
             self.epoch,
+            current_epoch,
         )
         if start.settings.lists_polled:
             self.proxy.begin()
