--- a/tests/crowd/trial.py
+++ b/tests/crowd/trial.py
@@ -38,6 +38,7 @@
         sockets: Its `limits.sockets`.
         kills: Seconds after the crowd's start at which the process is killed and started again.
         work_seconds: How long each endpoint works on a request, one after another; 0 for at once.
+        reconnects: Whether usual clients open a connection for each request.
         quiet_seconds: How long the process is watched after the crowd has left.
     """
 
@@ -50,6 +51,7 @@
     kills: tuple[float, ...] = ()
     quiet_seconds: float = 0.0
     work_seconds: float = 0.0
+    reconnects: bool = False
 
 
 @dataclass
@@ -126,9 +128,14 @@
 
 
 class Trial:
-    """Plays one plan."""
+    """Plays one plan.
 
-    def __init__(self, plan):
+    Args:
+        shim: Returns Python code to run in place of the program, given the endpoints' ports.
+    """
+
+    def __init__(self, plan, shim=None):
+        self.shim, self.arguments = shim, ["-m", "thymeknot"]
         self.plan, self.result = plan, TrialResult(plan)
         self.discovery, self.platform = FakeDiscovery(), FakePlatform()
         self.reservation, self.port = reserve_port()
@@ -146,7 +153,10 @@
             )
             for _ in range(ENDPOINT_COUNT)
         ]
-        self._write_configuration([server.sockets[0].getsockname()[1] for server in endpoints])
+        ports = [server.sockets[0].getsockname()[1] for server in endpoints]
+        if self.shim is not None:
+            self.arguments = ["-c", self.shim(ports)]
+        self._write_configuration(ports)
         try:
             await self._start()
             await asyncio.sleep(SETTLING_SECONDS)
@@ -204,8 +214,7 @@
     async def _start(self):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "thymeknot",
+            *self.arguments,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
             env={**os.environ, "NODE_CONFIG": self.path},
@@ -299,6 +308,9 @@
                 connection[1].transport.abort()
                 connection = None
             self._record(reply, time.monotonic() - sent_at, pid)
+            if connection and self.plan.reconnects:
+                connection[1].close()
+                connection = None
             await asyncio.sleep(USUAL_PAUSE_SECONDS)
         if connection:
             connection[1].close()
@@ -334,10 +346,10 @@
         result.unanswered += not reply
 
 
-def run_trial(plan):
-    """Plays a plan and returns its result."""
+def run_trial(plan, shim=None):
+    """Plays a plan and returns its result; see Trial."""
 
     async def run():
-        return await Trial(plan).run()
+        return await Trial(plan, shim).run()
 
     return asyncio.run(run())
