Count a response that was written and not read against later ones, whatever its budget

By reading: a response that could be written at once and then filled the write buffer was not counted where its budget was used up, so that each client that does not read could hold one uncounted. The new test failed before.

--- a/tests/crowd/behaviours.py
+++ b/tests/crowd/behaviours.py
@@ -140,6 +140,14 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(writer.drain(), 4)
 
+    async def large_unread_responses(self, reader, writer, since):
+        """Sends requests with large responses, one after another, and reads none."""
+        writer.transport.pause_reading()
+        for _ in range(100):
+            writer.write(self.command("c=read,t=x,d=2000", b"v" * 60_000))
+            await writer.drain()
+            await asyncio.sleep(SLOW_PAUSE_SECONDS / 2)
+
     async def many_requests(self, reader, writer, since):
         """Sends hundreds of large requests at once, then reads the responses."""
         writer.write(
@@ -193,6 +201,7 @@
     "empty fields": Crowd.empty_fields,
     "one byte at a time": Crowd.one_byte_at_a_time,
     "unread responses": Crowd.unread_responses,
+    "large unread responses": Crowd.large_unread_responses,
     "many requests": Crowd.many_requests,
     "send and close": Crowd.send_and_close,
     "new names": Crowd.new_names,
--- a/tests/crowd/trial.py
+++ b/tests/crowd/trial.py
@@ -16,6 +16,7 @@
 from tests.support.programs import encode_command
 
 ENDPOINT_COUNT = 8
+MIN_WORDS = 4  # of a command without a body
 USUAL_CLIENT_COUNT = 3
 USUAL_PAUSE_SECONDS = 0.07
 USUAL_TIMEOUT_MS = 1_000
@@ -108,7 +109,7 @@
 
 
 class Endpoint:
-    """Answers each command with its id, after the work on it and on those before it."""
+    """Answers each command with its body, or its id, after the work on those before it and on it."""
 
     def __init__(self, work_seconds):
         self.work_seconds, self.worker = work_seconds, asyncio.Lock()
@@ -123,7 +124,8 @@
                 if self.work_seconds:
                     async with self.worker:
                         await asyncio.sleep(self.work_seconds)
-                writer.write(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(words[2]), words[2]))
+                value = words[-1] if len(words) > MIN_WORDS else words[2]
+                writer.write(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value))
         writer.close()
 
 
--- a/tests/unit/proxy/test_client_memory.py
+++ b/tests/unit/proxy/test_client_memory.py
@@ -141,6 +141,22 @@
             self.assertEqual(replies.count(value) + replies.count(b"-ERR abandoned\r\n"), 20)
         self.assertEqual((budget.used, budget.held), (0, {}))
 
+    def test_response_that_was_written_and_not_read_counts_against_later_ones(self):
+        network = Network(endpoint_entry("s-1"))
+        network.proxy.memory.set_memory_limit(1)  # 32 KiB for responses
+        budget = network.proxy.memory.responses
+        client = network.client()
+        client.transport.write = lambda content: client.pauseProducing()
+        client.answer(client._reserve_response(), b"$60000\r\n" + BODY + b"\r\n")
+        self.assertGreater(budget.used, len(BODY))
+        other = network.client()
+        first = other._reserve_response()
+        other.answer(other._reserve_response(), b"$20\r\n" + b"v" * 20 + b"\r\n")
+        self.assertEqual(list(other.pending_responses)[1], b"-ERR abandoned\r\n")
+        self.assertEqual(first, 0)
+        client.resumeProducing()
+        self.assertLess(budget.used, 100)
+
     def test_responses_to_a_client_that_does_not_read_are_counted(self):
         network = Network(endpoint_entry("s-1"))
         network.proxy.memory.set_memory_limit(MEMORY_MB)
--- a/thymeknot/policy/memory_budget.py
+++ b/thymeknot/policy/memory_budget.py
@@ -58,11 +58,11 @@
 
     def charge(self, owner: Hashable, size: int) -> None:
         """Counts a request that was opened for an owner."""
-        self._set_held(owner, self.held.get(owner, 0) + size + REQUEST_OVERHEAD_BYTES)
+        self.hold(owner, self.held.get(owner, 0) + size + REQUEST_OVERHEAD_BYTES)
 
     def release(self, owner: Hashable, size: int) -> None:
         """Counts the end of a request that was charged to an owner."""
-        self._set_held(owner, self.held[owner] - size - REQUEST_OVERHEAD_BYTES)
+        self.hold(owner, self.held[owner] - size - REQUEST_OVERHEAD_BYTES)
 
     def resize(self, owner: Hashable, size: int) -> bool:
         """Changes what an owner holds to this size in bytes.
@@ -72,10 +72,11 @@
         """
         if size > self.held.get(owner, 0) and size > self.limit - self.used:
             return False
-        self._set_held(owner, size)
+        self.hold(owner, size)
         return True
 
-    def _set_held(self, owner: Hashable, size: int) -> None:
+    def hold(self, owner: Hashable, size: int) -> None:
+        """Counts that an owner holds this size in bytes, whether or not the budget allows it."""
         self.used += size - self.held.get(owner, 0)
         if size:
             self.held[owner] = size
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -468,7 +468,7 @@
     def _count_response_bytes(self) -> None:
         """Counts the responses that are not sent."""
         held_bytes = self.held_response_bytes + self.unflushed_bytes
-        self.owner.memory.responses.resize(self, held_bytes)
+        self.owner.memory.responses.hold(self, held_bytes)
 
     def evict(self) -> None:
         """Closes at once to free its descriptor; an incomplete first command is not awaited."""
