--- a/thymeknot/policy/memory_budget.py
+++ b/thymeknot/policy/memory_budget.py
@@ -77,7 +77,10 @@
 
     def hold(self, owner: Hashable, size: int) -> None:
         """Counts that an owner holds this size in bytes, whether or not the budget allows it."""
-        self.used += size - self.held.get(owner, 0)
+        previous = self.held.get(owner, 0)
+        if size == previous:
+            return
+        self.used += size - previous
         if size:
             self.held[owner] = size
         else:
--- a/thymeknot/proxy/in_flight.py
+++ b/thymeknot/proxy/in_flight.py
@@ -113,6 +113,8 @@
 
     def id_may_have_run(self, name: str) -> bool:
         """Returns whether a request with this id may have run and was released."""
+        if not self.may_have_run and not self.ended_ids:
+            return False
         return table_key(name) in self.may_have_run or self.ended_ids.contains(
             name, self.timers.clock()
         )
