Handle one command of a connection in each turn, so that crowds with pipelines delay nobody

With 192 MB granted and 400 clients that send 300 requests each without reading, usual clients waited 2.48 s (1.5 allowed: their second, and half a second in which an answer is only late): a turn of the loop handled four commands of each. One is handled now; a connection whose input holds a single command takes no further turn. The new test of the crowds is the case that failed. A test that sent two commands at once runs the loop before it looks at the second's answer.

--- a/tests/processes/test_client_crowds.py
+++ b/tests/processes/test_client_crowds.py
@@ -65,6 +65,12 @@
     def test_unread_responses_stay_within_the_memory_limit(self):
         self.check_memory(self.play("unread responses"))
 
+    # Failure: hundreds of clients that pipeline took turns of the loop as long as their input.
+    def test_pipelines_of_many_clients_do_not_delay_the_others(self):
+        result = self.play("unread responses", memory_mb=192)
+        self.check_memory(result)
+        self.check_usual_clients(result)
+
     # Failure: a process that starts among a crowd, as after two kills in series, passed its limit.
     def test_mixed_crowd_with_kills_in_series_stays_within_the_memory_limit(self):
         for memory_mb, sockets in ((LEAST_MEMORY_MB, 1024), (64, 256)):
--- a/tests/unit/proxy/test_client_memory.py
+++ b/tests/unit/proxy/test_client_memory.py
@@ -87,6 +87,8 @@
         self.assertIsNotNone(network.proxy.requests.find("usual"))
         for client in clients:
             client.dataReceived(LARGE_COMMAND[half:] + PING)
+        network.reactor.advance(0.001)  # the second command is handled in the next turn
+        network.reactor.advance(0)
         replies = {client.transport.value() for client in clients}
         self.assertIn(b"-BUSY\r\n+PONG\r\n", replies)
         self.assertEqual((budget.used, budget.held), (0, {}))
--- a/thymeknot/protocol/client.py
+++ b/thymeknot/protocol/client.py
@@ -4,6 +4,7 @@
 import sys
 from collections import deque
 from collections.abc import Iterator
+from itertools import chain
 from typing import Any, Final, Protocol
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
@@ -27,8 +28,11 @@
 
 MAX_PIPELINED_COMMANDS: Final = 64
 """Maximum commands in flight on one connection; above it, reading is paused."""
-COMMANDS_PER_TURN: Final = 4
-"""Maximum commands of one connection that are handled in a turn of the event loop."""
+COMMANDS_PER_TURN: Final = 1
+"""Maximum commands of one connection that are handled in a turn of the event loop.
+
+With hundreds of connections that send without a pause, a turn is as many times longer.
+"""
 COMMAND_TIMEOUT: Final[Ticks] = 5 * TICKS_PER_SECOND // 2
 """Timeout for a first command, or one that has begun to arrive, to be complete."""
 WRITE_STALL_TIMEOUT: Final[Ticks] = 10 * TICKS_PER_SECOND
@@ -354,12 +358,12 @@
             for message in messages:
                 if self.client_gone:
                     return
-                self._handle_command(message)
-                max_commands -= 1
                 if not max_commands:
-                    self.waiting_messages = messages
+                    self.waiting_messages = chain((message,), messages)
                     self.timers.add(self.timers.clock(), self._handle_next_messages)
                     break
+                self._handle_command(message)
+                max_commands -= 1
             else:
                 self._count_partial_command()
         except resp.MalformedRespError as error:
