Look for a connection to evict while accepting is paused, not only as one is accepted

With 256 descriptors and 400 clients that stop half way, usual clients waited 2.50 s: all places were taken by connections with unread input, none could be evicted as the last one was accepted, and accepting was paused until a timeout closed one, though all had fallen silent meanwhile. The new test failed before.

--- a/tests/integration/test_client_connections.py
+++ b/tests/integration/test_client_connections.py
@@ -827,6 +827,29 @@
         connection.dataReceived(VALUE_RESPONSE)
         self.assertTrue(network.proxy.listener.port.reading)
 
+    # Guards against usual clients that wait for the timeouts of a crowd that has fallen silent.
+    def test_accepting_resumes_once_a_connection_falls_silent_within_a_command(self):
+        network = Network(endpoint_entry("s-1"), sockets=64)
+        port = network.proxy.listener.port = mock.Mock()
+        clients = [network.client() for _ in range(network.proxy.listener.max_clients)]
+        for client in clients:
+            client.dataReceived(b"*4\r\n$9\r\n")
+            client.transport.has_unread_data = True
+        new = network.client()
+        self.assertTrue(network.proxy.listener.accepting_paused)
+        network.reactor.advance(0.1)
+        network.reactor.advance(0)
+        self.assertFalse(any(client.transport.disconnected for client in clients))
+        for client in clients:
+            client.transport.has_unread_data = False
+        network.reactor.advance(0.1)
+        network.reactor.advance(0)
+        evicted = [client for client in [*clients, new] if client.transport.disconnected]
+        self.assertGreater(len(evicted), 0)
+        evicted[0].connectionLost(Failure(ConnectionLost()))
+        self.assertFalse(network.proxy.listener.accepting_paused)
+        port.startReading.assert_called()
+
 
 class RepeatedRequestTest(unittest.TestCase):
     """A client that loses its connection during a request repeats it under the same id."""
--- a/thymeknot/proxy/client_listener.py
+++ b/thymeknot/proxy/client_listener.py
@@ -31,6 +31,9 @@
 EVICTION_RATIO = 1 / 3
 """Fraction of the limit from which a new connection causes idle ones to be evicted."""
 
+EVICTION_RETRY_INTERVAL: Ticks = 500
+"""Ticks between two searches for a connection to evict while accepting is paused."""
+
 MIN_IDLE_TIME = 2_000
 """Ticks; a connection that has been idle for less is evicted only if the limit is reached."""
 
@@ -165,10 +168,26 @@
             self.count_event("accepting paused")
             self.accepting_paused = True  # at least until the evicted connections have closed
             self.port.stopReading()
+            self.timers.add(now + EVICTION_RETRY_INTERVAL, self._evict_while_paused)
             if not idle:
                 structured_log.log_rate_limited("accepting paused", connections=len(self.clients))
 
-    def _eviction_candidates(self, new: ClientConnection, now: Ticks) -> list[ClientConnection]:
+    def _evict_while_paused(self) -> None:
+        """Evicts a connection that has become idle, or fallen silent, since accepting was paused.
+
+        Otherwise clients that all fall silent within a command would hold up the others until
+        their timeouts.
+        """
+        if not self.accepting_paused or self.shutdown.is_draining():
+            return
+        now = self.clock()
+        for client in self._connections_to_evict(self._eviction_candidates(None, now), True, now):
+            client.evict()
+        self.timers.add(now + EVICTION_RETRY_INTERVAL, self._evict_while_paused)
+
+    def _eviction_candidates(
+        self, new: ClientConnection | None, now: Ticks
+    ) -> list[ClientConnection]:
         """Returns idle connections without unread data, in the order of eviction."""
         idle = sorted(
             (
