--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -479,8 +479,8 @@
 
     async def _exchange(self, data):
         for attempt in (0, 1):
-            fresh = not self.idle
-            if self.idle:
+            fresh = attempt or not self.idle  # the second time always on a new connection
+            if not fresh:
                 reader, writer = self.idle.pop()
             else:
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.sidecar.port)
@@ -549,14 +549,15 @@
     async def close(self):
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=1)
         for client in self.clients:
             client.close()
         for sidecar in self.sidecars:
             sidecar.stop()
         for server in self.servers:
             with contextlib.suppress(Exception):
-                await server.close()
+                await asyncio.wait_for(server.close(), 1)
         for sidecar in self.sidecars:
             if sidecar.log.exists():
                 lines = sidecar.log.read_text(errors="replace").splitlines()
