--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -489,7 +489,7 @@
                 line = await reader.readline()
             except OSError:
                 line = b""
-            if line or fresh or attempt:
+            if line or attempt:
                 break
             writer.close()  # the sidecar closed the connection: once more on a new one
         if not line:
