--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -397,7 +397,7 @@
     def __init__(self, rig, name, discovery, platform, settings, known=None, limits=None):
         self.rig, self.name = rig, name
         self.reservation, self.port = reserve_port()
-        self.reservation.close()  # the sidecar listens without sharing the port
+        # Kept, so that nobody else gets the port while the sidecar doesn't listen on it.
         self.config = {
             "name": name,
             "listen": f"127.0.0.1:{self.port}",
@@ -449,6 +449,7 @@
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
+        self.reservation.close()
 
 
 class Client:
