Review: errors of a script end with 2, each process ends with its case, and records have all that was sent and run

A script's own error ended with 1, as a broken rule does; a killed script left its sidecars; case 9 could have taken over 120 s when held up; the records of 8 to 10 lacked what was sent and answered.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,7 +4,6 @@
 import json
 import pathlib
 import random
-import subprocess
 import sys
 import time
 
@@ -25,23 +24,15 @@
 
 async def play(rig):
     record = rig.record
-    hosts = [
-        subprocess.Popen(
-            [sys.executable, str(FOLDER.parent / "pods_2.py"), str(PODS // HOSTS), "20"],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            cwd=rig.folder,
-        )
-        for _ in range(HOSTS)
-    ]
+    hosts = [rig.helper("pods_2.py", PODS // HOSTS, 20) for _ in range(HOSTS)]
     try:
         return await play_with(rig, record, hosts)
     finally:
         for host in hosts:
             host.stdin.close()
-        record.add("commands that the pods got:", [int(host.stdout.readline() or 0) for host in hosts])
-        for host in hosts:
-            host.wait(10)
+            text = await asyncio.wait_for(asyncio.to_thread(host.stdout.readline), 5)
+            for at, port, name, request in json.loads(text or b"[]"):
+                record.lines.append(f"{at - record.began:9.4f} pod at {port} got {name} {request}")
 
 
 async def play_with(rig, record, hosts):
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -82,4 +82,4 @@
     return BROKEN if worst else HELD
 
 
-main(FOLDER, play, 118)
+main(FOLDER, play, 106)
--- a/review/pods_2.py
+++ b/review/pods_2.py
@@ -1,4 +1,4 @@
-"""Many pods in one process: prints their ports as JSON, then serves until its input ends.
+"""Many pods in one process: prints their ports, then, when its input has ended, what they got; both as JSON.
 
 Usage: pods_2.py COUNT WORK_MS
 """
@@ -17,7 +17,8 @@
         await pod.start()
     print(json.dumps([pod.port for pod in pods]), flush=True)
     await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
-    print(sum(len(pod.ran) for pod in pods), flush=True)
+    got = [(at, pod.port, words[0].decode(), words[2].decode()) for pod in pods for at, words in pod.ran]
+    print(json.dumps(got), flush=True)
     for pod in pods:
         await pod.close()
 
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import copy
+import ctypes
 import json
 import os
 import pathlib
@@ -16,6 +17,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 from urllib.parse import parse_qsl, urlencode
@@ -23,7 +25,16 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MS = 1_000_000
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
+"""How a case's program ends. run.sh makes 1 of 10 and 2 of all that is neither 0 nor 10, so that an error of
+the program isn't taken for a broken rule."""
+LAST_SECOND = 115  # when all that was started is killed, whatever holds the case up
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Has the kernel kill this process when the case's program ends, also if that is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def category(name, semantics, promise_ms, give_up_ms, window_ms=5000):
@@ -426,7 +437,12 @@
         environment.pop("THYMEKNOT_OPERATOR", None)
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log
+                ["/bin/sh", "-c", run],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=end_with_parent,
             )
 
     async def ready(self, seconds=30):
@@ -445,12 +461,6 @@
             await asyncio.sleep(0.05)
         raise RuntimeError(f"{self.name} was not ready")
 
-    def stop(self):
-        if self.process and self.process.poll() is None:
-            self.process.send_signal(signal.SIGKILL)
-            self.process.wait()
-        self.reservation.close()
-
 
 class Client:
     """A usual client: holds its connections, and opens more when every one is busy."""
@@ -514,6 +524,7 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.temporary.name)
         self.servers, self.sidecars, self.clients, self.tasks = [], [], [], []
+        self.helpers = []  # processes with stand-ins
 
     def settings(self, **changes):
         """Returns the settings with changes, as section__name=value."""
@@ -526,6 +537,41 @@
                 settings[section] = value
         return settings
 
+    def helper(self, program, *arguments):
+        """Starts a program with stand-ins; it ends when its input does."""
+        helper = subprocess.Popen(
+            [sys.executable, str(ROOT / "review" / program), *map(str, arguments)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            cwd=self.folder,
+            preexec_fn=end_with_parent,
+        )
+        self.helpers.append(helper)
+        return helper
+
+    def kill_all(self):
+        """Ends all processes that the case started."""
+        for process in [sidecar.process for sidecar in self.sidecars] + self.helpers:
+            if process and process.poll() is None:
+                process.kill()
+                process.wait()
+
+    def record_all(self):
+        """Adds what usual clients sent and got, and what the pods of this process ran."""
+        began = self.record.began
+        lines = [
+            f"{sent - began:9.4f} client sent {name} {lane}; {ended - began:.4f} got {answer[:40] or 'no answer'}"
+            for client in self.clients
+            for sent, ended, name, lane, answer in client.results
+        ]
+        lines += [
+            f"{at - began:9.4f} pod {pod.name} got {words[0].decode()} {words[2].decode()} {words[3].decode()}"
+            for pod in self.servers
+            if isinstance(pod, Pod)
+            for at, words in pod.ran
+        ]
+        self.record.lines += sorted(lines, key=lambda line: float(line.split()[0]))
+
     async def serve(self, server):
         await server.start()
         self.servers.append(server)
@@ -554,11 +600,13 @@
             await asyncio.wait(self.tasks, timeout=1)
         for client in self.clients:
             client.close()
+        self.kill_all()
         for sidecar in self.sidecars:
-            sidecar.stop()
+            sidecar.reservation.close()
         for server in self.servers:
             with contextlib.suppress(Exception):
                 await asyncio.wait_for(server.close(), 1)
+        self.record_all()
         for sidecar in self.sidecars:
             if sidecar.log.exists():
                 lines = sidecar.log.read_text(errors="replace").splitlines()
@@ -567,15 +615,26 @@
         self.temporary.cleanup()
 
 
-def main(folder, play, seconds=110):
-    """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+def main(folder, play, seconds=100):
+    """Plays a case and ends the program with HELD, BROKEN or COULD_NOT_RUN."""
+    rigs = []
+
+    def give_up():
+        for rig in rigs:
+            rig.kill_all()
+        os._exit(COULD_NOT_RUN)
+
+    last = threading.Timer(LAST_SECOND, give_up)
+    last.daemon = True
+    last.start()
 
     async def run():
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda loop, context: None)  # connections end in all ways
         rig = Rig(folder)
+        rigs.append(rig)
         playing = loop.create_task(asyncio.wait_for(play(rig), seconds))
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, playing.cancel)
         try:
             verdict = await playing
@@ -583,9 +642,12 @@
             rig.record.add("could not run:", type(error).__name__, error)
             print("could not run:", type(error).__name__, error)
             verdict = COULD_NOT_RUN
-        rig.record.add("verdict", verdict)
+        rig.record.add("verdict", {HELD: "held", BROKEN: "broken"}.get(verdict, "could not run"))
         await rig.close()
         sys.stdout.flush()
         os._exit(verdict)  # all that was started has ended; the connections' remains do not matter
 
-    asyncio.run(run())
+    try:
+        asyncio.run(run())
+    finally:
+        give_up()
