--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -539,13 +539,16 @@
 
     def helper(self, program, *arguments):
         """Starts a program with stand-ins; it ends when its input does."""
+        errors = open(self.folder / "helpers.log", "ab")
         helper = subprocess.Popen(
             [sys.executable, str(ROOT / "review" / program), *map(str, arguments)],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
+            stderr=errors,
             cwd=self.folder,
             preexec_fn=end_with_parent,
         )
+        errors.close()
         self.helpers.append(helper)
         return helper
 
