Treat an endpoint that is told as gone and then as back as replaced, also within one chunk

Callers saw: nothing by itself; connections from before an endpoint was told as gone stayed in use if it was told as back in the same chunk, and were closed if it was told in another one. Cause: EndpointUpdates._merge compared all entries with the list before them and never counted a gone endpoint as replaced. Evidence: the new test failed before in its case of one chunk and the same start (idle connection not closed); in two chunks it held. It holds now in all four cases.

--- a/thymeknot/proxy/endpoint_updates.py
+++ b/thymeknot/proxy/endpoint_updates.py
@@ -140,7 +140,9 @@
             proxy.gossip.on_endpoints_changed()
         proxy.withdraw_unwritten(
             lambda endpoint, address: (
-                not self.is_ready(endpoint) or self.addresses[endpoint.address] != address
+                endpoint.address in replaced
+                or not self.is_ready(endpoint)
+                or self.addresses[endpoint.address] != address
             )
         )
         proxy.pools.close_all_except(
@@ -151,16 +153,21 @@
     def _merge(self, endpoints: tuple[Endpoint, ...], listed: dict[str, Endpoint]) -> set[str]:
         """Merges endpoints into `listed`; returns the names of those whose process was replaced.
 
-        Connections to the previous process cannot be used: it was another endpoint of that name.
+        Connections to the previous process cannot be used: it was another endpoint of that name. One
+        that is told as gone and then as back counts as replaced, too.
         """
         previous = self.listed_endpoints
         self.listed_endpoints = listed
         replaced = set()
         for endpoint in endpoints:
             earlier = previous.get(endpoint.address)
-            if earlier and (earlier.started, earlier.build) != (endpoint.started, endpoint.build):
+            gone = endpoint.condition == EndpointCondition.GONE
+            is_same = earlier and (
+                (earlier.started, earlier.build) == (endpoint.started, endpoint.build)
+            )
+            if earlier and (gone or not is_same):
                 replaced.add(endpoint.address)
-            if endpoint.condition == EndpointCondition.GONE:
+            if gone:
                 listed.pop(endpoint.address, None)
             else:
                 listed[endpoint.address] = endpoint
