Apply a change of the endpoint list without work that grows with the list

Cause: each change was applied by itself and scanned the whole list: group_by_build with two sorts and update_capacity, copies of the list and of the addresses, the pools of all endpoints. Why it works: groups and ranks are kept in order and a change moves its own endpoints; the capacity is summed at its next use, as of the moment of the change, which is once per upkeep; pools and waiting attempts are looked at only where a changed endpoint has a pool.

--- a/tests/unit/policy/test_large_fleets.py
+++ b/tests/unit/policy/test_large_fleets.py
@@ -36,6 +36,7 @@
     engine.context.rng.state = (seed + 1) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
     for known in engine.context.endpoints.values():
         known.subset_rank = None
+    engine.selection.group_by_build()
     return engine
 
 
--- a/thymeknot/policy/context.py
+++ b/thymeknot/policy/context.py
@@ -116,15 +116,19 @@
         """Returns whether the newest build is evaluated: on trial, or released after one."""
         return self.build_state in (BuildState.ON_TRIAL, BuildState.RELEASED)
 
+    def record_endpoint_counts(self) -> None:
+        """Records how many endpoints each build has; called after each change of `by_build`."""
+        self._max_endpoints_per_build = max(
+            self._max_endpoints_per_build, *map(len, self.by_build.values())
+        )
+
     def is_large_fleet(self) -> bool:
         """Returns whether there are so many instances that each sees little of every endpoint.
 
         The ratio uses the maximum number of endpoints seen so far, so that losing a zone does not
         make the fleet a large one.
         """
-        self._max_endpoints_per_build = max(
-            self._max_endpoints_per_build, *map(len, self.by_build.values())
-        )
+        self.record_endpoint_counts()
         return self.settings.instances >= LARGE_FLEET_RATIO * self._max_endpoints_per_build
 
     def has_few_endpoints(self) -> bool:
--- a/thymeknot/policy/endpoint_selection.py
+++ b/thymeknot/policy/endpoint_selection.py
@@ -1,14 +1,17 @@
 """Endpoint selection: subsetting, cost-based load balancing and outlier ejection."""
 
-from collections.abc import Collection
+from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Iterable
 
 from ..interface.actions import SubscribeToEndpoints
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 from ..interface.enums import UTILISATION, EndpointCondition, Outcome, UpdateKind
-from ..interface.events import AttemptEnded, EndpointUpdate, SuspicionReported
+from ..interface.events import AttemptEnded, Endpoint, EndpointUpdate, SuspicionReported
 from ..interface.reasons import Reason
-from ..state.endpoint_state import EndpointState, apply_update, order_by_subset_rank
+from ..state.endpoint_state import EndpointState
 from ..state.request_state import RequestState
+from ..state.subset_ranking import SubsetRanking
 from .context import LARGE_FLEET_RATIO, DecisionContext
 from .idempotency import deduplicates_retry
 from .slow_start import SlowStart
@@ -54,6 +57,9 @@
         self.next_exchange_at = context.now
         self.next_poll_at = context.now
         self._round_robin_index = 0
+        self._next_listing_number = 0
+        self._rankings = {True: SubsetRanking(), False: SubsetRanking()}
+        self._zones: Counter[str] = Counter()  # ready endpoints of the newest build, by zone
 
     def update(self, event: EndpointUpdate) -> None:
         """Applies an update of the endpoint list from service discovery."""
@@ -64,28 +70,118 @@
             wait = int((1 + context.rng.draw()) * TICKS_PER_SECOND)
             self.next_poll_at = min(self.next_poll_at, context.now + wait)
             return
-        context.endpoints = apply_update(context.endpoints, event, context.settings.overload_window)
+        if event.kind == UpdateKind.DELTA:
+            self._apply_delta(event.endpoints)
+        else:
+            self._apply_full_list(event.endpoints)
+
+    def _apply_full_list(self, endpoints: Iterable[Endpoint]) -> None:
+        """Replaces all endpoints."""
+        context = self.context
+        listed_addresses = {listed.address for listed in endpoints}
+        context.endpoints = {
+            address: endpoint
+            for address, endpoint in context.endpoints.items()
+            if address in listed_addresses
+        }
+        for listed in endpoints:
+            self._list(listed)
         self.group_by_build()
 
+    def _apply_delta(self, endpoints: Iterable[Endpoint]) -> None:
+        """Applies changes; the work grows with their number, not with that of the endpoints."""
+        known = self.context.endpoints
+        for listed in endpoints:
+            former = known.get(listed.address)
+            if former is not None:
+                self._ungroup(former)
+            self._list(listed)
+        changed = {listed.address for listed in endpoints}
+        self._group([known[address] for address in changed if address in known])
+
+    def _list(self, listed: Endpoint) -> None:
+        """Updates an endpoint. A restarted or replaced one gets a new state."""
+        known = self.context.endpoints
+        former = known.get(listed.address)
+        if listed.condition == EndpointCondition.GONE:
+            known.pop(listed.address, None)
+        elif former is not None and former.is_same_process(listed):
+            former.listed = listed
+        else:
+            if former is not None:
+                number = former.listing_number
+            else:
+                number = self._next_listing_number
+                self._next_listing_number += 1
+            known[listed.address] = EndpointState(
+                listed, self.context.settings.overload_window, number
+            )
+
     def group_by_build(self) -> None:
-        """Groups the ready endpoints by build and redraws the subsets.
+        """Groups all ready endpoints by build and redraws the subsets.
 
-        Done once per change, so that no attempt has to scan all endpoints.
+        Done after a full list and for another newest build; `_group` and `_ungroup` keep the groups
+        up to date in between, so that no attempt or change has to scan all endpoints.
         """
         context = self.context
         for endpoint in context.by_build[True] + context.by_build[False]:
             endpoint.on_newest_build = None
-        build = context.release.build if context.release else 0
         context.by_build = {True: [], False: []}
         for endpoint in context.endpoints.values():
-            listed = endpoint.listed
-            if listed.condition == EndpointCondition.READY and listed.build <= build:
-                endpoint.on_newest_build = listed.build == build
-                context.by_build[endpoint.on_newest_build].append(endpoint)
-        context.zones = len({endpoint.listed.zone for endpoint in context.by_build[True]})
+            newest = self._build_group(endpoint)
+            if newest is not None:
+                endpoint.on_newest_build = newest
+                context.by_build[newest].append(endpoint)
+        self._zones = Counter(endpoint.listed.zone for endpoint in context.by_build[True])
+        for newest, endpoints in context.by_build.items():
+            self._rankings[newest].rank_all(endpoints, context.rng)
+        self._groups_changed()
+
+    def _build_group(self, endpoint: EndpointState) -> bool | None:
+        """Returns whether an endpoint runs the newest build; None if it is in neither group."""
+        release = self.context.release
+        build = release.build if release else 0
+        listed = endpoint.listed
+        if listed.condition != EndpointCondition.READY or listed.build > build:
+            return None
+        return listed.build == build
+
+    def _ungroup(self, endpoint: EndpointState) -> None:
+        """Removes an endpoint from its group, if it is in one, before its listing changes."""
+        newest = endpoint.on_newest_build
+        if newest is None:
+            return
+        endpoint.on_newest_build = None
+        group = self.context.by_build[newest]
+        del group[bisect_left(group, endpoint.listing_number, key=_listing_number)]
+        self._rankings[newest].remove(endpoint)
+        if newest:
+            zone = endpoint.listed.zone
+            self._zones[zone] -= 1
+            if not self._zones[zone]:
+                del self._zones[zone]
+
+    def _group(self, endpoints: list[EndpointState]) -> None:
+        """Adds endpoints that are in no group to theirs, and redraws the subsets."""
+        context = self.context
+        endpoints.sort(key=_listing_number)
+        for newest, group in context.by_build.items():
+            added = [endpoint for endpoint in endpoints if self._build_group(endpoint) is newest]
+            for endpoint in added:
+                endpoint.on_newest_build = newest
+                insort(group, endpoint, key=_listing_number)
+            self._rankings[newest].add(added, context.rng)
+            if newest:
+                self._zones.update(endpoint.listed.zone for endpoint in added)
+        self._groups_changed()
+
+    def _groups_changed(self) -> None:
+        context = self.context
+        context.zones = len(self._zones)
+        context.record_endpoint_counts()
         self.draw_subset(True)
         self.draw_subset(False)
-        self.slow_start.update_capacity()
+        self.slow_start.endpoints_changed()
 
     def apply_suspicion(self, event: SuspicionReported) -> None:
         """Applies a suspicion reported by peers.
@@ -99,7 +195,7 @@
         ):
             endpoint.suspected_until = event.until
 
-    def draw_subset(self, newest: bool, demoted: Collection[EndpointState] = ()) -> None:
+    def draw_subset(self, newest: bool, demoted: Iterable[EndpointState] = ()) -> None:
         """Selects a random subset of the ready endpoints to use.
 
         If an instance used all of them, it would see too few outcomes of each.
@@ -114,8 +210,9 @@
             context.arrivals.total(context.now)
             * (1 - self.connection_loss_rate) ** CONNECTION_LOSS_EXPONENT
         )
-        ranked = order_by_subset_rank(context.by_build[newest], demoted, context.rng)
-        context.subsets[newest] = ranked[: max(MIN_SUBSET_SIZE, int(subset_size))]
+        ranking = self._rankings[newest]
+        ranking.demote(demoted)
+        context.subsets[newest] = ranking.first(max(MIN_SUBSET_SIZE, int(subset_size)))
 
     def upkeep(self) -> None:
         """Rotates the subsets and polls the endpoint list when due."""
@@ -263,6 +360,10 @@
         endpoint.ejection_duration = 0
 
 
+def _listing_number(endpoint: EndpointState) -> int:
+    return endpoint.listing_number
+
+
 def _reason_to_avoid(endpoint: EndpointState, now: Ticks, used: set[str]) -> Reason | None:
     if now < endpoint.ejected_until:
         return Reason.UNREACHABLE
--- a/thymeknot/policy/slow_start.py
+++ b/thymeknot/policy/slow_start.py
@@ -20,34 +20,69 @@
     """Tracks the capacity of the ready endpoints and limits attempts at those that warm up.
 
     Attributes:
-        capacity: Minimum capacity of the ready endpoints, as a sum of their sizes, for the newest
-            build (True) and earlier ones (False).
-        warm_capacity: Sum of the sizes of the warm endpoints.
         warm_request_rate: Observed responses per second of a warm endpoint of size 1.
     """
 
     def __init__(self, context: DecisionContext) -> None:
         self.context = context
-        self.capacity = {True: 0.0, False: 0.0}
-        self.warm_capacity = 0.0
         self.warm_request_rate = 0.0
+        self._capacity = {True: 0.0, False: 0.0}
+        self._warm_capacity = 0.0
+        self._changed_at: Ticks | None = None
         self._warming_until: Ticks = 0
         self._warm_responses = SlidingWindow(
             RESPONSE_WINDOW_SECONDS * TICKS_PER_SECOND, RESPONSE_WINDOW_BUCKETS
         )
 
+    @property
+    def capacity(self) -> dict[bool, float]:
+        """Minimum capacity of the ready endpoints, by whether they run the newest build.
+
+        It is a sum of their sizes.
+        """
+        self._recompute_if_changed()
+        return self._capacity
+
+    @capacity.setter
+    def capacity(self, capacity: dict[bool, float]) -> None:
+        self._recompute_if_changed()
+        self._capacity = capacity
+
+    @property
+    def warm_capacity(self) -> float:
+        """Sum of the sizes of the warm endpoints."""
+        self._recompute_if_changed()
+        return self._warm_capacity
+
+    def endpoints_changed(self) -> None:
+        """Has the capacity recomputed before its next use, as of now.
+
+        The sum takes a time that grows with the number of endpoints, so it is not computed for
+        each of many changes.
+        """
+        self._changed_at = self.context.now
+
+    def _recompute_if_changed(self) -> None:
+        if self._changed_at is not None:
+            self._compute_capacity(self._changed_at)
+
     def update_capacity(self) -> None:
         """Recomputes the capacity of the ready endpoints."""
+        self._compute_capacity(self.context.now)
+
+    def _compute_capacity(self, now: Ticks) -> None:
+        """Computes the capacity of the ready endpoints at a moment."""
         context = self.context
-        self.warm_capacity = 0.0
-        self.capacity = {True: 0.0, False: 0.0}
+        self._changed_at = None
+        self._warm_capacity = 0.0
+        self._capacity = {True: 0.0, False: 0.0}
         exponent = LARGE_FLEET_EXPONENT if context.is_large_fleet() else 1
-        settings, now = context.settings, context.now
+        settings = context.settings
         for newest, endpoints in context.by_build.items():
             for endpoint in endpoints:
                 warmup_fraction = endpoint.warmup_fraction(now, settings)
-                self.capacity[newest] += endpoint.listed.size * warmup_fraction**exponent
-                self.warm_capacity += endpoint.listed.size * (warmup_fraction == 1.0)
+                self._capacity[newest] += endpoint.listed.size * warmup_fraction**exponent
+                self._warm_capacity += endpoint.listed.size * (warmup_fraction == 1.0)
                 self._warming_until = max(
                     self._warming_until,
                     endpoint.listed.started + settings.warmup_duration + MAX_UPKEEP_INTERVAL,
@@ -64,6 +99,7 @@
             elapsed: Ticks since the previous upkeep.
         """
         context = self.context
+        self._recompute_if_changed()
         if context.now <= self._warming_until:
             self.update_capacity()
         rate = (
--- a/thymeknot/proxy/endpoint_updates.py
+++ b/thymeknot/proxy/endpoint_updates.py
@@ -1,9 +1,10 @@
 """Watches, fetches and validates the endpoint list for the decision engine."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from ..interface.actions import FetchEndpoints, SubscribeToEndpoints
+from ..interface.clock import Ticks
 from ..interface.enums import EndpointCondition, UpdateKind
 from ..interface.events import Endpoint, EndpointUpdate
 from ..polling.snapshot_validation import SnapshotValidator
@@ -37,6 +38,11 @@
     return read_and_notify
 
 
+def _process(endpoint: Endpoint) -> tuple[Ticks, int]:
+    """Returns what tells the processes of an endpoint apart: when it started, and its build."""
+    return endpoint.started, endpoint.build
+
+
 class EndpointUpdates:
     """Maintains the endpoint list.
 
@@ -118,68 +124,104 @@
             raise discovery.StaleSnapshotError(*rejection)
         self.version = listing.version
         self._source = source
-        replaced = self._merge(update.endpoints, {} if is_snapshot else dict(self.listed_endpoints))
+        proxy = self.proxy
+        # The engine handles the update before the ends of the attempts that it withdraws.
+        proxy.pending_events.append(update)
+        if is_snapshot:
+            self._apply_snapshot(update.endpoints, listing.addresses)
+        else:
+            self._apply_delta(update.endpoints, listing.addresses)
+        if proxy.gossip is not None:
+            proxy.gossip.on_endpoints_changed()
+        proxy.handle_events()
+
+    def _apply_snapshot(self, endpoints: tuple[Endpoint, ...], addresses: dict[str, str]) -> None:
+        """Replaces the list, and ends connections and attempts that it makes obsolete.
+
+        Args:
+            endpoints: The new list.
+            addresses: The addresses of the endpoints that have one, by name.
+        """
+        previous = self.listed_endpoints
+        self.listed_endpoints = {}
+        replaced = self._merge(endpoints, previous)
         self.addresses = {
             name: address
-            for name, address in {**self.addresses, **listing.addresses}.items()
+            for name, address in {**self.addresses, **addresses}.items()
             if name in self.listed_endpoints
         }
         self.start_times.forget_except(self.listed_endpoints)
-        self._propagate(update, replaced)
+        self._withdraw_obsolete(replaced)
+        self.proxy.pools.close_all_except(
+            {name: address for name, address in self.addresses.items() if name not in replaced}
+        )
 
-    def _propagate(self, update: EndpointUpdate, replaced: set[str]) -> None:
-        """Reports the update, and ends connections and attempts that it makes obsolete.
+    def _apply_delta(self, endpoints: tuple[Endpoint, ...], addresses: dict[str, str]) -> None:
+        """Applies changes, and ends connections and attempts that they make obsolete.
+
+        The work grows with the number of changes, not with the length of the list.
 
         Args:
-            update: The update.
-            replaced: Names of endpoints whose process was replaced by another one.
+            endpoints: The changed entries, in order.
+            addresses: The addresses of those that have one, by name.
         """
-        proxy = self.proxy
-        proxy.pending_events.append(update)
-        if proxy.gossip is not None:
-            proxy.gossip.on_endpoints_changed()
-        proxy.withdraw_unwritten(
-            lambda endpoint, address: (
-                endpoint.address in replaced
-                or not self.is_ready(endpoint)
-                or self.addresses[endpoint.address] != address
-            )
-        )
-        proxy.pools.close_all_except(
-            {name: address for name, address in self.addresses.items() if name not in replaced}
-        )
-        proxy.handle_events()
-
-    def _merge(self, endpoints: tuple[Endpoint, ...], listed: dict[str, Endpoint]) -> set[str]:
-        """Merges endpoints into `listed`; returns the names of those whose process was replaced.
+        replaced = self._merge(endpoints, self.listed_endpoints)
+        changed = dict.fromkeys(endpoint.address for endpoint in endpoints)
+        for name in changed:
+            if name not in self.listed_endpoints:
+                self.addresses.pop(name, None)
+                self.start_times.forget(name)
+            elif name in addresses:
+                self.addresses[name] = addresses[name]
+        pools = self.proxy.pools
+        in_use = [name for name in changed if name in pools.by_pod]
+        if in_use:
+            self._withdraw_obsolete(replaced)
+            for name in in_use:
+                address = None if name in replaced else self.addresses.get(name)
+                pools.close_unless_at(name, address)
+
+    def _merge(self, endpoints: Iterable[Endpoint], previous: dict[str, Endpoint]) -> set[str]:
+        """Merges endpoints into the list; returns the names of those whose process was replaced.
+
+        Connections to the previous process cannot be used: it was another endpoint of that name. An
+        endpoint that is told as gone and then as back counts as replaced, too.
 
-        Connections to the previous process cannot be used: it was another endpoint of that name. One
-        that is told as gone and then as back counts as replaced, too.
+        Args:
+            endpoints: The entries of the update, in order.
+            previous: The endpoints that the entries replace, by name.
         """
-        previous = self.listed_endpoints
-        self.listed_endpoints = listed
+        listed = self.listed_endpoints
         replaced = set()
         for endpoint in endpoints:
-            earlier = previous.get(endpoint.address)
+            name = endpoint.address
+            earlier = previous.get(name)
             gone = endpoint.condition == EndpointCondition.GONE
-            is_same = earlier and (
-                (earlier.started, earlier.build) == (endpoint.started, endpoint.build)
-            )
-            if earlier and (gone or not is_same):
-                replaced.add(endpoint.address)
+            if earlier and (gone or _process(earlier) != _process(endpoint)):
+                replaced.add(name)
             if gone:
-                listed.pop(endpoint.address, None)
+                listed.pop(name, None)
             else:
-                listed[endpoint.address] = endpoint
+                listed[name] = endpoint
         return replaced
 
+    def _withdraw_obsolete(self, replaced: set[str]) -> None:
+        """Withdraws unwritten attempts to endpoints that left, drain, moved or were replaced."""
+        self.proxy.withdraw_unwritten(
+            lambda endpoint, address: (
+                endpoint.address in replaced
+                or not self.is_ready(endpoint)
+                or self.addresses[endpoint.address] != address
+            )
+        )
+
     def is_ready(self, endpoint: Endpoint) -> bool:
         """Returns whether this process of the endpoint is still listed as ready."""
         listed = self.listed_endpoints.get(endpoint.address)
         return (
             listed is not None
             and listed.condition == EndpointCondition.READY
-            and ((listed.started, listed.build) == (endpoint.started, endpoint.build))
+            and _process(listed) == _process(endpoint)
         )
 
     def _version_to_request_from(self) -> int:
--- a/thymeknot/state/connection_pool.py
+++ b/thymeknot/state/connection_pool.py
@@ -361,7 +361,12 @@
         Attempts in flight may finish. No attempt waits for such a connection: those were withdrawn
         before.
         """
-        for pod in [pod for pod, pool in self.by_pod.items() if addresses.get(pod) != pool.address]:
+        for pod in list(self.by_pod):
+            self.close_unless_at(pod, addresses.get(pod))
+
+    def close_unless_at(self, pod: str, address: str | None) -> None:
+        """Removes the pool of a pod unless it is at this address; see `close_all_except`."""
+        if self.by_pod[pod].address != address:
             self.close_idle(pod)
             del self.by_pod[pod]
 
--- a/thymeknot/state/endpoint_state.py
+++ b/thymeknot/state/endpoint_state.py
@@ -1,12 +1,8 @@
 """Per-endpoint state of an instance."""
 
-from collections.abc import Collection, Iterable
-
 from ..interface.clock import Ticks
-from ..interface.enums import EndpointCondition, UpdateKind
-from ..interface.events import Endpoint, EndpointUpdate
+from ..interface.events import Endpoint
 from ..interface.settings import Settings
-from .random_source import LinearCongruentialGenerator
 from .sliding_window import SlidingWindow
 
 ATTEMPT_WINDOW_BUCKETS = 15  # of the window of recent attempts
@@ -17,6 +13,8 @@
 
     Attributes:
         listed: The endpoint as service discovery lists it.
+        listing_number: Its position among the endpoints in the order of their first listing; an
+            endpoint that takes the place of another one of the same address keeps that one's.
         in_flight: Number of attempts of this instance that have not ended.
         relative_latency: Moving average of the response time, relative to the request class's mean.
         failure_rate: Moving average of the fraction of attempts that failed.
@@ -33,8 +31,9 @@
         on_newest_build: Whether it runs the newest build; None if it is not ready.
     """
 
-    def __init__(self, listed: Endpoint, overload_window: Ticks) -> None:
+    def __init__(self, listed: Endpoint, overload_window: Ticks, listing_number: int = 0) -> None:
         self.listed = listed
+        self.listing_number = listing_number
         self.in_flight = 0
         self.relative_latency = 1.0
         self.failure_rate = 0.0
@@ -66,56 +65,9 @@
             + (1 - settings.warmup_initial_fraction) * age / settings.warmup_duration
         )
 
-
-def apply_update(
-    endpoints: dict[str, EndpointState], update: EndpointUpdate, overload_window: Ticks
-) -> dict[str, EndpointState]:
-    """Returns the endpoints by address after an update.
-
-    A full list replaces all endpoints. A restarted or replaced endpoint gets a new state.
-    """
-    if update.kind != UpdateKind.DELTA:
-        listed_addresses = {listed.address for listed in update.endpoints}
-        endpoints = {
-            address: state for address, state in endpoints.items() if address in listed_addresses
-        }
-    for listed in update.endpoints:
-        state = endpoints.get(listed.address)
-        if listed.condition == EndpointCondition.GONE:
-            endpoints.pop(listed.address, None)
-        elif state and (state.listed.started, state.listed.build) == (
-            listed.started,
-            listed.build,
-        ):
-            state.listed = listed
-        else:
-            endpoints[listed.address] = EndpointState(listed, overload_window)
-    return endpoints
-
-
-def order_by_subset_rank(
-    endpoints: Iterable[EndpointState],
-    demoted: Collection[EndpointState],
-    random_source: LinearCongruentialGenerator,
-) -> list[EndpointState]:
-    """Orders endpoints by rank; new endpoints get a random rank among the existing ones.
-
-    Args:
-        endpoints: The endpoints to order.
-        demoted: The endpoints to move to the end.
-        random_source: Draws the ranks of new endpoints.
-    """
-    lowest_rank = int(
-        min((state.subset_rank for state in endpoints if state.subset_rank is not None), default=0)
-    )
-    ranked = []
-    for state in endpoints:
-        rank = state.subset_rank
-        state.subset_rank = (
-            lowest_rank + random_source.draw() if rank is None else rank + (state in demoted)
-        )
-        ranked.append((state.subset_rank, state))
-    return [state for _, state in sorted(ranked, key=lambda pair: pair[0])]
+    def is_same_process(self, listed: Endpoint) -> bool:
+        """Returns whether a listing of this address is of the same process of the same build."""
+        return (self.listed.started, self.listed.build) == (listed.started, listed.build)
 
 
 def age_at_fraction(fraction: float, settings: Settings, max_age: Ticks) -> float:
--- a/thymeknot/state/start_times.py
+++ b/thymeknot/state/start_times.py
@@ -58,6 +58,10 @@
         starts = (as_read, as_read - step)
         return max((start for start in starts if start <= now + MAX_CLOCK_SLEW), default=now)
 
+    def forget(self, name: str) -> None:
+        """Forgets an endpoint that is not listed any more."""
+        self._corrected.pop(name, None)
+
     def forget_except(self, names: Container[str]) -> None:
         """Forgets the endpoints that are not listed any more."""
         self._corrected = {
