Merge the changes of all chunks of a read of a watch stream

Change: Stream hands on the joined bodies of a read, so chunk borders mean nothing. An error in the framing is raised after what came before it was applied, as before. The new test test_chunks_of_one_read_are_one_update failed before (300 updates, not 1) and holds now.

--- a/measure/endpoint_updates.py
+++ b/measure/endpoint_updates.py
@@ -3,7 +3,7 @@
 A third of a fleet is lost and returns cold, one delta for each endpoint. The same deltas arrive as
 a chunk and a read each, as a chunk each in reads of 64 KiB, as one chunk for each read, and in
 segments that end in the middle of lines. The last line is JSON: CPU time per change, the longest
-turn of the event loop (one read, decoded and applied), and the time of a full list.
+turn of the event loop (a read that is decoded and applied, or due timers), and the time of a full list.
 """
 
 import argparse
@@ -12,7 +12,7 @@
 import pathlib
 import sys
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from twisted.internet.testing import MemoryReactorClock, StringTransport
@@ -118,8 +118,11 @@
 
     def receive(self, data: bytes) -> None:
         """Handles one read of the stream."""
+        self._time(lambda: self.stream.dataReceived(data))
+
+    def _time(self, turn: Callable[[], None]) -> None:
         began = time.process_time()
-        self.stream.dataReceived(data)
+        turn()
         took = time.process_time() - began
         self.total += took
         self.longest = max(self.longest, took)
@@ -132,7 +135,7 @@
             lines.append(line(self.version, False, [changed]))
         for data in framed(lines, framing):
             self.receive(data)
-            self.reactor.advance(PACED_MILLISECONDS / 1_000)
+            self._time(lambda: self.reactor.advance(PACED_MILLISECONDS / 1_000))
 
     def receive_list(self, entries: list[dict[str, Any]]) -> None:
         """Handles a full list in one read after another."""
--- a/tests/unit/proxy/test_endpoint_updates.py
+++ b/tests/unit/proxy/test_endpoint_updates.py
@@ -1,10 +1,12 @@
 """Updates of the endpoint list: what a change costs, and how the stream's framing matters."""
 
 import json
+import random
 import sys
 import unittest
 
 from tests.unit.proxy.test_proxy import Network, endpoint_entry
+from thymeknot.interface.events import EndpointUpdate
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 USUAL_FLEET, LARGE_FLEET = 100, 800
@@ -23,6 +25,10 @@
     return b"%x\r\n%b\r\n" % (len(content), content)
 
 
+def slices(content, size):
+    return [content[start : start + size] for start in range(0, len(content), size)]
+
+
 def open_stream(network):
     """Returns the watch stream, ready for chunks."""
     stream = network.connect(0)
@@ -75,5 +81,70 @@
                 self.assertLess(large, 1.1 * usual)
 
 
+class FramingTest(unittest.TestCase):
+    """The same bytes lead to the same list, however they are cut into chunks and reads."""
+
+    def receive(self, lines, cut):
+        """Returns the updates that the engine gets from a stream of lines, and the list."""
+        network, updates = Network(*(entry(number) for number in range(8))), []
+        handle = network.proxy.engine.handle
+        network.proxy.engine.handle = lambda now, events: (
+            updates.extend(event for event in events if type(event) is EndpointUpdate)
+            or handle(now, events)
+        )
+        stream = open_stream(network)
+        for data in cut(lines):
+            stream.dataReceived(data)
+        proxy = network.proxy
+        known = {name: state.listed for name, state in proxy.engine.context.endpoints.items()}
+        self.assertEqual(known, proxy.listed_endpoints)
+        result = known, proxy.addresses, proxy.endpoints.version, stream.transport.disconnected
+        return len(updates), result
+
+    # Guards against hundreds of updates in one turn of the event loop, which delays all requests:
+    # only changes within one chunk were merged.
+    def test_chunks_of_one_read_are_one_update(self):
+        lines = [encode_delta(8 + number, entry(number % 8, "Gone")) for number in range(300)]
+        updates, _ = self.receive(lines, lambda lines: [b"".join(map(encode_chunk, lines))])
+        self.assertEqual(updates, 1)
+
+    def test_cuts_do_not_change_the_result(self):
+        generator = random.Random(7)
+        for _ in range(40):
+            lines = [
+                encode_delta(
+                    8 + number,
+                    *(
+                        entry(
+                            generator.randrange(8),
+                            generator.choice(("Ready", "Terminating", "Gone")),
+                            started_ms=generator.choice((0, 9)),
+                        )
+                        for _ in range(generator.randint(0, 3))
+                    ),
+                )
+                for number in range(generator.randint(1, 9))
+            ]
+            lines.insert(generator.randrange(len(lines) + 1), generator.choice((b"\n", b"noise\n")))
+            size = generator.randint(1, 700)
+            _, one_by_one = self.receive(lines, lambda lines: map(encode_chunk, lines))
+            for cut in (
+                lambda lines: [b"".join(map(encode_chunk, lines))],
+                lambda lines: [encode_chunk(b"".join(lines))],
+                lambda lines, size=size: slices(b"".join(map(encode_chunk, lines)), size),
+                lambda lines, size=size: map(encode_chunk, slices(b"".join(lines), size)),
+            ):
+                self.assertEqual(self.receive(lines, cut)[1], one_by_one, lines)
+
+    def test_changes_before_malformed_chunks_are_applied(self):
+        def cut(lines):
+            return [b"".join(map(encode_chunk, lines)) + b"nonsense\r\n"]
+
+        _, (known, _, version, disconnected) = self.receive(
+            [encode_delta(8, entry(0, "Gone")), encode_delta(9, entry(1, "Gone"))], cut
+        )
+        self.assertEqual((len(known), version, disconnected), (6, 9, True))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/thymeknot/protocol/http.py
+++ b/thymeknot/protocol/http.py
@@ -4,7 +4,7 @@
 """
 
 import re
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
@@ -180,6 +180,34 @@
         return [End()], after
 
 
+def joined_bodies(parts: Iterable[Part]) -> Iterator[Part]:
+    """Joins consecutive body slices, so that the borders of chunks mean nothing to the reader.
+
+    An error in the input is raised after the parts before it have been yielded.
+    """
+    slices: list[memoryview] = []
+    failure: Exception | None = None
+    try:
+        for part in parts:
+            if isinstance(part, Body):
+                slices.append(part.content)
+                continue
+            if slices:
+                yield Body(_joined(slices))
+                slices = []
+            yield part
+    except MalformedHttpError as error:
+        failure = error
+    if slices:
+        yield Body(_joined(slices))
+    if failure:
+        raise failure
+
+
+def _joined(slices: list[memoryview]) -> memoryview:
+    return slices[0] if len(slices) == 1 else memoryview(b"".join(slices))
+
+
 def _read_head(text: str) -> Head:
     first, *lines = text.split("\r\n")
     words = first.split(" ", 2)
--- a/thymeknot/protocol/watch_stream.py
+++ b/thymeknot/protocol/watch_stream.py
@@ -62,7 +62,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 (Twisted's name)
         """Called by Twisted."""
         try:
-            for part in self.parser.feed(data):
+            for part in http.joined_bodies(self.parser.feed(data)):
                 if not self._handle_part(part):
                     self.drop()
                     return
