Derive the waits for the agent of discovery from the grace for a drain

Cause: waits after refused connections grew to 0.8 s and after resets to 1 s; rules.drain_grace was not read. Why it works: the longest wait is the grace less 0.15 s for a held up process and 25 ms for the call, counted from the beginning of the last call; connecting takes at most half of that.

--- a/tests/unit/service/test_settings.py
+++ b/tests/unit/service/test_settings.py
@@ -525,6 +525,7 @@
     "permissions.conn_idle": (10**5, 5 * 10**8, 10**13),
     "permissions.max_open": (1, 100, 10**6),
     "rules.ask_within": (0, 10**9, 10**10),
+    "rules.drain_grace": (0, 10**5, 25 * 10**7, 10**10),
     "rules.cold_from": (0, 0.3, 1),
     "rules.cold": (0, 10**6, 5e9, 10**12),
     "rules.fall_multiple": (1, 1.1, 4.0, 100),
--- a/thymeknot/interface/settings.py
+++ b/thymeknot/interface/settings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .clock import Ticks
+from .clock import TICKS_PER_SECOND, Ticks
 from .enums import DeduplicationScope, Idempotency, PromotionMode
 
 
@@ -71,6 +71,8 @@
     """The timeout of a vote's response."""
     votes_per_second: float
     """The platform's rate limit for votes of all instances together."""
+    drain_grace: Ticks = TICKS_PER_SECOND // 4
+    """How long new attempts may still go to an endpoint after it was notified draining or gone."""
 
 
 class ConnectionLimits(NamedTuple):
--- a/thymeknot/polling/adaptive_interval.py
+++ b/thymeknot/polling/adaptive_interval.py
@@ -35,6 +35,15 @@
 # Part of the longest wait that is drawn at random. Where most callers wait for the longest time, a
 # larger part would raise the total rate of their calls.
 LONGEST_WAIT_JITTER = 0.1
+# The process may be held up this long between two steps.
+MAX_STALL: Ticks = 1_500
+# What a call to a service on the same machine takes, until its answer is applied.
+DEDICATED_CALL_DURATION: Ticks = 250
+# Shortest wait between calls to a dedicated service, however short the bound is.
+MIN_DEDICATED_INTERVAL: Ticks = 100
+# The bound is at most this: after silence, an attempt that fails and the next one must fit into the
+# rest of the time.
+MAX_DEDICATED_BOUND: Ticks = TICKS_PER_SECOND * 4 // 5
 
 
 class IntervalLimits(NamedTuple):
@@ -69,6 +78,13 @@
         """
         return max(self.min_wait, self.update_bound - self.call_duration - lasted)
 
+    def connect_timeout(self, configured: Ticks) -> Ticks:
+        """Returns the timeout of connecting: the configured one, or less if the bound is short.
+
+        Half of the bound is left for the next call.
+        """
+        return min(configured, max(self.min_wait, self.update_bound // 2))
+
 
 def shared_service_limits(poll_within: Ticks = 0) -> IntervalLimits:
     """Returns the limits for a service that all callers share.
@@ -91,17 +107,27 @@
     )
 
 
-# A call to a service that serves this caller alone delays no other caller.
-DEDICATED_SERVICE = IntervalLimits(
-    min_wait=TICKS_PER_SECOND // 40,
-    min_regular=TICKS_PER_SECOND // 40,
-    max_regular=TICKS_PER_SECOND // 20,
-    update_bound=TICKS_PER_SECOND,
-    call_duration=0,
-    established_after=TICKS_PER_SECOND // 2,
-    first_refusal_doublings=0,
-    max_lost_doublings=4,
-)
+def dedicated_service_limits(drain_grace: Ticks) -> IntervalLimits:
+    """Returns the limits for a service that serves this caller alone; no other one is delayed.
+
+    What such a service has counts as notified whether or not a stream is open, so the next stream
+    must deliver it within the grace for a drain.
+
+    Args:
+        drain_grace: The grace, in ticks.
+    """
+    return IntervalLimits(
+        min_wait=MIN_DEDICATED_INTERVAL,
+        min_regular=TICKS_PER_SECOND // 40,
+        max_regular=TICKS_PER_SECOND // 20,
+        update_bound=max(0, min(MAX_DEDICATED_BOUND, drain_grace - MAX_STALL)),
+        call_duration=DEDICATED_CALL_DURATION,
+        established_after=TICKS_PER_SECOND // 2,
+        first_refusal_doublings=0,
+        max_lost_doublings=MAX_DOUBLINGS,
+    )
+
+
 SHARED_SERVICE = shared_service_limits()
 
 
--- a/thymeknot/proxy/endpoint_updates.py
+++ b/thymeknot/proxy/endpoint_updates.py
@@ -7,10 +7,10 @@
 from ..interface.clock import Ticks
 from ..interface.enums import EndpointCondition, UpdateKind
 from ..interface.events import Endpoint, EndpointUpdate
-from ..polling.adaptive_interval import DEDICATED_SERVICE, shared_service_limits
+from ..polling.adaptive_interval import dedicated_service_limits, shared_service_limits
 from ..polling.snapshot_validation import SnapshotValidator
 from ..protocol import discovery
-from ..protocol.http_calls import MAX_REASON_LENGTH, Reply
+from ..protocol.http_calls import MAX_REASON_LENGTH, HttpCaller, Reply
 from ..protocol.watch_stream import WatchStream
 from ..protocol.write_progress import BrokenConnection
 from ..service import structured_log
@@ -65,7 +65,11 @@
     ) -> None:
         settings = proxy.settings
         lists_polled = settings.lists_polled
-        limits = shared_service_limits(settings.poll_within) if lists_polled else DEDICATED_SERVICE
+        self._limits = (
+            shared_service_limits(settings.poll_within)
+            if lists_polled
+            else dedicated_service_limits(settings.drain_grace)
+        )
         self.proxy = proxy
         self.start_times = start_times
         self.listed_endpoints: dict[str, Endpoint] = {}
@@ -73,7 +77,7 @@
         self.version: int = proxy.start.known.version
         self._source: Address | None = None  # the address that sent the latest list
         self._validator = SnapshotValidator()
-        self.discovery = proxy.caller(proxy.start.discovery)
+        self.discovery = self._caller(proxy.start.discovery)
         self.watch = WatchStream(
             self.discovery,
             random_source,
@@ -83,9 +87,13 @@
             structured_log.log_rate_limited,
             discovery.FIRST_DATA_TIMEOUTS[lists_polled],
             dedicated=not lists_polled,
-            limits=limits,
+            limits=self._limits,
         )
 
+    def _caller(self, address: Address) -> HttpCaller:
+        configured = self.proxy.connection_limits.connect_timeout
+        return self.proxy.caller(address, self._limits.connect_timeout(configured))
+
     def notify_on_data(self, on_data: Callable[[], None]) -> None:
         """Calls on_data() whenever the watch stream has received data.
 
@@ -108,7 +116,7 @@
     def change_address(self, address: Address) -> None:
         """Switches to another discovery address; calls in progress finish at the previous one."""
         if address != self.discovery.address:
-            self.discovery = self.proxy.caller(address)
+            self.discovery = self._caller(address)
             self.watch.move(self.discovery)
 
     def apply(self, listing: discovery.EndpointListing, source: Address) -> None:
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -185,11 +185,10 @@
             SendPeerMessage: self._not_supported,
         }
 
-    def caller(self, address: Address) -> HttpCaller:
-        """Returns an HTTP client for this address."""
-        return HttpCaller(
-            self.reactor, self.timers, address, self.connection_limits.connect_timeout
-        )
+    def caller(self, address: Address, connect_timeout: Ticks | None = None) -> HttpCaller:
+        """Returns an HTTP client for this address; the default timeout is the configured one."""
+        timeout = connect_timeout or self.connection_limits.connect_timeout
+        return HttpCaller(self.reactor, self.timers, address, timeout)
 
     def reconfigure(self, start: StartConfiguration) -> list[str]:
         """Applies the addresses and the memory limit of a new configuration.
--- a/thymeknot/simulator_wire/codec.py
+++ b/thymeknot/simulator_wire/codec.py
@@ -433,6 +433,9 @@
         vote_lifetime=read("extra.vote_life", _positive_duration),
         vote_timeout=read("extra.vote_wait", _positive_duration),
         votes_per_second=read("extra.calls_per_s", _rate),
+        drain_grace=read_if_required(
+            False, "rules.drain_grace", _duration, Settings._field_defaults["drain_grace"]
+        ),
     )
 
 
