Keep the guard of the first stages while a build goes back

Cause: ExposureBudget.allows applied the guard in the phase ON_TRIAL alone; by WIRE's rule 5 a build is on trial until it is released, and on its way back it keeps its stage.

--- a/tests/unit/policy/test_five_rules.py
+++ b/tests/unit/policy/test_five_rules.py
@@ -227,6 +227,27 @@
                 allowed,
             )
 
+    # Guards against requests that may not be repeated at a bad build that goes back from a guarded
+    # stage, once the earlier build's endpoints are gone.
+    def test_guard_holds_on_the_way_back(self):
+        for stage, request_class, sent in (
+            (0, "read", True),
+            (0, "mark", False),
+            (0, "pay", False),
+            (1, "pay", True),
+        ):
+            for states in (
+                [(stage, ReleasePhase.ROLLING_BACK)],
+                [(1, ReleasePhase.ON_TRIAL), (stage, ReleasePhase.ROLLING_BACK)],
+                [(stage, ReleasePhase.ON_TRIAL), (stage, ReleasePhase.ROLLING_BACK)],
+            ):
+                engine = make_engine(make_endpoint("new", 2))
+                for reached, phase in states:
+                    engine.handle(NOW, [make_release_update(reached, phase, 0.5)])
+                actions = engine.handle(NOW, [make_request("t1", request_class)])
+                with self.subTest(stage=stage, request_class=request_class, states=states):
+                    self.assertEqual("new" in attempted_endpoints(actions), sent)
+
     def test_rolled_back_or_unannounced_build_gets_no_request(self):
         engine = make_engine(
             make_endpoint("new", 2),
--- a/thymeknot/policy/exposure_budget.py
+++ b/thymeknot/policy/exposure_budget.py
@@ -62,7 +62,8 @@
         assert release is not None
         if release.phase == ReleasePhase.RELEASED:
             return True
-        guarded = release.phase == ReleasePhase.ON_TRIAL and release.stage < settings.guarded_stages
+        # A build on its way back is still on trial, and keeps its stage.
+        guarded = release.stage < settings.guarded_stages
         if guarded and request_class.idempotency != Idempotency.IDEMPOTENT:
             context.explain(Reason.GUARDED, release.stage, settings.guarded_stages)
             return False
