Check guard and budget at the write until the build is released

Change: TrialExposure counts and bounds until the build is released, anew for each phase as the engine does; it refuses at a cap of 0 and in a guarded stage. That a request was served so by a real sidecar was not shown.

--- a/tests/unit/proxy/test_attempts.py
+++ b/tests/unit/proxy/test_attempts.py
@@ -803,6 +803,35 @@
                 ]
             self.assertEqual(all(allowed), all_allowed, cap)
 
+    # Guards against attempts that waited for a connection while the build's stage stepped down, and
+    # against ones beyond the cap while it goes back.
+    def test_guard_and_budget_hold_at_the_write_until_the_build_is_released(self):
+        settings = Network(endpoint_entry("s-1")).proxy.settings._replace(
+            guarded_stages=1, exposure_allowance=2.0
+        )
+        for phase, stage, cap, request_class, allowed in (
+            (ReleasePhase.ON_TRIAL, 0, 0.5, "pay", 0),
+            (ReleasePhase.ON_TRIAL, 1, 0.5, "pay", 7),
+            (ReleasePhase.ON_TRIAL, 0, 0.5, "read", 7),
+            (ReleasePhase.ON_TRIAL, 0, 0.0, "read", 0),
+            (ReleasePhase.ROLLING_BACK, 0, 0.5, "pay", 0),
+            (ReleasePhase.ROLLING_BACK, 1, 0.5, "pay", 7),
+            (ReleasePhase.ROLLING_BACK, 0, 0.1, "read", 3),
+            (ReleasePhase.ROLLING_BACK, 1, 0.0, "read", 0),
+            (ReleasePhase.WITHDRAWN, 1, 0.0, "read", 0),
+            (ReleasePhase.RELEASED, 0, 1.0, "pay", 10),
+        ):
+            exposure = TrialExposure(settings)
+            update = ReleaseUpdate(42, stage, phase, False, Outcome.DONE, cap, 0)
+            for _ in range(10):
+                exposure.count_received(0, request_class)
+            written = 0
+            while written < 10 and exposure.allows(0, update, 42, request_class):
+                exposure.count_written(0, update, 42, request_class)
+                written += 1
+            with self.subTest(phase=phase, stage=stage, cap=cap, request_class=request_class):
+                self.assertEqual(written, allowed)
+
     def test_exposure_budget_is_checked_when_the_attempt_is_written(self):
         for seed, cap in ((0, 0.5), (1, 0.5), (2, 0.5), (3, 1.0)):
             network, random_source = (
--- a/thymeknot/state/trial_exposure.py
+++ b/thymeknot/state/trial_exposure.py
@@ -7,7 +7,7 @@
 from typing import TypeGuard
 
 from ..interface.clock import Ticks
-from ..interface.enums import ReleasePhase
+from ..interface.enums import Idempotency, ReleasePhase
 from ..interface.events import ReleaseUpdate
 from ..interface.settings import Settings
 from .sliding_window import SlidingWindow, get_or_create_window
@@ -16,19 +16,23 @@
 
 
 def _is_on_trial(release: ReleaseUpdate | None, build: int) -> TypeGuard[ReleaseUpdate]:
-    return release is not None and release.phase == ReleasePhase.ON_TRIAL and release.build == build
+    """Returns whether the build is on trial, or goes back: until it is released."""
+    return release is not None and release.phase != ReleasePhase.RELEASED and release.build == build
 
 
 class TrialExposure:
     """Counts requests received and attempts written to the build on trial in a sliding window."""
 
     def __init__(self, settings: Settings) -> None:
+        self._request_classes = settings.request_classes
+        self._guarded_stages = settings.guarded_stages
         self._by_class = settings.exposure_by_class
         self._window = settings.exposure_window
         self._allowance = settings.exposure_allowance
         self._received: dict[str | bool, SlidingWindow] = {}
         self._written: dict[str | bool, SlidingWindow] = {}
-        self._build: int | None = None  # the build that the written attempts went to
+        # The build that the written attempts went to, and its phase then.
+        self._counted: tuple[int, ReleasePhase | None] | None = None
 
     def _window_for(
         self, windows: dict[str | bool, SlidingWindow], request_class: str
@@ -46,8 +50,8 @@
     ) -> None:
         """Counts an attempt that was written to an endpoint of `build`."""
         if _is_on_trial(release, build):
-            if build != self._build:
-                self._build = build
+            if self._counted != (build, release.phase):
+                self._counted = build, release.phase
                 self._written = {}
             self._window_for(self._written, request_class).add(now)
 
@@ -60,9 +64,16 @@
         sides: otherwise requests received and written at the same time would be rejected. One
         bucket is within the tolerance of the protocol.
         """
-        if not _is_on_trial(release, build) or build != self._build:
+        if not _is_on_trial(release, build):
+            return True
+        # A release on trial always has a stage and a cap.
+        stage: int = release.stage  # type: ignore[assignment]
+        cap: float = release.cap  # type: ignore[assignment]
+        idempotency = self._request_classes[request_class].idempotency
+        if cap <= 0 or (stage < self._guarded_stages and idempotency != Idempotency.IDEMPOTENT):
+            return False
+        if self._counted != (build, release.phase):
             return True
-        cap: float = release.cap  # type: ignore[assignment]  # a release on trial always has a cap
         received = self._window_for(self._received, request_class).total(now, cap < 1)
         return (
             self._window_for(self._written, request_class).total(now) + 1
