Pass changed endpoints to gossip once a tick

Kin of the lost zone of a large fleet: with gossip on, each change of the list rebuilt gossip's table of all ready endpoints. It is now passed on at the node's next tick, a tenth of a second later at most; the engine takes no suspicion of a process that is not listed any more.

--- a/thymeknot/gossip/udp_transport.py
+++ b/thymeknot/gossip/udp_transport.py
@@ -178,7 +178,7 @@
         self._reported_drops: dict[str, int] = {}
         self._reported_verified = 0
         self._timer: Any = None
-        self.on_endpoints_changed()
+        self._endpoints_changed = True
         proxy.reactor.addReader(self)
         self._tick()
 
@@ -248,6 +248,9 @@
     def _tick(self) -> None:
         self._timer = self._proxy.timers.add(self._clock() + TICK_INTERVAL, self._tick)
         now = self._clock()
+        if self._endpoints_changed:
+            self._endpoints_changed = False
+            self._pass_endpoints()
         self.node.tick(now)
         self._flush()
         if now - self._reported_at >= REPORT_INTERVAL:
@@ -304,6 +307,14 @@
         )
 
     def on_endpoints_changed(self) -> None:
+        """Has the proxy's ready endpoints passed to the node at the next tick.
+
+        That takes a time that grows with their number, so it is not done for each of many changes.
+        The engine takes no suspicion of a process that is not listed any more.
+        """
+        self._endpoints_changed = True
+
+    def _pass_endpoints(self) -> None:
         """Passes the proxy's ready endpoints to the node."""
         proxy = self._proxy
         addresses = proxy.addresses if self._settings.hearsay.match_address else {}
