--- a/tests/unit/proxy/test_resource_report.py
+++ b/tests/unit/proxy/test_resource_report.py
@@ -38,6 +38,7 @@
         malformed = network.client()
         malformed.dataReceived(b"nonsense\r\n")
         malformed.connectionLost(Failure(ConnectionDone()))
+        network.proxy.resources.turn_times.record("Stream", 0.012)
         self.flush()
         ((event, fields),) = self.lines
         self.assertEqual(event, "resource usage")
@@ -56,6 +57,7 @@
             },
         )
         self.assertEqual(fields["closed"], {"malformed input": 1})
+        self.assertEqual(fields["longest_turns_ms"], {"Stream": 12.0})
         self.flush()
         self.assertEqual(self.lines[1][1]["closed"], {})
 
--- a/thymeknot/proxy/proxy.py
+++ b/thymeknot/proxy/proxy.py
@@ -42,6 +42,7 @@
 from ..service import structured_log
 from ..service.configuration import StartConfiguration
 from ..service.rejection_summary import RejectionSummary
+from ..service.turn_times import TurnTimes
 from ..state.connection_pool import ConnectionPools
 from ..state.random_source import LinearCongruentialGenerator
 from ..state.slot_table import SlotTable
@@ -108,6 +109,8 @@
         timers: TimerQueue,
         epoch: Ticks,
         current_epoch: Callable[[], Ticks] | None = None,
+        *,
+        turn_times: TurnTimes | None = None,
     ) -> None:
         """Creates an instance that does not serve yet.
 
@@ -117,6 +120,7 @@
             timers: All timers of the program.
             epoch: Unix time minus the monotonic clock, in ticks, when the process started.
             current_epoch: Returns that difference as it is now; None if it does not change.
+            turn_times: The longest turns of the event loop; None if they are not recorded.
         """
         self.start = start
         self.reactor = reactor
@@ -135,7 +139,7 @@
             partial_responses=self.memory.partial_responses,
             fault=structured_log.log_exception,
         )
-        self.resources = ResourceReport(structured_log.log, self.memory)
+        self.resources = ResourceReport(structured_log.log, self.memory, turn_times or TurnTimes())
         self.requests = RequestTable(
             timers, self.memory.open_requests, start.settings.request_classes
         )
--- a/thymeknot/proxy/resource_report.py
+++ b/thymeknot/proxy/resource_report.py
@@ -1,4 +1,4 @@
-"""Reports the memory and the connections of the process, in one log line every few seconds."""
+"""Reports memory, connections and long turns of the process, in one log line every few seconds."""
 
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -7,6 +7,7 @@
 from ..policy.memory_budget import BYTES_PER_MEGABYTE, ClientMemory, MemoryBudget
 from ..protocol.client import ClientConnection
 from ..protocol.close_reason import CloseReason
+from ..service.turn_times import TurnTimes
 
 STATUS_PATH: Final = "/proc/self/status"
 MEMORY_FIELDS: Final = {"VmRSS": "resident_mb", "RssAnon": "anonymous_mb", "VmHWM": "peak_mb"}
@@ -85,11 +86,15 @@
     Attributes:
         log: Called with the event and its fields.
         counters: What happened to clients' connections since the last line.
+        turn_times: The longest turns of the event loop since the last line.
     """
 
-    def __init__(self, log: Callable[..., None], memory: ClientMemory) -> None:
+    def __init__(
+        self, log: Callable[..., None], memory: ClientMemory, turn_times: TurnTimes
+    ) -> None:
         self.counters = ConnectionCounters()
         self.log = log
+        self.turn_times = turn_times
         self._memory = memory
 
     def flush(self, clients: Iterable[ClientConnection], endpoint_connections: int) -> None:
@@ -106,5 +111,6 @@
             endpoint_connections=endpoint_connections,
             closed={reason.value: count for reason, count in counters.closed.items()},
             events=dict(counters.events),
+            longest_turns_ms=self.turn_times.take(),
         )
         counters.reset()
--- a/thymeknot/service/lifecycle.py
+++ b/thymeknot/service/lifecycle.py
@@ -10,6 +10,7 @@
 
 from ..interface.clock import TICKS_PER_SECOND, Ticks
 from . import configuration, features, lean_imports, structured_log
+from .turn_times import TurnTimes
 
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 ACCEPT_AFTER_SIGTERM_SECONDS: Final = 0.5
@@ -117,12 +118,15 @@
         for number in STOP_SIGNALS:
             signal.signal(number, self._on_stop_signal)
         structured_log.capture_twisted_errors()
+        turn_times = TurnTimes()
+        turn_times.watch(self.reactor)
         self.proxy = Proxy(
             start,
             self.reactor,
             TimerQueue(clock, self.reactor.callLater, structured_log.log_exception),
             self.epoch,
             current_epoch,
+            turn_times=turn_times,
         )
         if start.settings.lists_polled:
             self.proxy.begin()
