Let the list of known failures hold plays that are run by hand

An entry with 'run: by hand' is printed with the others and hides no failure: one that names a test of the run fails it. Its fields and its open issue are checked as strictly as before, with tests of its own.

--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -12,6 +12,10 @@
 A listed test must fail for as long as it is listed. One that fails only sometimes has the field
 `fails: at times`; it may pass but must run. Only tests can be listed: a module that cannot be
 loaded or a class that cannot be set up would hide an unknown number of tests.
+
+A play that CI does not run, such as a soak of another seed or a case in `review/`, has the field
+`run: by hand` and any name in place of the id. It is printed, and hides no failure: an entry that
+names a test of the run fails it.
 """
 
 import os
@@ -21,6 +25,7 @@
 
 REQUIRED_FIELDS = "command", "seed", "seen", "issue"
 FAILS_AT_TIMES = "at times"
+RUN_BY_HAND = "by hand"
 ISSUE_PATTERN = re.compile(r"docs/ROADMAP\.md (\d+)")
 OPEN_SECTION_PATTERN = re.compile(r"^## Open$(.*?)(?=^## |\Z)", re.M | re.S)
 NUMBERED_ENTRY_PATTERN = re.compile(r"^(\d+)\. ", re.M)
@@ -75,8 +80,14 @@
             )
         if self.fields.get("fails", FAILS_AT_TIMES) != FAILS_AT_TIMES:
             problems.append(f"{self.test_id}: fails must be '{FAILS_AT_TIMES}' or absent")
+        if self.fields.get("run", RUN_BY_HAND) != RUN_BY_HAND:
+            problems.append(f"{self.test_id}: run must be '{RUN_BY_HAND}' or absent")
         return problems
 
+    def is_run_by_hand(self):
+        """Returns whether CI does not run it."""
+        return self.fields.get("run") == RUN_BY_HAND
+
 
 def open_issues(roadmap):
     """Returns the numbers of the entries under Open in the roadmap, as texts."""
@@ -110,7 +121,9 @@
         Error messages, the ids of the ignored tests, and the numbers of passed and failed tests.
         The run is good if there are no error messages.
     """
-    entries, problems = parse_list(list_content, roadmap_content)
+    all_entries, problems = parse_list(list_content, roadmap_content)
+    entries = [entry for entry in all_entries if not entry.is_run_by_hand()]
+    ids_by_hand = [entry.test_id for entry in all_entries if entry.is_run_by_hand()]
     test_ids = [entry.test_id for entry in entries]
     flaky_ids = {entry.test_id for entry in entries if "fails" in entry.fields}
     test_counts, summaries = TEST_COUNT_PATTERN.findall(log), SUMMARY_PATTERN.findall(log)
@@ -139,6 +152,11 @@
         for name, qualified_name in TEST_PATTERN.findall(log)
         if is_test_id(name, qualified_name)
     }
+    problems += [
+        f"{test_id}: is listed as run by hand, but is a test of this run"
+        for test_id in ids_by_hand
+        if test_id in started_tests or test_id in failed_tests
+    ]
     for test_id in dict.fromkeys(test_ids):
         if test_id not in started_tests:
             problems.append(f"{test_id}: is listed but did not run")
@@ -178,6 +196,8 @@
     for line in list_content.splitlines():
         if line.split() and line.split()[0] in ignored:
             print(f"known red, ignored: {line}")
+        elif line.strip() and KnownFailure.parse(line).is_run_by_hand():
+            print(f"known red, run by hand: {line}")
     for problem in problems:
         print(f"red: {problem}")
     print(f"{passed} passed, {failed} failed")
--- a/tests/unit/test_known_red.py
+++ b/tests/unit/test_known_red.py
@@ -190,6 +190,36 @@
             known_red.check_run(*self.all_passing, wrong, ROADMAP)[0][0],
         )
 
+    def test_play_that_is_run_by_hand_is_printed_and_hides_no_failure(self):
+        by_hand = f"review/7/run.sh{ENTRY_FIELDS} | run: by hand"
+        self.assertEqual(known_red.check_run(*self.all_passing, by_hand, ROADMAP)[0], [])
+        problems, ignored, _, _ = known_red.check_run(*self.all_failing, by_hand, ROADMAP)
+        self.assertEqual(problems, [f"{test_id}: failed" for test_id in FAILING_TESTS])
+        self.assertEqual(ignored, [])
+        # A test that CI runs can't be listed so, whether it fails or passes.
+        for result in (self.all_failing, self.all_passing):
+            line = f"{FAILING_TESTS[0]}{ENTRY_FIELDS} | run: by hand"
+            problems, ignored, _, _ = known_red.check_run(*result, line, ROADMAP)
+            self.assertIn(
+                f"{FAILING_TESTS[0]}: is listed as run by hand, but is a test of this run", problems
+            )
+            self.assertEqual(ignored, [])
+            self.assertEqual(f"{FAILING_TESTS[0]}: failed" in problems, result is self.all_failing)
+
+    def test_entry_that_is_run_by_hand_has_the_same_fields(self):
+        entry = f"review/7/run.sh{ENTRY_FIELDS} | run: by hand"
+        for field in known_red.REQUIRED_FIELDS:
+            parts = [part for part in entry.split(" | ") if not part.startswith(field)]
+            problems = known_red.check_run(*self.all_passing, " | ".join(parts), ROADMAP)[0]
+            self.assertEqual(problems, [f"review/7/run.sh: {field} is missing"])
+        for wrong, problem in (
+            (entry.replace("by hand", "at night"), "run must be 'by hand' or absent"),
+            (entry.replace("ROADMAP.md 7", "ROADMAP.md 5"), "is not a numbered entry under Open"),
+            (f"{entry}\n{entry}", "is listed twice"),
+        ):
+            problems = known_red.check_run(*self.all_passing, wrong, ROADMAP)[0]
+            self.assertIn(problem, problems[0])
+
     def test_module_that_cannot_be_loaded_cannot_be_listed(self):
         result = run_suite(test_a=SUITE, test_b="import no_such_module_at_all\n")
         for test_id in ("tests.test_b", "unittest.loader._FailedTest.tests.test_b"):
@@ -237,9 +267,11 @@
                 target.write(ROADMAP)
             with open(log_path, "w", encoding="utf-8") as target:
                 target.write(self.three_failing[0])
+            by_hand = f"review/7/run.sh{ENTRY_FIELDS} | run: by hand"
             for listed, status in ((FAILING_TESTS[:3], 0), (FAILING_TESTS[:2], 1)):
                 with open(list_path, "w", encoding="utf-8") as target:
                     target.write("".join(f"{test_id}{ENTRY_FIELDS}\n" for test_id in listed))
+                    target.write(by_hand + "\n")
                 output = io.StringIO()
                 with contextlib.redirect_stdout(output):
                     self.assertEqual(
@@ -252,6 +284,7 @@
                     self.assertIn(
                         f"known red, ignored: {test_id}{ENTRY_FIELDS}\n", output.getvalue()
                     )
+                self.assertIn(f"known red, run by hand: {by_hand}\n", output.getvalue())
                 self.assertTrue(output.getvalue().endswith("3 passed, 3 failed\n"))
 
 
