Name the states of polling as their members are named

The values of IntervalState, CallResult, ValidatorState and Decision were other words than their members; no log and no file holds them. No change of behaviour.

--- a/thymeknot/polling/adaptive_interval.py
+++ b/thymeknot/polling/adaptive_interval.py
@@ -134,10 +134,10 @@
 class IntervalState(StrEnum):
     """The state of the service, as inferred from the last calls."""
 
-    REGULAR = "fresh"
-    SUSPECT = "warned"
+    REGULAR = "regular"
+    SUSPECT = "suspect"
     """One response was malformed."""
-    BACKING_OFF = "turned away"
+    BACKING_OFF = "backing off"
 
 
 class CallResult(StrEnum):
@@ -147,8 +147,8 @@
     """The service ended or rejected it."""
     LOST = "lost"
     """No connection, or a silent one; no sign of overload."""
-    MALFORMED = "spoilt"
-    ESTABLISHED = "stood"
+    MALFORMED = "malformed"
+    ESTABLISHED = "established"
     """It had delivered data before it ended."""
 
 
--- a/thymeknot/polling/snapshot_validation.py
+++ b/thymeknot/polling/snapshot_validation.py
@@ -12,9 +12,9 @@
 class ValidatorState(StrEnum):
     """Whether the last snapshot was accepted; if not, the reason."""
 
-    TRUSTING = "firm"
-    SAW_OLDER = "doubting"
-    SAW_EMPTIED = "emptying"
+    TRUSTING = "trusting"
+    SAW_OLDER = "saw older"
+    SAW_EMPTIED = "saw emptied"
 
 
 class SnapshotKind(StrEnum):
@@ -32,10 +32,10 @@
 class Decision(StrEnum):
     """What to do with a list."""
 
-    ACCEPT = "take"
-    REJECT = "keep"
+    ACCEPT = "accept"
+    REJECT = "reject"
     """Reject it and keep the known endpoints."""
-    FETCH_AGAIN = "ask"
+    FETCH_AGAIN = "fetch again"
     """Reject it, fetch it again at once, and accept it if the same one is received."""
 
 
